--- /dev/null
+++ b/coordination/escrow.cc
@@ -0,0 +1,71 @@
+#include "coordination/escrow.h"
+
+#include <algorithm>
+#include <cassert>
+#include <cmath>
+
+namespace hornbeamspool::coordination {
+
+std::optional<EscrowLedger> EscrowLedger::AfterGrant(
+    std::int64_t amount) const {
+  EscrowLedger next = *this;
+  next.granted += amount;
+  if (next.granted < 0) return std::nullopt;
+  if (next.granted > next.total) return std::nullopt;
+  return next;
+}
+
+void GrantAccount::Add(std::int64_t amount) {
+  assert(amount >= 0);
+  this->granted += amount;
+}
+
+bool GrantAccount::Reserve(std::int64_t amount) {
+  if (amount < 0) return false;
+  if (amount > this->Available()) return false;
+  this->reserved += amount;
+  return true;
+}
+
+std::int64_t GrantAccount::Settle(std::int64_t reserved, std::int64_t used) {
+  const std::int64_t spent = std::clamp<std::int64_t>(used, 0, reserved);
+  this->reserved -= reserved;
+  this->spent += spent;
+  assert(this->Consistent());
+  return spent;
+}
+
+void GrantAccount::Refund(std::int64_t amount) {
+  this->spent -= amount;
+  assert(this->Consistent());
+}
+
+std::int64_t GrantAccount::Withdraw(std::int64_t amount) {
+  const std::int64_t taken =
+      std::clamp<std::int64_t>(amount, 0, this->Available());
+  this->granted -= taken;
+  return taken;
+}
+
+bool GrantAccount::Consistent() const {
+  if (this->reserved < 0) return false;
+  if (this->spent < 0) return false;
+  return this->reserved + this->spent <= this->granted;
+}
+
+std::int64_t GrantSize(const GrantDemand& demand) {
+  // A holder leaves this many equal parts of the remainder to the others.
+  constexpr std::int64_t kPartsPerHolder = 2;
+
+  if (demand.needed > demand.ungranted) return 0;
+  const double horizon_s =
+      std::chrono::duration<double>(demand.horizon).count();
+  const auto expected =
+      static_cast<std::int64_t>(std::ceil(demand.units_per_second * horizon_s));
+  const std::int64_t fair =
+      demand.ungranted /
+      (kPartsPerHolder * std::max<std::int64_t>(demand.holders, 1));
+  return std::max(demand.needed, std::min(demand.needed + expected, fair));
+}
+
+}  // namespace hornbeamspool::coordination
--- /dev/null
+++ b/hornbeamspool/budget_admin.cc
@@ -0,0 +1,128 @@
+#include "hornbeamspool/budget_admin.h"
+
+#include <boost/asio/use_awaitable.hpp>
+#include <map>
+#include <utility>
+
+#include "hornbeamspool/ledger_rows.h"
+
+namespace hornbeamspool {
+namespace {
+
+namespace net = boost::asio;
+using platform::TableOutcome;
+using platform::WriteAction;
+
+// Tries against other writers of the same budget.
+constexpr int kMaxTries = 20;
+
+// Drawing nodes write the budget row too, so a conflict is tried again.
+net::awaitable<TableOutcome> TryAdd(platform::TableClient& table,
+                                    const std::string& budget,
+                                    std::int64_t tokens, const std::string& id,
+                                    const platform::Item* row) {
+  coordination::EscrowLedger ledger;
+  std::int64_t version = 0;
+  if (row != nullptr) {
+    ledger = rows::LedgerOf(*row);
+    version = row->Number(rows::kVersion);
+  }
+  ledger.total += tokens;
+  WriteAction top_up;
+  top_up.key = rows::TopUpKey(budget, id);
+  top_up.item.attributes["tokens"] = tokens;
+  top_up.condition = rows::Absent();
+  WriteAction change;
+  change.key = rows::BudgetKey(budget);
+  change.item = rows::BudgetItem(ledger, version + 1);
+  change.condition =
+      row == nullptr ? rows::Absent() : rows::Equal(rows::kVersion, version);
+  std::vector<WriteAction> actions{std::move(top_up), std::move(change)};
+  const auto outcome = co_await table.Transact(
+      std::move(actions), budget + '#' + id + '#' + std::to_string(version));
+  co_return outcome.outcome;
+}
+
+}  // namespace
+
+net::awaitable<AdminOutcome> AddToBudget(platform::TableClient& table,
+                                         std::string budget,
+                                         std::int64_t tokens, std::string id,
+                                         bool create) {
+  for (int i = 0; i < kMaxTries; ++i) {
+    const auto before = co_await table.Get(rows::TopUpKey(budget, id));
+    if (before.outcome != TableOutcome::kOk) {
+      co_return AdminOutcome::kUnavailable;
+    }
+    if (before.item) {
+      const bool same = before.item->Number("tokens") == tokens;
+      co_return same ? AdminOutcome::kAlreadyDone : AdminOutcome::kConflict;
+    }
+    const auto row = co_await table.Get(rows::BudgetKey(budget));
+    if (row.outcome != TableOutcome::kOk) co_return AdminOutcome::kUnavailable;
+    if (!row.item && !create) co_return AdminOutcome::kNotFound;
+    if (row.item && create) co_return AdminOutcome::kConflict;
+    const TableOutcome outcome = co_await TryAdd(
+        table, budget, tokens, id, row.item ? &*row.item : nullptr);
+    if (outcome == TableOutcome::kOk) co_return AdminOutcome::kDone;
+    if (outcome == TableOutcome::kUnavailable) {
+      co_return AdminOutcome::kUnavailable;
+    }
+    // A conflict, or an answer that was lost: the row of the id tells.
+  }
+  co_return AdminOutcome::kConflict;
+}
+
+net::awaitable<BudgetReport> ShowBudget(platform::TableClient& table,
+                                        std::string budget) {
+  BudgetReport report;
+  const auto query =
+      co_await table.Query(rows::BudgetKey(budget).partition, "");
+  if (query.outcome != TableOutcome::kOk) co_return report;
+  report.outcome = AdminOutcome::kNotFound;
+  std::map<std::string, HolderGrant> holders;
+  for (const platform::Item& item : query.items) {
+    const std::string sort = item.Text(platform::kSortName);
+    const std::size_t mark = sort.find('#');
+    const std::string kind = sort.substr(0, mark);
+    if (kind == "budget") {
+      report.outcome = AdminOutcome::kDone;
+      report.ledger = rows::LedgerOf(item);
+      continue;
+    }
+    if (mark == std::string::npos) continue;
+    const std::string holder = sort.substr(mark + 1);
+    if (kind == "grant") {
+      holders[holder].granted = item.Number(rows::kGranted);
+    } else if (kind == "settled") {
+      holders[holder].spent = item.Number(rows::kSpent);
+      report.spent += holders[holder].spent;
+    }
+  }
+  for (auto& [name, grant] : holders) {
+    grant.holder = name;
+    report.holders.push_back(std::move(grant));
+  }
+  co_return report;
+}
+
+net::awaitable<BillReport> ShowBills(platform::TableClient& table,
+                                     std::string organisation,
+                                     std::string key) {
+  BillReport report;
+  policy::Bill probe;
+  probe.organisation = organisation;
+  const auto query = co_await table.Query(rows::BillKey(probe).partition, key);
+  if (query.outcome != TableOutcome::kOk) co_return report;
+  report.outcome = AdminOutcome::kDone;
+  for (const platform::Item& item : query.items) {
+    report.bills.push_back(
+        BillLine{item.Text("request_key"), item.Text("request_id"),
+                 item.Text("budget"), item.Text("service"),
+                 item.Text("version"), item.Number("prompt_tokens"),
+                 item.Number("completion_tokens"), item.Number("amount")});
+  }
+  co_return report;
+}
+
+}  // namespace hornbeamspool
--- /dev/null
+++ b/hornbeamspool/caller_server.cc
@@ -0,0 +1,127 @@
+#include "hornbeamspool/caller_server.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <utility>
+
+#include "hornbeamspool/error_response.h"
+#include "hornbeamspool/model_relay.h"
+#include "hornbeamspool/plain_relay.h"
+
+namespace hornbeamspool {
+namespace {
+
+namespace net = boost::asio;
+
+// Messages that one request in flight may have in the ring at once.
+constexpr std::size_t kMessagesPerRequest = 2;
+constexpr coordination::Duration kCountInterval = std::chrono::milliseconds(20);
+
+http::ServerLimits LimitsOf(const settings::CallerSettings& settings) {
+  http::ServerLimits limits;
+  limits.header_timeout = settings.header_timeout;
+  limits.body_timeout = settings.body_timeout;
+  limits.idle_timeout = settings.idle_timeout;
+  limits.write_timeout = settings.write_timeout;
+  limits.header_bytes = static_cast<std::uint32_t>(settings.header_bytes);
+  limits.body_bytes = static_cast<std::uint64_t>(settings.body_bytes);
+  limits.connections = static_cast<std::size_t>(settings.max_connections);
+  return limits;
+}
+
+}  // namespace
+
+std::size_t CallerServer::KeptRoom(const settings::CallerSettings& settings) {
+  return kMessagesPerRequest * static_cast<std::size_t>(settings.max_in_flight);
+}
+
+std::size_t CallerServer::RingCapacity(
+    const settings::CallerSettings& settings) {
+  return KeptRoom(settings) + static_cast<std::size_t>(settings.max_in_flight);
+}
+
+CallerServer::CallerServer(const settings::CallerSettings& settings,
+                           std::string request_prefix, Metrics& metrics,
+                           EventSink& sink, const std::atomic<bool>& ready)
+    : settings(settings),
+      ready(&ready),
+      work(net::make_work_guard(this->io)),
+      wakeup(this->io,
+             [this] {
+               this->replies.Drain([this](policy::AdmissionReply reply) {
+                 this->gate->Deliver(std::move(reply));
+               });
+             }),
+      replies(RingCapacity(settings), [this] { this->wakeup.Notify(); }),
+      client(this->io),
+      server(
+          this->io, LimitsOf(settings),
+          [this](http::Exchange& exchange) { return this->Handle(exchange); },
+          [](http::Reject reject) { return RejectResponse(reject); }) {
+  this->context.client = &this->client;
+  this->context.metrics = &metrics;
+  this->context.sink = &sink;
+  this->context.request_prefix = std::move(request_prefix);
+}
+
+CallerServer::~CallerServer() { this->Stop(); }
+
+bool CallerServer::Start(Ring<policy::ListenerMessage>& to_decisions) {
+  this->gate = std::make_unique<DecisionGate>(this->io, to_decisions,
+                                              KeptRoom(this->settings));
+  this->context.gate = this->gate.get();
+  if (this->server.Listen(this->settings.address) == 0) return false;
+  net::co_spawn(this->io, this->CountConnections(), net::detached);
+  this->thread = std::thread([this] { this->io.run(); });
+  return true;
+}
+
+void CallerServer::Drain() {
+  net::post(this->io, [this] { this->server.Drain(); });
+}
+
+void CallerServer::Stop() {
+  this->io.stop();
+  if (this->thread.joinable()) this->thread.join();
+}
+
+// Publishes the number of connections for the thread that waits for the drain.
+net::awaitable<void> CallerServer::CountConnections() {
+  net::steady_timer timer(this->io);
+  while (true) {
+    this->open_connections = this->server.OpenConnections();
+    timer.expires_after(kCountInterval);
+    co_await timer.async_wait(net::use_awaitable);
+  }
+}
+
+net::awaitable<void> CallerServer::Handle(http::Exchange& exchange) {
+  const http::Request& request = exchange.GetRequest();
+  const std::string_view path = request.Path();
+  if (path == "/v1/chat/completions") {
+    if (request.method == "POST") {
+      co_await RelayModel(this->context, exchange);
+    } else {
+      co_await exchange.Send(
+          ErrorResponse(policy::ErrorKind::kMethodNotAllowed));
+    }
+    co_return;
+  }
+  if (path == "/healthz") {
+    co_await exchange.Send(http::JsonResponse(200, R"({"healthy":true})"));
+    co_return;
+  }
+  if (path == "/readyz") {
+    http::Response answer = http::JsonResponse(200, R"({"ready":true})");
+    if (!this->ready->load()) {
+      answer = ErrorResponse(policy::ErrorKind::kNotReady);
+    }
+    co_await exchange.Send(std::move(answer));
+    co_return;
+  }
+  co_await RelayPlain(this->context, exchange);
+}
+
+}  // namespace hornbeamspool
--- /dev/null
+++ b/hornbeamspool/config_store.cc
@@ -0,0 +1,58 @@
+#include "hornbeamspool/config_store.h"
+
+#include <boost/asio/use_awaitable.hpp>
+#include <utility>
+#include <vector>
+
+#include "hornbeamspool/ledger_rows.h"
+#include "transport/seal.h"
+
+namespace hornbeamspool {
+namespace {
+
+namespace net = boost::asio;
+using platform::TableOutcome;
+
+}  // namespace
+
+net::awaitable<std::optional<StoredConfig>> ReadStoredConfig(
+    platform::TableClient& table, platform::ObjectStore& objects) {
+  const auto row = co_await table.Get(rows::EpochKey());
+  if (row.outcome != TableOutcome::kOk) co_return std::nullopt;
+  StoredConfig stored;
+  if (!row.item) co_return stored;
+  auto text = co_await objects.Get(row.item->Text("object"));
+  if (!text) co_return std::nullopt;
+  stored.epoch = static_cast<std::uint64_t>(row.item->Number("epoch"));
+  stored.text = std::move(*text);
+  co_return stored;
+}
+
+net::awaitable<PutOutcome> PutConfig(platform::TableClient& table,
+                                     platform::ObjectStore& objects,
+                                     std::string text, std::uint64_t base) {
+  const std::string object = "config/" + transport::Sha256Hex(text);
+  if (!co_await objects.Put(object, std::move(text))) {
+    co_return PutOutcome::kUnavailable;
+  }
+  const auto epoch = static_cast<std::int64_t>(base);
+  platform::WriteAction action;
+  action.key = rows::EpochKey();
+  action.item.attributes["epoch"] = epoch + 1;
+  action.item.attributes["object"] = object;
+  action.condition = base == 0 ? rows::Absent() : rows::Equal("epoch", epoch);
+  std::vector<platform::WriteAction> actions{std::move(action)};
+  const auto outcome = co_await table.Transact(
+      std::move(actions), "config#" + std::to_string(base) + '#' + object);
+  if (outcome.outcome == TableOutcome::kOk) co_return PutOutcome::kAccepted;
+  if (outcome.outcome == TableOutcome::kConflict) {
+    co_return PutOutcome::kConflict;
+  }
+  // The answer was lost: the row tells whether this epoch is ours.
+  const auto row = co_await table.Get(rows::EpochKey());
+  const bool ours = row.item && row.item->Number("epoch") == epoch + 1 &&
+                    row.item->Text("object") == object;
+  co_return ours ? PutOutcome::kAccepted : PutOutcome::kUnavailable;
+}
+
+}  // namespace hornbeamspool
--- /dev/null
+++ b/hornbeamspool/daemon.cc
@@ -0,0 +1,126 @@
+#include "hornbeamspool/daemon.h"
+
+#include <charconv>
+#include <thread>
+#include <utility>
+
+#include "hornbeamspool/clock.h"
+
+namespace hornbeamspool {
+namespace {
+
+constexpr coordination::Duration kDrainPoll = std::chrono::milliseconds(20);
+
+// A start of this node is told from every other by the wall clock.
+std::uint64_t NewIncarnation() {
+  return static_cast<std::uint64_t>(WallNow().time_since_epoch().count());
+}
+
+std::string HolderName(const settings::NodeSettings& settings,
+                       std::uint64_t incarnation) {
+  return settings.name + '@' + std::to_string(incarnation);
+}
+
+std::string RequestPrefix(const settings::NodeSettings& settings,
+                          std::uint64_t incarnation) {
+  constexpr int kBase = 36;
+  std::array<char, 16> digits{};
+  const auto end = std::to_chars(digits.data(), digits.data() + digits.size(),
+                                 incarnation, kBase);
+  return settings.name + '-' + std::string(digits.data(), end.ptr) + '-';
+}
+
+policy::RouterOptions OptionsOf(const settings::NodeSettings& settings) {
+  policy::RouterOptions options;
+  options.availability_zone = settings.availability_zone;
+  options.max_in_flight =
+      static_cast<std::size_t>(settings.callers.max_in_flight);
+  return options;
+}
+
+policy::Event SimpleEvent(policy::EventKind kind, std::string detail = {}) {
+  policy::Event event;
+  event.kind = kind;
+  event.detail = std::move(detail);
+  return event;
+}
+
+}  // namespace
+
+Daemon::Daemon(const settings::NodeSettings& settings)
+    : settings(settings),
+      incarnation(NewIncarnation()),
+      recorder(settings.name, settings.log_level, this->metrics),
+      main_sink(&this->recorder.AddSink()),
+      listener_sink(&this->recorder.AddSink()),
+      decision_sink(&this->recorder.AddSink()),
+      platform_sink(&this->recorder.AddSink()),
+      peer_sink(&this->recorder.AddSink()),
+      operator_sink(&this->recorder.AddSink()),
+      decisions(OptionsOf(settings),
+                CallerServer::RingCapacity(settings.callers), this->metrics,
+                *this->decision_sink),
+      platform(settings.platform, HolderName(settings, this->incarnation),
+               this->metrics, *this->platform_sink),
+      callers(settings.callers, RequestPrefix(settings, this->incarnation),
+              this->metrics, *this->listener_sink, this->decisions.Ready()),
+      peers(settings, this->incarnation, this->metrics, *this->peer_sink,
+            this->recorder, this->platform, this->decisions.ConfigEpoch()),
+      operators(
+          settings,
+          OperatorSources{&this->decisions.Status(), &this->peers.Members(),
+                          &this->recorder, &this->metrics},
+          *this->operator_sink) {}
+
+Daemon::~Daemon() {
+  this->callers.Stop();
+  this->operators.Stop();
+  this->peers.Stop();
+  this->decisions.Stop();
+  this->platform.Stop();
+  this->recorder.Stop();
+}
+
+std::string Daemon::Start() {
+  this->recorder.Start();
+  this->main_sink->Record(SimpleEvent(
+      policy::EventKind::kStarted,
+      policy::KeyValue("availability_zone", this->settings.availability_zone)));
+  this->decisions.Start(this->callers.Replies(), this->platform.Commands());
+  this->platform.Start(this->decisions.FromPlatform());
+  if (!this->peers.Start(this->decisions.FromPeers())) {
+    return "cannot bind peers.address " + this->settings.peers.address;
+  }
+  if (!this->operators.Start()) {
+    return "cannot listen on operators.address " +
+           this->settings.operators.address;
+  }
+  if (!this->callers.Start(this->decisions.FromListener())) {
+    return "cannot listen on callers.address " + this->settings.callers.address;
+  }
+  return {};
+}
+
+bool Daemon::Shutdown() {
+  this->main_sink->Record(SimpleEvent(policy::EventKind::kStopping));
+  const coordination::TimePoint deadline = Now() + this->settings.drain_timeout;
+  // Step 1: the platform's balancer and the peers are told.
+  this->peers.BeginLeave();
+  this->callers.Drain();
+  // Step 2: wait for the callers that were being answered.
+  while (Now() < deadline && this->callers.OpenConnections() > 0) {
+    std::this_thread::sleep_for(kDrainPoll);
+  }
+  // Step 3: bills are written and grants handed back.
+  this->decisions.BeginStop();
+  while (Now() < deadline && !this->decisions.Stopped()) {
+    std::this_thread::sleep_for(kDrainPoll);
+  }
+  const bool clean = this->decisions.Stopped();
+  this->main_sink->Record(
+      SimpleEvent(policy::EventKind::kStopped,
+                  policy::KeyValue("clean", clean ? "true" : "false")));
+  return clean;
+}
+
+}  // namespace hornbeamspool
--- /dev/null
+++ b/hornbeamspool/decision_gate.h
@@ -0,0 +1,72 @@
+// The listener's way to the decisions and back. Lives on the listener's
+// thread.
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <unordered_map>
+
+#include "hornbeamspool/ring.h"
+#include "policy/messages.h"
+
+namespace hornbeamspool {
+
+class DecisionGate {
+ public:
+  // `kept_room` places of the ring are kept for retries and completions, so
+  // that those always find room.
+  DecisionGate(boost::asio::io_context& io,
+               Ring<policy::ListenerMessage>& to_decisions,
+               std::size_t kept_room);
+
+  // Asks for admission. A full ring is answered with `overloaded`.
+  boost::asio::awaitable<policy::AdmissionReply> Ask(
+      policy::AdmissionRequest request);
+  // Asks for another upstream.
+  boost::asio::awaitable<policy::AdmissionReply> Retry(
+      std::uint64_t reservation, bool reached);
+  void Complete(policy::Completion completion);
+
+  // Hands a reply to the coroutine that waits for it.
+  void Deliver(policy::AdmissionReply reply);
+
+ private:
+  struct Waiter;
+  boost::asio::awaitable<policy::AdmissionReply> WaitFor(std::uint64_t ticket);
+
+  boost::asio::io_context* io;
+  Ring<policy::ListenerMessage>* to_decisions;
+  std::size_t kept_room;
+  std::uint64_t next_ticket = 1;
+  std::unordered_map<std::uint64_t, std::shared_ptr<Waiter>> waiters;
+};
+
+// Ends a reservation exactly once, whatever becomes of the coroutine that
+// holds it.
+class OpenReservation {
+ public:
+  OpenReservation(DecisionGate& gate, std::uint64_t reservation,
+                  policy::CompletionOutcome fallback);
+  OpenReservation(const OpenReservation&) = delete;
+  OpenReservation& operator=(const OpenReservation&) = delete;
+  ~OpenReservation();
+
+  // What is reported when the coroutine ends without a word.
+  void SetFallback(policy::CompletionOutcome outcome) {
+    this->completion.outcome = outcome;
+  }
+  policy::Completion& Draft() { return this->completion; }
+  void Complete(policy::CompletionOutcome outcome);
+  // The reservation is ended by the decisions themselves.
+  void Release() { this->open = false; }
+
+ private:
+  DecisionGate* gate;
+  policy::Completion completion;
+  bool open = true;
+};
+
+}  // namespace hornbeamspool
--- /dev/null
+++ b/hornbeamspool/decision_thread.cc
@@ -0,0 +1,165 @@
+#include "hornbeamspool/decision_thread.h"
+
+#include <utility>
+#include <variant>
+
+#include "hornbeamspool/clock.h"
+
+namespace hornbeamspool {
+namespace {
+
+using coordination::Duration;
+using coordination::TimePoint;
+
+// How often waiting requests are looked at.
+constexpr Duration kTickInterval = std::chrono::milliseconds(20);
+// How often the status is published.
+constexpr Duration kPublishInterval = std::chrono::milliseconds(100);
+constexpr std::size_t kPlatformCapacity = 4096;
+constexpr std::size_t kPeerCapacity = 256;
+
+// Pushes from the front until the ring is full.
+template <typename T>
+void PushAll(std::deque<T>& held, Ring<T>& ring) {
+  while (!held.empty() && ring.Room() > 0) {
+    ring.Push(std::move(held.front()));
+    held.pop_front();
+  }
+}
+
+}  // namespace
+
+DecisionThread::DecisionThread(policy::RouterOptions options,
+                               std::size_t listener_capacity, Metrics& metrics,
+                               EventSink& sink)
+    : router(std::move(options)),
+      metrics(&metrics),
+      sink(&sink),
+      from_listener(listener_capacity, [this] { this->wakeup.Notify(); }),
+      from_platform(kPlatformCapacity, [this] { this->wakeup.Notify(); }),
+      from_peers(kPeerCapacity, [this] { this->wakeup.Notify(); }) {}
+
+DecisionThread::~DecisionThread() { this->Stop(); }
+
+void DecisionThread::Start(Ring<policy::AdmissionReply>& to_listener,
+                           Ring<policy::TableCommand>& to_platform) {
+  this->to_listener = &to_listener;
+  this->to_platform = &to_platform;
+  this->thread = std::thread([this] { this->Run(); });
+}
+
+void DecisionThread::Stop() {
+  this->ending = true;
+  this->wakeup.Notify();
+  if (this->thread.joinable()) this->thread.join();
+}
+
+void DecisionThread::Run() {
+  TimePoint next_tick = Now();
+  TimePoint next_publish = next_tick;
+  while (!this->ending) {
+    this->wakeup.WaitFor(kTickInterval);
+    // Step 1: what came in. Facts of the platform go before requests.
+    this->from_platform.Drain([this](PlatformMessage message) {
+      this->TakePlatform(std::move(message));
+    });
+    this->from_peers.Drain([this](PeerNews news) { this->TakePeers(news); });
+    this->from_listener.Drain([this](policy::ListenerMessage message) {
+      this->TakeListener(std::move(message));
+    });
+
+    // Step 2: what time brings.
+    const TimePoint now = Now();
+    if (now >= next_tick) {
+      if (this->stop_asked) this->router.BeginStop();
+      this->router.OnTick(now, this->outbox);
+      next_tick = now + kTickInterval;
+    }
+
+    // Step 3: what goes out.
+    this->HandOn();
+    if (now >= next_publish) {
+      this->Publish();
+      next_publish = now + kPublishInterval;
+    }
+  }
+}
+
+void DecisionThread::TakeListener(policy::ListenerMessage message) {
+  const TimePoint now = Now();
+  if (const auto* request = std::get_if<policy::AdmissionRequest>(&message)) {
+    this->router.OnRequest(*request, now, this->outbox);
+  } else if (const auto* retry = std::get_if<policy::RetryRequest>(&message)) {
+    this->router.OnRetry(*retry, now, this->outbox);
+  } else if (const auto* end = std::get_if<policy::Completion>(&message)) {
+    this->router.OnCompletion(*end, now, this->outbox);
+  }
+  this->HandOn();
+}
+
+void DecisionThread::TakePlatform(PlatformMessage message) {
+  const TimePoint now = Now();
+  if (const auto* reply = std::get_if<policy::TableReply>(&message)) {
+    this->router.OnTableReply(*reply, now, this->outbox);
+  } else if (auto* config = std::get_if<ConfigRead>(&message)) {
+    this->router.SetConfig(config->epoch, std::move(config->config),
+                           this->outbox);
+    this->config_epoch = this->router.ConfigEpoch();
+  } else if (const auto* listed = std::get_if<UpstreamsListed>(&message)) {
+    this->router.SetUpstreams(listed->upstreams, this->outbox);
+  } else if (const auto* load = std::get_if<LoadRead>(&message)) {
+    this->router.SetReport(load->report);
+  }
+  this->HandOn();
+}
+
+void DecisionThread::TakePeers(const PeerNews& news) {
+  this->router.SetHolders(news.alive);
+  this->newest_epoch = std::max(this->newest_epoch, news.newest_epoch);
+}
+
+void DecisionThread::HandOn() {
+  for (policy::AdmissionReply& reply : this->outbox.replies) {
+    this->held_replies.push_back(std::move(reply));
+  }
+  for (policy::TableCommand& command : this->outbox.commands) {
+    this->held_commands.push_back(std::move(command));
+  }
+  for (policy::Event& event : this->outbox.events) {
+    this->CountEvent(event);
+    this->sink->Record(std::move(event));
+  }
+  this->outbox = {};
+  PushAll(this->held_replies, *this->to_listener);
+  PushAll(this->held_commands, *this->to_platform);
+}
+
+void DecisionThread::CountEvent(const policy::Event& event) {
+  if (event.kind == policy::EventKind::kBilled) {
+    this->metrics->Add(Counter::kBills);
+  } else if (event.kind == policy::EventKind::kBillDuplicate) {
+    this->metrics->Add(Counter::kDuplicateBills);
+  }
+}
+
+void DecisionThread::Publish() {
+  NodeStatus next;
+  next.config_epoch = this->router.ConfigEpoch();
+  // A node that knows of a newer configuration is not ready until it has it.
+  next.ready = this->router.Ready() && next.config_epoch >= this->newest_epoch;
+  next.stopping = this->stop_asked;
+  next.in_flight = this->router.InFlight();
+  next.billing_backlog = this->router.BillingBacklog();
+  next.budgets = this->router.AllFigures();
+  for (const auto& [name, upstream] : this->router.Upstreams().All()) {
+    next.upstreams.push_back({name, upstream.listed.service,
+                              upstream.listed.version,
+                              upstream.listed.availability_zone,
+                              upstream.listed.leaving, upstream.open_requests});
+  }
+  this->ready = next.ready;
+  this->stopped = this->router.Stopped();
+  this->status.Publish(std::move(next));
+}
+
+}  // namespace hornbeamspool
--- /dev/null
+++ b/hornbeamspool/decision_thread.h
@@ -0,0 +1,80 @@
+// The thread of the decisions: takes messages from rings, lets the router
+// decide, and hands on what it asks for.
+#pragma once
+
+#include <atomic>
+#include <deque>
+#include <string>
+#include <thread>
+
+#include "hornbeamspool/metrics.h"
+#include "hornbeamspool/node_status.h"
+#include "hornbeamspool/platform_messages.h"
+#include "hornbeamspool/recorder.h"
+#include "hornbeamspool/ring.h"
+#include "hornbeamspool/snapshot.h"
+#include "hornbeamspool/wakeup.h"
+#include "policy/router.h"
+
+namespace hornbeamspool {
+
+class DecisionThread {
+ public:
+  DecisionThread(policy::RouterOptions options, std::size_t listener_capacity,
+                 Metrics& metrics, EventSink& sink);
+  DecisionThread(const DecisionThread&) = delete;
+  DecisionThread& operator=(const DecisionThread&) = delete;
+  ~DecisionThread();
+
+  Ring<policy::ListenerMessage>& FromListener() { return this->from_listener; }
+  Ring<PlatformMessage>& FromPlatform() { return this->from_platform; }
+  Ring<PeerNews>& FromPeers() { return this->from_peers; }
+
+  void Start(Ring<policy::AdmissionReply>& to_listener,
+             Ring<policy::TableCommand>& to_platform);
+
+  // Begins the graceful stop. Stopped() turns true when everything is billed
+  // and handed back.
+  void BeginStop() { this->stop_asked = true; }
+  bool Stopped() const { return this->stopped; }
+  void Stop();
+
+  const std::atomic<bool>& Ready() const { return this->ready; }
+  const std::atomic<std::uint64_t>& ConfigEpoch() const {
+    return this->config_epoch;
+  }
+  const Snapshot<NodeStatus>& Status() const { return this->status; }
+
+ private:
+  void Run();
+  void TakeListener(policy::ListenerMessage message);
+  void TakePlatform(PlatformMessage message);
+  void TakePeers(const PeerNews& news);
+  void HandOn();
+  void CountEvent(const policy::Event& event);
+  void Publish();
+
+  policy::Router router;
+  Metrics* metrics;
+  EventSink* sink;
+  Wakeup wakeup;
+  Ring<policy::ListenerMessage> from_listener;
+  Ring<PlatformMessage> from_platform;
+  Ring<PeerNews> from_peers;
+  Ring<policy::AdmissionReply>* to_listener = nullptr;
+  Ring<policy::TableCommand>* to_platform = nullptr;
+  policy::Outbox outbox;
+  // What did not fit into a full ring. Bounded by the requests in flight.
+  std::deque<policy::AdmissionReply> held_replies;
+  std::deque<policy::TableCommand> held_commands;
+  std::uint64_t newest_epoch = 0;
+  std::atomic<bool> ready{false};
+  std::atomic<std::uint64_t> config_epoch{0};
+  std::atomic<bool> stop_asked{false};
+  std::atomic<bool> stopped{false};
+  std::atomic<bool> ending{false};
+  Snapshot<NodeStatus> status;
+  std::thread thread;
+};
+
+}  // namespace hornbeamspool
--- /dev/null
+++ b/hornbeamspool/main.cc
@@ -0,0 +1,96 @@
+// The router daemon.
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/leaf/handle_errors.hpp>
+#include <fstream>
+#include <iostream>
+#include <memory>
+#include <optional>
+#include <sstream>
+#include <string>
+
+#include "hornbeamspool/daemon.h"
+#include "hornbeamspool/embedded.h"
+#include "settings/fault.h"
+#include "settings/node_settings.h"
+
+ABSL_FLAG(std::string, settings, "", "file with the settings of this node");
+ABSL_FLAG(bool, embedded, false,
+          "host small stand-ins for the platform and the upstreams");
+
+namespace {
+
+using namespace hornbeamspool;  // NOLINT(google-build-using-namespace)
+
+// Exit codes.
+constexpr int kOk = 0;
+constexpr int kFailed = 1;
+constexpr int kUsage = 2;
+constexpr int kNotClean = 3;
+
+std::optional<settings::NodeSettings> ReadSettings(const std::string& path) {
+  std::ifstream file(path);
+  if (!file) {
+    std::cerr << "cannot read " << path << '\n';
+    return std::nullopt;
+  }
+  std::ostringstream text;
+  text << file.rdbuf();
+  std::optional<settings::NodeSettings> node;
+  boost::leaf::try_handle_all(
+      [&]() -> boost::leaf::result<void> {
+        BOOST_LEAF_ASSIGN(node, settings::ParseNodeSettings(text.str()));
+        return {};
+      },
+      [&](const settings::FaultList& faults) {
+        for (const settings::Fault& fault : faults) {
+          std::cerr << path << ": " << fault.where << ": " << fault.message
+                    << '\n';
+        }
+      },
+      [&] { std::cerr << path << ": unknown fault\n"; });
+  return node;
+}
+
+void WaitForSignal() {
+  boost::asio::io_context io{1};
+  boost::asio::signal_set signals(io, SIGTERM, SIGINT);
+  signals.async_wait([&](auto, int) { io.stop(); });
+  io.run();
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  absl::SetProgramUsageMessage(
+      "hornbeamspool --settings=FILE [--embedded]\n"
+      "Runs one router until SIGTERM; then finishes what is in progress.");
+  absl::ParseCommandLine(argc, argv);
+  const std::string path = absl::GetFlag(FLAGS_settings);
+  if (path.empty()) {
+    std::cerr << "--settings=FILE is needed; see --help\n";
+    return kUsage;
+  }
+  std::optional<settings::NodeSettings> node = ReadSettings(path);
+  if (!node) return kUsage;
+  Embedded embedded;
+  if (absl::GetFlag(FLAGS_embedded)) {
+    if (!embedded.Start()) {
+      std::cerr << "cannot start the stand-ins\n";
+      return kFailed;
+    }
+    node = embedded.Adopt(std::move(*node));
+  }
+  auto daemon = std::make_unique<Daemon>(*node);
+  const std::string fault = daemon->Start();
+  if (!fault.empty()) {
+    std::cerr << fault << '\n';
+    return kFailed;
+  }
+  WaitForSignal();
+  return daemon->Shutdown() ? kOk : kNotClean;
+}
--- /dev/null
+++ b/hornbeamspool/model_relay.cc
@@ -0,0 +1,317 @@
+#include "hornbeamspool/model_relay.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <memory>
+#include <optional>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "hornbeamspool/answer_checker.h"
+#include "hornbeamspool/chat_request.h"
+#include "hornbeamspool/clock.h"
+#include "hornbeamspool/error_response.h"
+#include "http/event_stream.h"
+
+namespace hornbeamspool {
+namespace {
+
+namespace net = boost::asio;
+using coordination::TimePoint;
+using policy::CompletionOutcome;
+using policy::ErrorKind;
+
+constexpr std::size_t kPieceBytes = 8 * 1024;
+constexpr std::string_view kStreamEnd = "[DONE]";
+
+// How one try ended.
+enum class TryEnd : std::uint8_t {
+  kAnswered,  // something was shown to the caller; the reservation is ended
+  kFailed,    // nothing was shown; another upstream may be tried
+};
+
+struct TryResult {
+  TryEnd end = TryEnd::kFailed;
+  bool reached = false;
+};
+
+// One admitted request on its way through one upstream.
+struct Attempt {
+  ServeContext* context = nullptr;
+  http::Exchange* exchange = nullptr;
+  const ChatRequest* chat = nullptr;
+  const policy::Admitted* admitted = nullptr;
+  std::string request_id;
+  TimePoint arrived;
+};
+
+http::Request UpstreamRequest(const Attempt& attempt) {
+  http::Request request;
+  request.method = "POST";
+  request.target = "/v1/chat/completions";
+  request.headers = {{"Content-Type", "application/json"},
+                     {"X-Request-Id", attempt.request_id}};
+  request.body = UpstreamBody(*attempt.chat, attempt.admitted->max_tokens,
+                              attempt.admitted->priority);
+  return request;
+}
+
+// 5xx and 429 mean that the upstream did not do the work.
+bool IsFailedTry(std::uint16_t status) {
+  return status >= 500 || status == 429;
+}
+
+http::Response AnswerHead(const Attempt& attempt, const http::Response& from) {
+  http::Response head;
+  head.status = from.status;
+  head.headers = {
+      {"Content-Type", std::string(from.HeaderValue("Content-Type"))},
+      {"X-Request-Id", attempt.request_id}};
+  return head;
+}
+
+// Relays the events of a stream. Holds one piece of the stream at a time, so
+// that a slow caller stops the reading and not the memory.
+class StreamRelay {
+ public:
+  StreamRelay(const Attempt& attempt, http::ResponseStream& stream,
+              OpenReservation& reservation)
+      : attempt(&attempt), stream(&stream), reservation(&reservation) {}
+
+  net::awaitable<TryResult> Run();
+
+ private:
+  // What one piece of the stream came to.
+  enum class Step : std::uint8_t { kGoOn, kDone, kMismatched, kBroken };
+
+  Step TakePiece(std::string_view piece);
+  Step TakeEvent(const http::StreamEvent& event);
+  net::awaitable<bool> Show();
+  net::awaitable<TryResult> Fail(ErrorKind kind);
+  void NoteToken(TimePoint now);
+
+  const Attempt* attempt;
+  http::ResponseStream* stream;
+  OpenReservation* reservation;
+  http::EventReader events;
+  std::string due;  // checked bytes that the caller has not been sent
+  std::optional<Usage> usage;
+  std::int64_t tokens = 0;
+  TimePoint last_token{};
+  bool begun = false;
+  bool done = false;
+};
+
+net::awaitable<TryResult> StreamRelay::Run() {
+  std::vector<char> piece(kPieceBytes);
+  while (true) {
+    const http::ReadResult read = co_await this->stream->Read(piece);
+    if (read.status != http::FetchStatus::kOk) {
+      co_return co_await this->Fail(ErrorKind::kAnswerBroken);
+    }
+    if (read.count == 0) break;
+    const Step step = this->TakePiece({piece.data(), read.count});
+    if (step == Step::kMismatched) {
+      co_return co_await this->Fail(ErrorKind::kAnswerMismatched);
+    }
+    if (step == Step::kBroken) {
+      co_return co_await this->Fail(ErrorKind::kAnswerBroken);
+    }
+    if (!co_await this->Show()) {
+      this->reservation->Complete(CompletionOutcome::kCallerGone);
+      co_return TryResult{TryEnd::kAnswered, true};
+    }
+  }
+  if (!this->done) co_return co_await this->Fail(ErrorKind::kAnswerBroken);
+  const bool delivered = co_await this->attempt->exchange->EndStream();
+  this->reservation->Complete(delivered ? CompletionOutcome::kWhole
+                                        : CompletionOutcome::kCallerGone);
+  co_return TryResult{TryEnd::kAnswered, true};
+}
+
+StreamRelay::Step StreamRelay::TakePiece(std::string_view piece) {
+  if (!this->events.Feed(piece)) return Step::kBroken;
+  while (const auto event = this->events.Next()) {
+    const Step step = this->TakeEvent(*event);
+    if (step != Step::kGoOn) return step;
+  }
+  policy::Completion& draft = this->reservation->Draft();
+  draft.usage_known = this->usage.has_value();
+  draft.prompt_tokens = this->usage ? this->usage->prompt_tokens : 0;
+  draft.completion_tokens =
+      this->usage ? this->usage->completion_tokens : this->tokens;
+  return Step::kGoOn;
+}
+
+StreamRelay::Step StreamRelay::TakeEvent(const http::StreamEvent& event) {
+  if (event.data.empty()) return Step::kGoOn;
+  if (event.data == kStreamEnd) {
+    this->done = true;
+    this->due.append(event.raw);
+    return Step::kGoOn;
+  }
+  const AnswerFacts facts =
+      InspectAnswer(event.data, this->attempt->request_id);
+  if (!facts.readable || facts.failed) return Step::kBroken;
+  if (!facts.matches) return Step::kMismatched;
+  if (facts.usage) this->usage = facts.usage;
+  if (facts.has_choices) this->NoteToken(Now());
+  // The caller sees the usage event only when it asked for usage.
+  const bool usage_event = !facts.has_choices && facts.usage.has_value();
+  if (usage_event && !this->attempt->chat->include_usage) return Step::kGoOn;
+  this->due.append(event.raw);
+  return Step::kGoOn;
+}
+
+void StreamRelay::NoteToken(TimePoint now) {
+  Metrics& metrics = *this->attempt->context->metrics;
+  if (this->tokens == 0) {
+    metrics.Observe(Timing::kFirstToken, now - this->attempt->arrived);
+  } else {
+    metrics.Observe(Timing::kTokenGap, now - this->last_token);
+  }
+  metrics.Add(Counter::kTokensForwarded);
+  ++this->tokens;
+  this->last_token = now;
+}
+
+net::awaitable<bool> StreamRelay::Show() {
+  if (this->due.empty()) co_return true;
+  http::Exchange& exchange = *this->attempt->exchange;
+  if (!this->begun) {
+    this->begun = true;
+    this->reservation->SetFallback(CompletionOutcome::kBroken);
+    http::Response head = AnswerHead(*this->attempt, this->stream->Head());
+    head.headers.push_back({"Cache-Control", "no-cache"});
+    if (!co_await exchange.BeginStream(std::move(head))) co_return false;
+  }
+  const bool sent = co_await exchange.Write(this->due);
+  this->due.clear();
+  co_return sent;
+}
+
+// Nothing shown yet: another upstream may be tried. Otherwise the caller is
+// told that the answer is not whole.
+net::awaitable<TryResult> StreamRelay::Fail(ErrorKind kind) {
+  if (!this->begun) co_return TryResult{TryEnd::kFailed, true};
+  http::Exchange& exchange = *this->attempt->exchange;
+  const std::string body = ErrorBody(policy::Refused{kind, {}, {}});
+  co_await exchange.Write("data: " + body + "\n\n");
+  exchange.Abort();
+  this->reservation->Complete(CompletionOutcome::kBroken);
+  co_return TryResult{TryEnd::kAnswered, true};
+}
+
+// Reads a whole answer; empty when it broke off.
+net::awaitable<std::optional<std::string>> ReadAll(
+    http::ResponseStream& stream) {
+  std::string body;
+  std::vector<char> piece(kPieceBytes);
+  while (true) {
+    const http::ReadResult read = co_await stream.Read(piece);
+    if (read.status != http::FetchStatus::kOk) co_return std::nullopt;
+    if (read.count == 0) co_return body;
+    body.append(piece.data(), read.count);
+  }
+}
+
+// An answer that is not a stream: shown only when all of it is there.
+net::awaitable<TryResult> RelayWhole(const Attempt& attempt,
+                                     http::ResponseStream& stream,
+                                     OpenReservation& reservation) {
+  std::optional<std::string> body = co_await ReadAll(stream);
+  if (!body) co_return TryResult{TryEnd::kFailed, true};
+  const bool success = stream.Head().status < 300;
+  const AnswerFacts facts = InspectAnswer(*body, attempt.request_id);
+  if (success && !(facts.matches && facts.usage)) {
+    co_return TryResult{TryEnd::kFailed, true};
+  }
+  policy::Completion& draft = reservation.Draft();
+  draft.usage_known = true;
+  if (success) {
+    draft.prompt_tokens = facts.usage->prompt_tokens;
+    draft.completion_tokens = facts.usage->completion_tokens;
+    Metrics& metrics = *attempt.context->metrics;
+    metrics.Observe(Timing::kFirstToken, Now() - attempt.arrived);
+    metrics.Add(Counter::kTokensForwarded, facts.usage->completion_tokens);
+  }
+  http::Response answer = AnswerHead(attempt, stream.Head());
+  answer.body = std::move(*body);
+  const bool sent = co_await attempt.exchange->Send(std::move(answer));
+  reservation.Complete(sent ? CompletionOutcome::kWhole
+                            : CompletionOutcome::kCallerGone);
+  co_return TryResult{TryEnd::kAnswered, true};
+}
+
+net::awaitable<TryResult> TryUpstream(const Attempt& attempt,
+                                      OpenReservation& reservation) {
+  http::FetchOptions options;
+  options.first_byte_timeout = attempt.admitted->first_byte_timeout;
+  options.read_timeout = attempt.admitted->deadline;
+  const http::OpenResult opened = co_await attempt.context->client->Open(
+      attempt.admitted->address, UpstreamRequest(attempt), options);
+  if (opened.status != http::FetchStatus::kOk) {
+    const bool reached = opened.status != http::FetchStatus::kUnreachable;
+    co_return TryResult{TryEnd::kFailed, reached};
+  }
+  http::ResponseStream& stream = *opened.stream;
+  const std::uint16_t status = stream.Head().status;
+  if (IsFailedTry(status)) co_return TryResult{TryEnd::kFailed, true};
+  if (attempt.chat->stream && status == 200) {
+    StreamRelay relay(attempt, stream, reservation);
+    co_return co_await relay.Run();
+  }
+  co_return co_await RelayWhole(attempt, stream, reservation);
+}
+
+}  // namespace
+
+net::awaitable<void> RelayModel(ServeContext& context,
+                                http::Exchange& exchange) {
+  const TimePoint arrived = Now();
+  // Step 1: read the request.
+  auto parsed = ParseChatRequest(exchange.GetRequest().body);
+  if (const auto* fault = std::get_if<ChatFault>(&parsed)) {
+    co_await exchange.Send(
+        ErrorResponse(ErrorKind::kMalformedRequest, fault->message));
+    co_return;
+  }
+  const auto& chat = std::get<ChatRequest>(parsed);
+
+  // Step 2: ask for admission.
+  policy::AdmissionRequest admission =
+      BeginAdmission(context, exchange.GetRequest());
+  admission.kind = policy::WorkKind::kModel;
+  admission.target = chat.model;
+  admission.prompt_bytes = chat.prompt_bytes;
+  admission.max_tokens = chat.max_tokens;
+  const std::string request_id = admission.request_id;
+  policy::AdmissionReply reply =
+      co_await context.gate->Ask(std::move(admission));
+  context.metrics->Observe(Timing::kAdmission, Now() - arrived);
+
+  // Step 3: try upstreams until something is shown to the caller.
+  while (const auto* admitted = std::get_if<policy::Admitted>(&reply.verdict)) {
+    OpenReservation reservation(*context.gate, admitted->reservation,
+                                CompletionOutcome::kNotRun);
+    const Attempt attempt{&context, &exchange,  &chat,
+                          admitted, request_id, arrived};
+    const TryResult result = co_await TryUpstream(attempt, reservation);
+    if (result.end == TryEnd::kAnswered) {
+      context.metrics->Observe(Timing::kWholeAnswer, Now() - arrived);
+      co_return;
+    }
+    reservation.Release();
+    context.metrics->Add(Counter::kRetries);
+    reply = co_await context.gate->Retry(admitted->reservation, result.reached);
+  }
+
+  // Step 4: a refusal, at once.
+  if (const auto* refused = std::get_if<policy::Refused>(&reply.verdict)) {
+    context.metrics->Add(Counter::kRefusals);
+    co_await exchange.Send(ErrorResponse(*refused));
+  }
+}
+
+}  // namespace hornbeamspool
--- /dev/null
+++ b/hornbeamspool/node_status.h
@@ -0,0 +1,32 @@
+// What the decisions publish for operators and for the other threads.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "policy/budget_book.h"
+
+namespace hornbeamspool {
+
+struct UpstreamStatus {
+  std::string name;
+  std::string service;
+  std::string version;
+  std::string availability_zone;
+  bool leaving = false;
+  std::int64_t open_requests = 0;
+};
+
+struct NodeStatus {
+  std::uint64_t config_epoch = 0;
+  bool ready = false;
+  bool stopping = false;
+  std::size_t in_flight = 0;
+  std::size_t billing_backlog = 0;
+  std::map<std::string, policy::BudgetFigures> budgets;
+  std::vector<UpstreamStatus> upstreams;
+};
+
+}  // namespace hornbeamspool
--- /dev/null
+++ b/hornbeamspool/operator_server.cc
@@ -0,0 +1,369 @@
+#include "hornbeamspool/operator_server.h"
+
+#include <algorithm>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json/array.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <boost/leaf/handle_errors.hpp>
+#include <charconv>
+#include <optional>
+#include <utility>
+
+#include "hornbeamspool/budget_admin.h"
+#include "hornbeamspool/config_store.h"
+#include "hornbeamspool/error_response.h"
+#include "settings/fault.h"
+#include "settings/fleet_settings.h"
+#include "transport/seal.h"
+
+namespace hornbeamspool {
+namespace {
+
+namespace json = boost::json;
+namespace net = boost::asio;
+using policy::ErrorKind;
+
+http::Response JsonAnswer(const json::object& body) {
+  return http::JsonResponse(200, json::serialize(body));
+}
+
+// The faults of a settings text, empty when it is sound.
+settings::FaultList FaultsOf(std::string_view text) {
+  settings::FaultList found;
+  boost::leaf::try_handle_all(
+      [&]() -> boost::leaf::result<void> {
+        BOOST_LEAF_CHECK(settings::ParseFleetConfig(text));
+        return {};
+      },
+      [&](const settings::FaultList& faults) { found = faults; },
+      [&] {
+        found.push_back({"", "unknown fault"});
+      });
+  return found;
+}
+
+http::Response FaultsAnswer(std::span<const settings::Fault> faults) {
+  json::array list;
+  for (const settings::Fault& fault : faults) {
+    list.push_back(
+        json::object{{"where", fault.where}, {"message", fault.message}});
+  }
+  json::object body{{"accepted", false}, {"faults", std::move(list)}};
+  return http::JsonResponse(400, json::serialize(body));
+}
+
+std::optional<http::Response> AdminFailure(AdminOutcome outcome) {
+  switch (outcome) {
+    case AdminOutcome::kNotFound:
+      return ErrorResponse(ErrorKind::kNotFound, "no budget has this name");
+    case AdminOutcome::kConflict:
+      return ErrorResponse(ErrorKind::kConflict,
+                           "the budget exists, or the id was used with other "
+                           "figures, or others kept changing the budget");
+    case AdminOutcome::kUnavailable:
+      return ErrorResponse(
+          ErrorKind::kStoreUnavailable,
+          "the table service did not answer; repeat with the same id");
+    default:
+      return std::nullopt;
+  }
+}
+
+// Members of a change of a budget.
+struct BudgetChange {
+  std::string name;
+  std::string id;
+  std::int64_t tokens = 0;
+};
+
+std::optional<BudgetChange> ReadChange(std::string_view text) {
+  json::error_code error;
+  const json::value document = json::parse(text, error);
+  const json::object* body = error ? nullptr : document.if_object();
+  if (body == nullptr) return std::nullopt;
+  const json::value* name = body->if_contains("name");
+  const json::value* id = body->if_contains("id");
+  const json::value* tokens = body->if_contains("tokens");
+  if (name == nullptr || !name->is_string()) return std::nullopt;
+  if (id == nullptr || !id->is_string()) return std::nullopt;
+  if (tokens == nullptr || !tokens->is_int64()) return std::nullopt;
+  BudgetChange change{std::string(name->get_string()),
+                      std::string(id->get_string()), tokens->get_int64()};
+  // Far from the end of the integers, so that no sum of top-ups overflows.
+  constexpr std::int64_t kMostTokens = 1'000'000'000'000'000;
+  const bool sound = !change.name.empty() && !change.id.empty() &&
+                     change.tokens > 0 && change.tokens <= kMostTokens;
+  return sound ? std::optional(change) : std::nullopt;
+}
+
+json::object MemberObject(const coordination::Member& member,
+                          std::uint64_t newest_epoch) {
+  const coordination::MemberReport& report = member.report;
+  return {{"name", report.name},
+          {"availability_zone", report.availability_zone},
+          {"state", coordination::MemberStateName(member.state)},
+          {"operator_address", report.operator_address},
+          {"config_epoch", report.config_epoch},
+          {"config_confirmed", report.config_epoch >= newest_epoch}};
+}
+
+json::object EventObject(const RecordedEvent& recorded, std::string_view node) {
+  const policy::Event& event = recorded.event;
+  return {{"wall_us", recorded.at.wall_us},
+          {"counter", recorded.at.counter},
+          {"node", node},
+          {"event", EventKindName(event.kind)},
+          {"request", event.request},
+          {"budget", event.budget},
+          {"move", event.move},
+          {"detail", event.detail}};
+}
+
+}  // namespace
+
+OperatorServer::OperatorServer(const settings::NodeSettings& settings,
+                               OperatorSources sources, EventSink& sink)
+    : settings(settings),
+      sources(sources),
+      sink(&sink),
+      work(net::make_work_guard(this->io)),
+      client(this->io),
+      table(this->client, settings.platform.table, settings.platform.timeout),
+      objects(this->client, settings.platform.objects,
+              settings.platform.timeout),
+      server(
+          this->io, http::ServerLimits{},
+          [this](http::Exchange& exchange) { return this->Handle(exchange); },
+          [](http::Reject reject) { return RejectResponse(reject); }) {}
+
+OperatorServer::~OperatorServer() { this->Stop(); }
+
+bool OperatorServer::Start() {
+  if (this->server.Listen(this->settings.operators.address) == 0) return false;
+  this->thread = std::thread([this] { this->io.run(); });
+  return true;
+}
+
+void OperatorServer::Stop() {
+  this->io.stop();
+  if (this->thread.joinable()) this->thread.join();
+}
+
+const std::vector<OperatorServer::Verb>& OperatorServer::Verbs() {
+  static const std::vector<Verb> kVerbs{
+      {"GET", "/healthz", true, &OperatorServer::Health},
+      {"GET", "/readyz", true, &OperatorServer::Ready},
+      {"GET", "/metrics", true, &OperatorServer::MetricsText},
+      {"GET", "/v1/nodes", false, &OperatorServer::Nodes},
+      {"GET", "/v1/timeline", false, &OperatorServer::Timeline},
+      {"GET", "/v1/config", false, &OperatorServer::GetConfig},
+      {"PUT", "/v1/config", false, &OperatorServer::StoreConfig},
+      {"GET", "/v1/budgets", false, &OperatorServer::GetBudget},
+      {"POST", "/v1/budgets", false, &OperatorServer::CreateBudget},
+      {"POST", "/v1/top-ups", false, &OperatorServer::TopUp},
+      {"GET", "/v1/bills", false, &OperatorServer::Bills},
+      {"GET", "/v1/moves", false, &OperatorServer::Moves},
+      {"POST", "/v1/moves", false, &OperatorServer::Moves},
+  };
+  return kVerbs;
+}
+
+net::awaitable<void> OperatorServer::Handle(http::Exchange& exchange) {
+  http::Response response = co_await this->Answer(exchange.GetRequest());
+  co_await exchange.Send(std::move(response));
+}
+
+net::awaitable<http::Response> OperatorServer::Answer(
+    const http::Request& request) {
+  const std::string_view path = request.Path();
+  bool path_known = false;
+  for (const Verb& verb : Verbs()) {
+    if (verb.path != path) continue;
+    path_known = true;
+    if (verb.method != request.method) continue;
+    constexpr std::string_view kBearer = "Bearer ";
+    const std::string_view given = request.HeaderValue("Authorization");
+    const bool allowed =
+        verb.open || (given.starts_with(kBearer) &&
+                      transport::Sha256Hex(given.substr(kBearer.size())) ==
+                          this->settings.operators.key_sha256);
+    if (!allowed) co_return ErrorResponse(ErrorKind::kUnauthenticated);
+    co_return co_await (this->*verb.handle)(request);
+  }
+  co_return ErrorResponse(path_known ? ErrorKind::kMethodNotAllowed
+                                     : ErrorKind::kNotFound);
+}
+
+net::awaitable<http::Response> OperatorServer::Health(const http::Request&) {
+  co_return http::JsonResponse(200, R"({"healthy":true})");
+}
+
+net::awaitable<http::Response> OperatorServer::Ready(const http::Request&) {
+  const auto status = this->sources.status->Read();
+  if (!status->ready) co_return ErrorResponse(ErrorKind::kNotReady);
+  co_return http::JsonResponse(200, R"({"ready":true})");
+}
+
+net::awaitable<http::Response> OperatorServer::MetricsText(
+    const http::Request&) {
+  http::Response response;
+  response.headers = {{"Content-Type", "text/plain; version=0.0.4"}};
+  response.body = this->sources.metrics->Text();
+  co_return response;
+}
+
+net::awaitable<http::Response> OperatorServer::Nodes(const http::Request&) {
+  const auto status = this->sources.status->Read();
+  const auto members = this->sources.members->Read();
+  std::uint64_t newest = status->config_epoch;
+  for (const coordination::Member& member : *members) {
+    newest = std::max(newest, member.report.config_epoch);
+  }
+  json::array nodes;
+  for (const coordination::Member& member : *members) {
+    nodes.push_back(MemberObject(member, newest));
+  }
+  json::array upstreams;
+  for (const UpstreamStatus& upstream : status->upstreams) {
+    upstreams.push_back(
+        json::object{{"name", upstream.name},
+                     {"service", upstream.service},
+                     {"version", upstream.version},
+                     {"availability_zone", upstream.availability_zone},
+                     {"state", upstream.leaving ? "leaving" : "live"},
+                     {"open_requests", upstream.open_requests}});
+  }
+  co_return JsonAnswer({{"answered_by", this->settings.name},
+                        {"newest_epoch", newest},
+                        {"in_flight", status->in_flight},
+                        {"billing_backlog", status->billing_backlog},
+                        {"nodes", std::move(nodes)},
+                        {"upstreams", std::move(upstreams)}});
+}
+
+net::awaitable<http::Response> OperatorServer::Timeline(
+    const http::Request& request) {
+  TimelineFilter filter;
+  filter.request = request.QueryValue("request");
+  filter.budget = request.QueryValue("budget");
+  filter.move = request.QueryValue("move");
+  json::array events;
+  for (const RecordedEvent& recorded :
+       this->sources.recorder->Timeline(filter)) {
+    events.push_back(EventObject(recorded, this->settings.name));
+  }
+  co_return JsonAnswer({{"events", std::move(events)}});
+}
+
+net::awaitable<http::Response> OperatorServer::GetConfig(const http::Request&) {
+  const auto stored = co_await ReadStoredConfig(this->table, this->objects);
+  if (!stored) co_return ErrorResponse(ErrorKind::kStoreUnavailable);
+  co_return JsonAnswer({{"epoch", stored->epoch}, {"text", stored->text}});
+}
+
+net::awaitable<http::Response> OperatorServer::StoreConfig(
+    const http::Request& request) {
+  const settings::FaultList faults = FaultsOf(request.body);
+  if (!faults.empty()) co_return FaultsAnswer(faults);
+  const std::string wanted = request.QueryValue("base");
+  std::uint64_t base = 0;
+  const auto parsed =
+      std::from_chars(wanted.data(), wanted.data() + wanted.size(), base);
+  if (parsed.ec != std::errc{}) {
+    co_return ErrorResponse(ErrorKind::kMalformedRequest,
+                            "base must be the epoch that was changed");
+  }
+  const PutOutcome outcome =
+      co_await PutConfig(this->table, this->objects, request.body, base);
+  if (outcome == PutOutcome::kConflict) {
+    co_return ErrorResponse(
+        ErrorKind::kConflict,
+        "another configuration was accepted in the meantime");
+  }
+  if (outcome == PutOutcome::kUnavailable) {
+    co_return ErrorResponse(ErrorKind::kStoreUnavailable);
+  }
+  co_return JsonAnswer({{"accepted", true}, {"epoch", base + 1}});
+}
+
+net::awaitable<http::Response> OperatorServer::GetBudget(
+    const http::Request& request) {
+  const std::string name = request.QueryValue("name");
+  const BudgetReport report = co_await ShowBudget(this->table, name);
+  if (const auto failure = AdminFailure(report.outcome)) co_return *failure;
+  json::array holders;
+  for (const HolderGrant& holder : report.holders) {
+    holders.push_back(json::object{{"holder", holder.holder},
+                                   {"granted", holder.granted},
+                                   {"settled", holder.spent}});
+  }
+  co_return JsonAnswer({{"name", name},
+                        {"prepaid", report.ledger.total},
+                        {"granted", report.ledger.granted},
+                        {"settled", report.spent},
+                        {"ungranted", report.ledger.Ungranted()},
+                        {"balance", report.ledger.total - report.spent},
+                        {"holders", std::move(holders)}});
+}
+
+net::awaitable<http::Response> OperatorServer::CreateBudget(
+    const http::Request& request) {
+  co_return co_await this->ChangeBudget(request, true);
+}
+
+net::awaitable<http::Response> OperatorServer::TopUp(
+    const http::Request& request) {
+  co_return co_await this->ChangeBudget(request, false);
+}
+
+net::awaitable<http::Response> OperatorServer::ChangeBudget(
+    const http::Request& request, bool create) {
+  const auto change = ReadChange(request.body);
+  if (!change) {
+    co_return ErrorResponse(
+        ErrorKind::kMalformedRequest,
+        "needs name, id and tokens, a whole number from 1 to 10^15");
+  }
+  const AdminOutcome outcome = co_await AddToBudget(
+      this->table, change->name, change->tokens, change->id, create);
+  if (const auto failure = AdminFailure(outcome)) co_return *failure;
+  policy::Event event;
+  event.kind = create ? policy::EventKind::kBudgetCreated
+                      : policy::EventKind::kBudgetToppedUp;
+  event.budget = change->name;
+  event.detail = policy::KeyValue("tokens", change->tokens) + ' ' +
+                 policy::KeyValue("id", change->id);
+  this->sink->Record(std::move(event));
+  co_return JsonAnswer({{"name", change->name},
+                        {"id", change->id},
+                        {"tokens", change->tokens},
+                        {"repeated", outcome == AdminOutcome::kAlreadyDone}});
+}
+
+net::awaitable<http::Response> OperatorServer::Bills(
+    const http::Request& request) {
+  const BillReport report =
+      co_await ShowBills(this->table, request.QueryValue("organisation"),
+                         request.QueryValue("key"));
+  if (const auto failure = AdminFailure(report.outcome)) co_return *failure;
+  json::array bills;
+  for (const BillLine& bill : report.bills) {
+    bills.push_back(json::object{{"key", bill.request_key},
+                                 {"request", bill.request_id},
+                                 {"budget", bill.budget},
+                                 {"service", bill.service},
+                                 {"version", bill.version},
+                                 {"prompt_tokens", bill.prompt_tokens},
+                                 {"completion_tokens", bill.completion_tokens},
+                                 {"amount", bill.amount}});
+  }
+  co_return JsonAnswer({{"bills", std::move(bills)}});
+}
+
+net::awaitable<http::Response> OperatorServer::Moves(const http::Request&) {
+  co_return ErrorResponse(ErrorKind::kNotAvailable,
+                          "version moves are not available yet");
+}
+
+}  // namespace hornbeamspool
--- /dev/null
+++ b/hornbeamspool/peer_thread.cc
@@ -0,0 +1,189 @@
+#include "hornbeamspool/peer_thread.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <utility>
+
+#include "hornbeamspool/clock.h"
+#include "http/address.h"
+#include "transport/seal.h"
+
+namespace hornbeamspool {
+namespace {
+
+namespace net = boost::asio;
+using coordination::MemberState;
+
+// Reports of the sender's view carried in one heartbeat.
+constexpr std::size_t kSampleSize = 8;
+// Silence of this many heartbeats makes a member suspect.
+constexpr int kSuspectBeats = 6;
+
+coordination::MemberTiming TimingOf(const settings::PeerSettings& settings) {
+  coordination::MemberTiming timing;
+  timing.suspect_after = settings.heartbeat * kSuspectBeats;
+  return timing;
+}
+
+}  // namespace
+
+PeerThread::PeerThread(const settings::NodeSettings& settings,
+                       std::uint64_t incarnation, Metrics& metrics,
+                       EventSink& sink, Recorder& recorder,
+                       PlatformThread& platform,
+                       const std::atomic<std::uint64_t>& config_epoch)
+    : settings(settings),
+      incarnation(incarnation),
+      metrics(&metrics),
+      sink(&sink),
+      recorder(&recorder),
+      platform(&platform),
+      config_epoch(&config_epoch),
+      socket(this->io),
+      view(TimingOf(settings.peers)),
+      random(static_cast<std::minstd_rand::result_type>(incarnation)) {}
+
+PeerThread::~PeerThread() { this->Stop(); }
+
+bool PeerThread::Start(Ring<PeerNews>& to_decisions) {
+  this->to_decisions = &to_decisions;
+  const auto endpoint = http::ParseUdp(this->settings.peers.address);
+  if (!endpoint) return false;
+  boost::system::error_code error;
+  this->socket.open(endpoint->protocol(), error);
+  if (!error) this->socket.bind(*endpoint, error);
+  if (!error) this->socket.non_blocking(true, error);
+  if (error) return false;
+  net::co_spawn(this->io, this->Receive(), net::detached);
+  net::co_spawn(this->io, this->Beat(), net::detached);
+  this->thread = std::thread([this] { this->io.run(); });
+  return true;
+}
+
+void PeerThread::Stop() {
+  this->io.stop();
+  if (this->thread.joinable()) this->thread.join();
+}
+
+net::awaitable<void> PeerThread::Receive() {
+  std::array<char, 2 * transport::kMaxDatagramBytes> buffer{};
+  while (true) {
+    net::ip::udp::endpoint sender;
+    boost::system::error_code error;
+    const std::size_t count = co_await this->socket.async_receive_from(
+        net::buffer(buffer), sender,
+        net::redirect_error(net::use_awaitable, error));
+    if (error == net::error::operation_aborted) co_return;
+    if (!error) this->Take({buffer.data(), count});
+  }
+}
+
+// Bytes that are not a heartbeat of a peer are counted and dropped.
+void PeerThread::Take(std::string_view datagram) {
+  const auto payload = transport::Unseal(this->settings.peers.key, datagram);
+  const auto heartbeat =
+      payload ? transport::DecodeHeartbeat(*payload) : std::nullopt;
+  if (!heartbeat) {
+    this->metrics->Add(Counter::kHeartbeatsDropped);
+    return;
+  }
+  this->metrics->Add(Counter::kHeartbeatsReceived);
+  this->recorder->ObserveRemote(heartbeat->sent_at);
+  const coordination::TimePoint now = Now();
+  this->view.Observe(heartbeat->sender, now);
+  for (const coordination::MemberReport& report : heartbeat->sample) {
+    if (report.name == this->settings.name) continue;
+    this->view.Observe(report, now);
+  }
+  this->platform->NoteEpoch(heartbeat->sender.config_epoch);
+}
+
+net::awaitable<void> PeerThread::Beat() {
+  net::steady_timer timer(this->io);
+  while (true) {
+    const transport::Heartbeat heartbeat = this->NextHeartbeat();
+    const std::string sealed = transport::Seal(
+        this->settings.peers.key, transport::EncodeHeartbeat(heartbeat));
+    for (const std::string& target : this->Targets()) {
+      this->SendTo(target, sealed);
+    }
+    this->PublishView();
+    timer.expires_after(this->settings.peers.heartbeat);
+    co_await timer.async_wait(net::use_awaitable);
+  }
+}
+
+transport::Heartbeat PeerThread::NextHeartbeat() {
+  transport::Heartbeat heartbeat;
+  heartbeat.sent_at = this->recorder->Stamp();
+  heartbeat.sender.name = this->settings.name;
+  heartbeat.sender.availability_zone = this->settings.availability_zone;
+  heartbeat.sender.peer_address = this->settings.peers.address;
+  heartbeat.sender.operator_address = this->settings.operators.address;
+  heartbeat.sender.incarnation = this->incarnation;
+  heartbeat.sender.beat = ++this->beat;
+  heartbeat.sender.config_epoch = this->config_epoch->load();
+  heartbeat.sender.leaving = this->leaving;
+  this->view.Observe(heartbeat.sender, Now());
+  heartbeat.sample = this->view.Sample(kSampleSize);
+  return heartbeat;
+}
+
+// A bounded number of peers, drawn at random from the platform's list and from
+// the view.
+std::vector<std::string> PeerThread::Targets() {
+  std::vector<std::string> addresses;
+  for (const platform::ListedVm& vm : *this->platform->Routers().Read()) {
+    addresses.push_back(vm.address);
+  }
+  for (const auto& [name, member] : this->view.Members()) {
+    addresses.push_back(member.report.peer_address);
+  }
+  std::sort(addresses.begin(), addresses.end());
+  addresses.erase(std::unique(addresses.begin(), addresses.end()),
+                  addresses.end());
+  std::erase(addresses, this->settings.peers.address);
+  std::shuffle(addresses.begin(), addresses.end(), this->random);
+  const auto fanout = static_cast<std::size_t>(this->settings.peers.fanout);
+  if (addresses.size() > fanout) addresses.resize(fanout);
+  return addresses;
+}
+
+void PeerThread::SendTo(const std::string& address, std::string_view sealed) {
+  const auto endpoint = http::ParseUdp(address);
+  if (!endpoint) return;
+  boost::system::error_code ignored;
+  this->socket.send_to(net::buffer(sealed.data(), sealed.size()), *endpoint, 0,
+                       ignored);
+  this->metrics->Add(Counter::kHeartbeatsSent);
+  this->metrics->Add(Counter::kHeartbeatBytesSent,
+                     static_cast<std::int64_t>(sealed.size()));
+}
+
+void PeerThread::PublishView() {
+  for (const std::string& name : this->view.Advance(Now())) {
+    const coordination::Member& member = this->view.Members().at(name);
+    policy::Event event;
+    event.kind = policy::EventKind::kMemberChanged;
+    event.detail =
+        policy::KeyValue("member", name) + ' ' +
+        policy::KeyValue("state", coordination::MemberStateName(member.state));
+    this->sink->Record(std::move(event));
+  }
+  PeerNews news;
+  std::vector<coordination::Member> list;
+  for (const auto& [name, member] : this->view.Members()) {
+    list.push_back(member);
+    news.newest_epoch = std::max(news.newest_epoch, member.report.config_epoch);
+  }
+  news.alive = static_cast<std::int64_t>(this->view.CountAlive());
+  this->members.Publish(std::move(list));
+  // A full ring loses this news; the next heartbeat brings it again.
+  this->to_decisions->Push(news);
+}
+
+}  // namespace hornbeamspool
--- /dev/null
+++ b/hornbeamspool/plain_relay.cc
@@ -0,0 +1,148 @@
+#include "hornbeamspool/plain_relay.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/beast/core/string.hpp>
+#include <utility>
+#include <variant>
+
+#include "hornbeamspool/clock.h"
+#include "hornbeamspool/error_response.h"
+
+namespace hornbeamspool {
+namespace {
+
+namespace net = boost::asio;
+using policy::CompletionOutcome;
+
+// Headers that belong to one connection, or that name the caller to us.
+constexpr std::array<std::string_view, 10> kDroppedHeaders{
+    "Host",    "Connection", "Keep-Alive",     "Transfer-Encoding", "TE",
+    "Trailer", "Upgrade",    "Content-Length", "Authorization",     "Expect"};
+
+// Answers up to this size are recorded whole.
+constexpr std::size_t kMaxRecordedBytes = 128 * 1024;
+
+bool IsDropped(std::string_view name) {
+  return std::any_of(kDroppedHeaders.begin(), kDroppedHeaders.end(),
+                     [&](std::string_view dropped) {
+                       return boost::beast::iequals(dropped, name);
+                     });
+}
+
+http::Request UpstreamRequest(const http::Request& from,
+                              std::string_view request_id) {
+  http::Request request;
+  request.method = from.method;
+  request.target = from.target;
+  request.body = from.body;
+  for (const http::Header& header : from.headers) {
+    if (!IsDropped(header.name)) request.headers.push_back(header);
+  }
+  request.headers.push_back({"X-Request-Id", std::string(request_id)});
+  return request;
+}
+
+http::Response CallerResponse(const http::Response& from,
+                              std::string_view request_id) {
+  http::Response response;
+  response.status = from.status;
+  response.body = from.body;
+  for (const http::Header& header : from.headers) {
+    if (!IsDropped(header.name)) response.headers.push_back(header);
+  }
+  response.headers.push_back({"X-Request-Id", std::string(request_id)});
+  return response;
+}
+
+policy::RecordedAnswer Record(const http::Response& response) {
+  policy::RecordedAnswer answer;
+  answer.status = response.status;
+  answer.content_type = std::string(response.HeaderValue("Content-Type"));
+  answer.body = response.body;
+  if (answer.body.size() > kMaxRecordedBytes) {
+    answer.content_type = "application/json";
+    answer.body = R"({"recorded":false,"reason":"the answer was too large"})";
+  }
+  return answer;
+}
+
+http::Response ReplayedResponse(const policy::RecordedAnswer& answer) {
+  http::Response response;
+  response.status = answer.status;
+  response.headers = {{"Content-Type", answer.content_type},
+                      {"Idempotent-Replayed", "true"}};
+  response.body = answer.body;
+  return response;
+}
+
+// An upstream that is not able now; a repeatable call may go elsewhere.
+bool IsFailedTry(const http::FetchResult& result, bool repeatable) {
+  if (result.status != http::FetchStatus::kOk) return true;
+  const std::uint16_t status = result.response.status;
+  return repeatable && status >= 502 && status <= 504;
+}
+
+net::awaitable<http::FetchResult> TryUpstream(
+    ServeContext& context, const http::Request& request,
+    const policy::Admitted& admitted) {
+  http::FetchOptions options;
+  options.first_byte_timeout = admitted.deadline;
+  options.read_timeout = admitted.deadline;
+  // A pooled connection would leave it open whether the order was sent.
+  options.fresh_connection = !admitted.repeatable;
+  co_return co_await context.client->Fetch(admitted.address, request, options);
+}
+
+}  // namespace
+
+net::awaitable<void> RelayPlain(ServeContext& context,
+                                http::Exchange& exchange) {
+  const coordination::TimePoint arrived = Now();
+  // Step 1: ask for admission. For an order the intent is committed when the
+  // answer comes.
+  policy::AdmissionRequest admission =
+      BeginAdmission(context, exchange.GetRequest());
+  admission.kind = policy::WorkKind::kPlain;
+  admission.target = std::string(exchange.GetRequest().Path());
+  const std::string request_id = admission.request_id;
+  policy::AdmissionReply reply =
+      co_await context.gate->Ask(std::move(admission));
+  context.metrics->Observe(Timing::kAdmission, Now() - arrived);
+
+  // Step 2: try upstreams. The decisions allow a second try only when it can
+  // do no harm.
+  const http::Request request =
+      UpstreamRequest(exchange.GetRequest(), request_id);
+  while (const auto* admitted = std::get_if<policy::Admitted>(&reply.verdict)) {
+    OpenReservation reservation(*context.gate, admitted->reservation,
+                                CompletionOutcome::kMayHaveRun);
+    const http::FetchResult result =
+        co_await TryUpstream(context, request, *admitted);
+    if (IsFailedTry(result, admitted->repeatable)) {
+      reservation.Release();
+      context.metrics->Add(Counter::kRetries);
+      const bool reached = result.status != http::FetchStatus::kUnreachable;
+      reply = co_await context.gate->Retry(admitted->reservation, reached);
+      continue;
+    }
+    reservation.Draft().answer = Record(result.response);
+    const bool sent =
+        co_await exchange.Send(CallerResponse(result.response, request_id));
+    reservation.Complete(sent ? CompletionOutcome::kWhole
+                              : CompletionOutcome::kCallerGone);
+    context.metrics->Observe(Timing::kWholeAnswer, Now() - arrived);
+    co_return;
+  }
+
+  // Step 3: a recorded answer, or a refusal at once.
+  if (const auto* replayed = std::get_if<policy::Replayed>(&reply.verdict)) {
+    co_await exchange.Send(ReplayedResponse(replayed->answer));
+    co_return;
+  }
+  context.metrics->Add(Counter::kRefusals);
+  co_await exchange.Send(
+      ErrorResponse(std::get<policy::Refused>(reply.verdict)));
+}
+
+}  // namespace hornbeamspool
--- /dev/null
+++ b/hornbeamspool/table_worker.cc
@@ -0,0 +1,230 @@
+#include "hornbeamspool/table_worker.h"
+
+#include <array>
+#include <boost/asio/use_awaitable.hpp>
+#include <utility>
+#include <variant>
+
+#include "hornbeamspool/clock.h"
+#include "hornbeamspool/ledger_rows.h"
+
+namespace hornbeamspool {
+namespace {
+
+namespace net = boost::asio;
+using platform::ItemKey;
+using platform::TableOutcome;
+using platform::WriteAction;
+using policy::TableStatus;
+
+// A write whose answer was lost is asked again this often, with its token.
+constexpr int kLostAnswerTries = 2;
+
+// Indexed by TableOutcome.
+constexpr std::array<TableStatus,
+                     static_cast<std::size_t>(TableOutcome::kCount)>
+    kStatuses{TableStatus::kOk, TableStatus::kConflict,
+              TableStatus::kUnavailable, TableStatus::kUnknown};
+
+TableStatus StatusOf(TableOutcome outcome) {
+  return kStatuses.at(static_cast<std::size_t>(outcome));
+}
+
+WriteAction Put(ItemKey key, platform::Item item,
+                platform::Condition condition = {}) {
+  WriteAction action;
+  action.key = std::move(key);
+  action.item = std::move(item);
+  action.condition = std::move(condition);
+  return action;
+}
+
+}  // namespace
+
+TableWorker::TableWorker(platform::TableClient& table, std::string holder,
+                         Metrics& metrics)
+    : table(&table), holder(std::move(holder)), metrics(&metrics) {}
+
+net::awaitable<policy::TableReply> TableWorker::Carry(
+    policy::TableCommand command) {
+  const coordination::TimePoint started = Now();
+  policy::TableReply reply;
+  if (auto* read = std::get_if<policy::ReadBudget>(&command)) {
+    reply = co_await this->Read(std::move(*read));
+  } else if (auto* write = std::get_if<policy::WriteGrant>(&command)) {
+    reply = co_await this->Write(std::move(*write));
+  } else if (auto* commit = std::get_if<policy::CommitIntent>(&command)) {
+    reply = co_await this->Commit(std::move(*commit));
+  } else if (auto* batch = std::get_if<policy::WriteBatch>(&command)) {
+    reply = co_await this->Settle(std::move(*batch));
+  }
+  this->metrics->Add(Counter::kTableCalls);
+  this->metrics->Observe(Timing::kTableCall, Now() - started);
+  co_return reply;
+}
+
+std::string TableWorker::OperationOf(std::uint64_t number) const {
+  return this->holder + '#' + std::to_string(number);
+}
+
+net::awaitable<platform::TransactOutcome> TableWorker::Transact(
+    std::vector<WriteAction> actions, std::string token) {
+  platform::TransactOutcome outcome;
+  for (int i = 0; i <= kLostAnswerTries; ++i) {
+    outcome = co_await this->table->Transact(actions, token);
+    if (outcome.outcome != TableOutcome::kUnknown) break;
+    this->metrics->Add(Counter::kTableFailures);
+  }
+  co_return outcome;
+}
+
+net::awaitable<policy::TableReply> TableWorker::Read(policy::ReadBudget read) {
+  policy::BudgetRead reply;
+  reply.budget = read.budget;
+  // This node's grant is read before the budget row: a grant that was written
+  // in between shows as a newer version of the budget, and the next write,
+  // conditional on both rows, fails.
+  const auto grant =
+      co_await this->table->Get(rows::GrantKey(read.budget, this->holder));
+  const auto budget = co_await this->table->Get(rows::BudgetKey(read.budget));
+  if (grant.outcome != TableOutcome::kOk ||
+      budget.outcome != TableOutcome::kOk) {
+    co_return reply;
+  }
+  if (grant.item) reply.grant = grant.item->Number(rows::kGranted);
+  if (!budget.item) {
+    reply.status = TableStatus::kNotFound;
+    co_return reply;
+  }
+  reply.status = TableStatus::kOk;
+  reply.ledger = rows::LedgerOf(*budget.item);
+  reply.version = budget.item->Number(rows::kVersion);
+  co_return reply;
+}
+
+net::awaitable<policy::TableReply> TableWorker::Write(
+    policy::WriteGrant write) {
+  policy::GrantWritten reply;
+  reply.budget = write.budget;
+  reply.operation = write.operation;
+  const auto next = write.ledger.AfterGrant(write.amount);
+  if (!next) {
+    reply.status = TableStatus::kConflict;
+    co_return reply;
+  }
+  platform::Item grant;
+  grant.attributes[std::string(rows::kGranted)] =
+      write.grant_before + write.amount;
+  grant.attributes["holder"] = this->holder;
+  std::vector<WriteAction> actions;
+  actions.push_back(Put(rows::BudgetKey(write.budget),
+                        rows::BudgetItem(*next, write.version + 1),
+                        rows::Equal(rows::kVersion, write.version)));
+  const auto condition =
+      write.grant_before == 0
+          ? rows::AbsentOrEqual(rows::kGranted, std::int64_t{0})
+          : rows::Equal(rows::kGranted, write.grant_before);
+  actions.push_back(Put(rows::GrantKey(write.budget, this->holder),
+                        std::move(grant), condition));
+  const auto outcome = co_await this->Transact(
+      std::move(actions), this->OperationOf(write.operation) + "#grant");
+  reply.status = StatusOf(outcome.outcome);
+  co_return reply;
+}
+
+net::awaitable<policy::TableReply> TableWorker::Commit(
+    policy::CommitIntent commit) {
+  policy::IntentCommitted reply;
+  reply.reservation = commit.reservation;
+  const std::string operation = this->OperationOf(commit.reservation);
+  platform::Item intent;
+  intent.attributes[std::string(rows::kOperation)] = operation;
+  intent.attributes["fingerprint"] = std::to_string(commit.fingerprint);
+  intent.attributes["state"] = "intent";
+  std::vector<WriteAction> actions;
+  actions.push_back(
+      Put(rows::IntentKey(commit.organisation, commit.request_key),
+          std::move(intent), rows::Absent()));
+  const auto outcome =
+      co_await this->Transact(std::move(actions), operation + "#intent");
+  reply.status = StatusOf(outcome.outcome);
+  if (outcome.outcome != TableOutcome::kConflict) co_return reply;
+  if (outcome.failed.empty() || !outcome.failed.front().found) {
+    reply.status = TableStatus::kUnavailable;
+    co_return reply;
+  }
+  const platform::Item& found = *outcome.failed.front().found;
+  // Our own write, whose answer was lost, stands in the row.
+  if (found.Text(rows::kOperation) == operation) {
+    reply.status = TableStatus::kOk;
+    co_return reply;
+  }
+  reply.fingerprint = std::stoull("0" + found.Text("fingerprint"));
+  reply.answered = found.Text("state") == "answered";
+  reply.answer.status = static_cast<std::uint16_t>(found.Number("status"));
+  reply.answer.content_type = found.Text("content_type");
+  reply.answer.body = found.Text("body");
+  co_return reply;
+}
+
+// What becomes of an order's intent row once the order has ended.
+WriteAction TableWorker::IntentAction(const policy::Settlement& entry) const {
+  const std::string operation = this->OperationOf(entry.order.reservation);
+  const ItemKey key =
+      rows::IntentKey(entry.order.organisation, entry.order.request_key);
+  if (entry.intent == policy::IntentChange::kRelease) {
+    WriteAction action;
+    action.kind = WriteAction::Kind::kDelete;
+    action.key = key;
+    action.condition = rows::AbsentOrEqual(rows::kOperation, operation);
+    return action;
+  }
+  platform::Item item;
+  item.attributes = {{std::string(rows::kOperation), operation},
+                     {"fingerprint", std::to_string(entry.order.fingerprint)},
+                     {"state", std::string("answered")},
+                     {"status", static_cast<std::int64_t>(entry.answer.status)},
+                     {"content_type", entry.answer.content_type},
+                     {"body", entry.answer.body}};
+  return Put(key, std::move(item), rows::Equal(rows::kOperation, operation));
+}
+
+net::awaitable<policy::TableReply> TableWorker::Settle(
+    policy::WriteBatch batch) {
+  std::vector<WriteAction> actions;
+  std::vector<const policy::Settlement*> owners;  // of bills; null otherwise
+  for (const policy::Settlement& entry : batch.settlements) {
+    if (entry.has_bill) {
+      actions.push_back(
+          Put(rows::BillKey(entry.bill),
+              rows::BillItem(entry.bill, this->OperationOf(entry.sequence)),
+              rows::Absent()));
+      owners.push_back(&entry);
+    }
+    if (entry.intent == policy::IntentChange::kNone) continue;
+    actions.push_back(this->IntentAction(entry));
+    owners.push_back(nullptr);
+  }
+  for (const policy::SettledTotal& total : batch.totals) {
+    platform::Item item;
+    item.attributes[std::string(rows::kSpent)] = total.spent;
+    actions.push_back(
+        Put(rows::SettledKey(total.budget, this->holder), std::move(item)));
+    owners.push_back(nullptr);
+  }
+  const std::string token = this->OperationOf(this->next_batch++) + "#settle";
+  const auto outcome = co_await this->Transact(std::move(actions), token);
+  policy::BatchWritten reply;
+  reply.status = StatusOf(outcome.outcome);
+  for (const platform::FailedCondition& failed : outcome.failed) {
+    if (failed.action >= owners.size()) continue;
+    const policy::Settlement* owner = owners[failed.action];
+    if (owner == nullptr) continue;
+    const bool own = failed.found && failed.found->Text(rows::kOperation) ==
+                                         this->OperationOf(owner->sequence);
+    (own ? reply.landed : reply.duplicates).push_back(owner->sequence);
+  }
+  co_return reply;
+}
+
+}  // namespace hornbeamspool
--- /dev/null
+++ b/hornbeamspool/table_worker.h
@@ -0,0 +1,43 @@
+// Carries out the decisions' commands on the table service. An answer that was
+// lost is resolved by the same operation's token or by re-reading, never by
+// writing something new.
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <string>
+#include <vector>
+
+#include "hornbeamspool/metrics.h"
+#include "platform/table_client.h"
+#include "policy/table_messages.h"
+
+namespace hornbeamspool {
+
+class TableWorker {
+ public:
+  // `holder` names this start of this node; it is never used again.
+  TableWorker(platform::TableClient& table, std::string holder,
+              Metrics& metrics);
+
+  boost::asio::awaitable<policy::TableReply> Carry(
+      policy::TableCommand command);
+
+ private:
+  boost::asio::awaitable<policy::TableReply> Read(policy::ReadBudget read);
+  boost::asio::awaitable<policy::TableReply> Write(policy::WriteGrant write);
+  boost::asio::awaitable<policy::TableReply> Commit(
+      policy::CommitIntent commit);
+  boost::asio::awaitable<policy::TableReply> Settle(policy::WriteBatch batch);
+  boost::asio::awaitable<platform::TransactOutcome> Transact(
+      std::vector<platform::WriteAction> actions, std::string token);
+
+  std::string OperationOf(std::uint64_t number) const;
+  platform::WriteAction IntentAction(const policy::Settlement& entry) const;
+
+  platform::TableClient* table;
+  std::string holder;
+  Metrics* metrics;
+  std::uint64_t next_batch = 1;
+};
+
+}  // namespace hornbeamspool
--- /dev/null
+++ b/http/beast.cc
@@ -0,0 +1,3 @@
+// The one translation unit that holds the bodies of Asio and Beast.
+#include <boost/asio/impl/src.hpp>
+#include <boost/beast/src.hpp>
--- /dev/null
+++ b/http/client.cc
@@ -0,0 +1,213 @@
+#include "http/client.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "http/address.h"
+
+namespace hornbeamspool::http {
+namespace {
+
+namespace beast = boost::beast;
+namespace bhttp = boost::beast::http;
+namespace net = boost::asio;
+using boost::system::error_code;
+using net::ip::tcp;
+
+// Idle connections kept for each address.
+constexpr std::size_t kMaxIdle = 64;
+
+FetchStatus StatusOf(const error_code& error) {
+  return error == beast::error::timeout ? FetchStatus::kTimeout
+                                        : FetchStatus::kBroken;
+}
+
+bhttp::request<bhttp::string_body> ToBeast(std::string_view address,
+                                           const Request& request) {
+  bhttp::request<bhttp::string_body> message;
+  message.version(11);
+  message.method_string(request.method);
+  message.target(request.target);
+  message.set(bhttp::field::host, address);
+  for (const Header& header : request.headers) {
+    message.set(header.name, header.value);
+  }
+  message.body() = request.body;
+  message.prepare_payload();
+  return message;
+}
+
+}  // namespace
+
+struct Client::Pool {
+  explicit Pool(net::io_context& io) : io(&io) {}
+
+  std::unique_ptr<beast::tcp_stream> Take(std::string_view address) {
+    auto found = this->idle.find(address);
+    if (found == this->idle.end() || found->second.empty()) return nullptr;
+    auto stream = std::move(found->second.back());
+    found->second.pop_back();
+    return stream;
+  }
+
+  void Give(std::string_view address,
+            std::unique_ptr<beast::tcp_stream> stream) {
+    auto& streams = this->idle[std::string(address)];
+    if (streams.size() >= kMaxIdle) return;
+    stream->expires_never();
+    streams.push_back(std::move(stream));
+  }
+
+  net::io_context* io;
+  std::map<std::string, std::vector<std::unique_ptr<beast::tcp_stream>>,
+           std::less<>>
+      idle;
+};
+
+struct ResponseStream::State {
+  std::shared_ptr<Client::Pool> pool;
+  std::string address;
+  std::unique_ptr<beast::tcp_stream> stream;
+  beast::flat_buffer buffer;
+  bhttp::response_parser<bhttp::buffer_body> parser;
+  FetchOptions options;
+  Response head;
+};
+
+ResponseStream::ResponseStream(std::unique_ptr<State> state)
+    : state(std::move(state)) {}
+
+ResponseStream::~ResponseStream() {
+  State& state = *this->state;
+  if (!state.stream) return;
+  const bool reusable = state.parser.is_done() && state.parser.keep_alive() &&
+                        state.buffer.size() == 0;
+  if (reusable) state.pool->Give(state.address, std::move(state.stream));
+}
+
+const Response& ResponseStream::Head() const { return this->state->head; }
+
+net::awaitable<ReadResult> ResponseStream::Read(std::span<char> into) {
+  State& state = *this->state;
+  if (state.parser.is_done()) co_return ReadResult{};
+  auto& body = state.parser.get().body();
+  body.data = into.data();
+  body.size = into.size();
+  body.more = true;
+  error_code error;
+  state.stream->expires_after(state.options.read_timeout);
+  co_await bhttp::async_read_some(
+      *state.stream, state.buffer, state.parser,
+      net::redirect_error(net::use_awaitable, error));
+  if (error == bhttp::error::need_buffer) error = {};
+  if (error) co_return ReadResult{StatusOf(error), 0};
+  const std::size_t count = into.size() - body.size;
+  // A piece of chunk framing alone carries no body: read on.
+  if (count == 0 && !state.parser.is_done())
+    co_return co_await this->Read(into);
+  co_return ReadResult{FetchStatus::kOk, count};
+}
+
+Client::Client(net::io_context& io) : pool(std::make_shared<Pool>(io)) {}
+
+Client::~Client() = default;
+
+namespace {
+
+net::awaitable<std::unique_ptr<beast::tcp_stream>> Connect(
+    net::io_context& io, std::string_view address,
+    const FetchOptions& options) {
+  const auto endpoint = ParseTcp(address);
+  if (!endpoint) co_return nullptr;
+  auto stream = std::make_unique<beast::tcp_stream>(io);
+  stream->expires_after(options.connect_timeout);
+  error_code error;
+  co_await stream->async_connect(
+      *endpoint, net::redirect_error(net::use_awaitable, error));
+  if (error) co_return nullptr;
+  stream->socket().set_option(tcp::no_delay(true), error);
+  co_return stream;
+}
+
+// Sends the request and reads the head of the answer.
+net::awaitable<FetchStatus> SendAndReadHead(
+    ResponseStream::State& state,
+    const bhttp::request<bhttp::string_body>& message) {
+  error_code error;
+  state.stream->expires_after(state.options.first_byte_timeout);
+  co_await bhttp::async_write(*state.stream, message,
+                              net::redirect_error(net::use_awaitable, error));
+  if (error) co_return StatusOf(error);
+  co_await bhttp::async_read_header(
+      *state.stream, state.buffer, state.parser,
+      net::redirect_error(net::use_awaitable, error));
+  if (error) co_return StatusOf(error);
+  const auto& head = state.parser.get();
+  state.head.status = static_cast<std::uint16_t>(head.result_int());
+  for (const auto& field : head) {
+    state.head.headers.push_back(
+        {std::string(field.name_string()), std::string(field.value())});
+  }
+  co_return FetchStatus::kOk;
+}
+
+}  // namespace
+
+net::awaitable<OpenResult> Client::Open(std::string_view address,
+                                        const Request& request,
+                                        const FetchOptions& options) {
+  const auto message = ToBeast(address, request);
+  // A pooled connection may be dead already; then a fresh one is tried.
+  bool pooled = !options.fresh_connection;
+  while (true) {
+    auto state = std::make_unique<ResponseStream::State>();
+    state->pool = this->pool;
+    state->address = std::string(address);
+    state->options = options;
+    state->parser.body_limit(options.body_bytes);
+    if (pooled) state->stream = this->pool->Take(address);
+    pooled = state->stream != nullptr;
+    if (!pooled) {
+      state->stream = co_await Connect(*this->pool->io, address, options);
+    }
+    if (!state->stream) co_return OpenResult{};
+    const FetchStatus status = co_await SendAndReadHead(*state, message);
+    if (status == FetchStatus::kOk) {
+      co_return OpenResult{status,
+                           std::make_unique<ResponseStream>(std::move(state))};
+    }
+    if (!pooled || status == FetchStatus::kTimeout) {
+      co_return OpenResult{status, nullptr};
+    }
+    pooled = false;
+  }
+}
+
+net::awaitable<FetchResult> Client::Fetch(std::string_view address,
+                                          const Request& request,
+                                          const FetchOptions& options) {
+  OpenResult opened = co_await this->Open(address, request, options);
+  FetchResult result;
+  result.status = opened.status;
+  if (opened.status != FetchStatus::kOk) co_return result;
+  result.response = opened.stream->Head();
+  std::vector<char> piece(16 * 1024);
+  while (true) {
+    const ReadResult read = co_await opened.stream->Read(piece);
+    result.status = read.status;
+    if (read.status != FetchStatus::kOk || read.count == 0) break;
+    result.response.body.append(piece.data(), read.count);
+  }
+  co_return result;
+}
+
+}  // namespace hornbeamspool::http
--- /dev/null
+++ b/http/message.cc
@@ -0,0 +1,74 @@
+#include "http/message.h"
+
+#include <boost/beast/core/string.hpp>
+#include <charconv>
+#include <span>
+#include <utility>
+
+namespace hornbeamspool::http {
+namespace {
+
+std::string_view Find(std::span<const Header> headers, std::string_view name) {
+  for (const Header& header : headers) {
+    if (boost::beast::iequals(header.name, name)) return header.value;
+  }
+  return {};
+}
+
+std::string PercentDecoded(std::string_view text) {
+  std::string decoded;
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    unsigned byte = 0;
+    const bool escape =
+        text[i] == '%' && i + 2 < text.size() &&
+        std::from_chars(&text[i + 1], &text[i + 1] + 2, byte, 16).ec ==
+            std::errc{};
+    if (!escape) {
+      decoded += text[i];
+      continue;
+    }
+    decoded += static_cast<char>(byte);
+    i += 2;
+  }
+  return decoded;
+}
+
+}  // namespace
+
+std::string_view Request::HeaderValue(std::string_view name) const {
+  return Find(this->headers, name);
+}
+
+std::string_view Response::HeaderValue(std::string_view name) const {
+  return Find(this->headers, name);
+}
+
+std::string_view Request::Path() const {
+  const std::string_view whole = this->target;
+  return whole.substr(0, whole.find('?'));
+}
+
+std::string Request::QueryValue(std::string_view name) const {
+  const std::size_t mark = this->target.find('?');
+  if (mark == std::string::npos) return {};
+  std::string_view query = std::string_view(this->target).substr(mark + 1);
+  while (!query.empty()) {
+    const std::string_view pair = query.substr(0, query.find('&'));
+    query.remove_prefix(std::min(query.size(), pair.size() + 1));
+    const std::size_t equals = pair.find('=');
+    if (pair.substr(0, equals) != name) continue;
+    if (equals == std::string_view::npos) return {};
+    return PercentDecoded(pair.substr(equals + 1));
+  }
+  return {};
+}
+
+Response JsonResponse(std::uint16_t status, std::string body) {
+  Response response;
+  response.status = status;
+  response.headers.push_back({"Content-Type", "application/json"});
+  response.body = std::move(body);
+  return response;
+}
+
+}  // namespace hornbeamspool::http
--- /dev/null
+++ b/http/server.cc
@@ -0,0 +1,312 @@
+#include "http/server.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+#include <exception>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+
+#include "http/address.h"
+
+namespace hornbeamspool::http {
+namespace {
+
+namespace beast = boost::beast;
+namespace bhttp = boost::beast::http;
+namespace net = boost::asio;
+using boost::system::error_code;
+using net::ip::tcp;
+
+// Room for the first bytes of a request on an idle connection.
+constexpr std::size_t kFirstReadBytes = 1024;
+
+Request FromBeast(bhttp::request<bhttp::string_body>&& message) {
+  Request request;
+  request.method = std::string(message.method_string());
+  request.target = std::string(message.target());
+  for (const auto& field : message) {
+    request.headers.push_back(
+        {std::string(field.name_string()), std::string(field.value())});
+  }
+  request.body = std::move(message.body());
+  return request;
+}
+
+template <typename Body>
+void SetHead(bhttp::response<Body>& message, const Response& response,
+             bool keep_alive) {
+  message.version(11);
+  message.result(response.status);
+  for (const Header& header : response.headers) {
+    message.set(header.name, header.value);
+  }
+  message.keep_alive(keep_alive);
+}
+
+}  // namespace
+
+// Shared by the server and its connections.
+struct Server::State {
+  net::io_context* io = nullptr;
+  ServerLimits limits;
+  Handler handler;
+  RejectAnswer reject_answer;
+  std::optional<tcp::acceptor> acceptor;
+  std::set<beast::tcp_stream*> idle;
+  std::size_t connections = 0;
+  std::size_t requests = 0;
+  bool draining = false;
+};
+
+namespace {
+
+// One connection. Answers its requests in the order of their arrival, also
+// when they are pipelined.
+class Connection : public Exchange {
+ public:
+  Connection(tcp::socket socket, std::shared_ptr<Server::State> state);
+  ~Connection() override { --this->state->connections; }
+
+  net::awaitable<void> Run();
+
+  const Request& GetRequest() const override { return this->request; }
+  net::awaitable<bool> Send(Response response) override;
+  net::awaitable<bool> BeginStream(Response head) override;
+  net::awaitable<bool> Write(std::string_view bytes) override;
+  net::awaitable<bool> EndStream() override;
+  void Abort() override;
+
+ private:
+  net::awaitable<bool> WaitForBytes();
+  net::awaitable<std::optional<Reject>> ReadRequest();
+  net::awaitable<void> Handle();
+  bool KeepAlive() const {
+    return this->wants_keep_alive && !this->state->draining;
+  }
+
+  beast::tcp_stream stream;
+  std::shared_ptr<Server::State> state;
+  beast::flat_buffer buffer;
+  Request request;
+  bool wants_keep_alive = true;
+  bool gone = false;      // nothing more can be read or written
+  bool answered = false;  // an answer to the present request has begun
+};
+
+Connection::Connection(tcp::socket socket, std::shared_ptr<Server::State> state)
+    : stream(std::move(socket)), state(std::move(state)) {
+  ++this->state->connections;
+}
+
+net::awaitable<void> Connection::Run() {
+  if (this->state->connections > this->state->limits.connections) {
+    this->wants_keep_alive = false;
+    co_await this->Send(
+        this->state->reject_answer(Reject::kTooManyConnections));
+    co_return;
+  }
+  while (!this->gone && (this->wants_keep_alive && !this->state->draining)) {
+    if (!co_await this->WaitForBytes()) co_return;
+    ++this->state->requests;
+    const std::optional<Reject> reject = co_await this->ReadRequest();
+    if (reject) {
+      this->wants_keep_alive = false;
+      co_await this->Send(this->state->reject_answer(*reject));
+    } else if (!this->gone) {
+      co_await this->Handle();
+    }
+    --this->state->requests;
+  }
+  error_code ignored;
+  this->stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+}
+
+// Waits for the first bytes of the next request. False when none come.
+net::awaitable<bool> Connection::WaitForBytes() {
+  if (this->buffer.size() > 0) co_return true;
+  this->buffer = beast::flat_buffer();
+  this->state->idle.insert(&this->stream);
+  this->stream.expires_after(this->state->limits.idle_timeout);
+  error_code error;
+  const std::size_t count = co_await this->stream.async_read_some(
+      this->buffer.prepare(kFirstReadBytes),
+      net::redirect_error(net::use_awaitable, error));
+  this->state->idle.erase(&this->stream);
+  this->buffer.commit(count);
+  co_return !error;
+}
+
+net::awaitable<std::optional<Reject>> Connection::ReadRequest() {
+  bhttp::request_parser<bhttp::string_body> parser;
+  parser.header_limit(this->state->limits.header_bytes);
+  parser.body_limit(this->state->limits.body_bytes);
+  this->answered = false;
+  error_code error;
+  this->stream.expires_after(this->state->limits.header_timeout);
+  co_await bhttp::async_read_header(
+      this->stream, this->buffer, parser,
+      net::redirect_error(net::use_awaitable, error));
+  if (!error) {
+    this->stream.expires_after(this->state->limits.body_timeout);
+    if (beast::iequals(parser.get()[bhttp::field::expect], "100-continue")) {
+      bhttp::response<bhttp::empty_body> go_on(bhttp::status::continue_, 11);
+      co_await bhttp::async_write(
+          this->stream, go_on, net::redirect_error(net::use_awaitable, error));
+    }
+    co_await bhttp::async_read(this->stream, this->buffer, parser,
+                               net::redirect_error(net::use_awaitable, error));
+  }
+  if (!error) {
+    this->wants_keep_alive = parser.keep_alive();
+    this->request = FromBeast(parser.release());
+    co_return std::nullopt;
+  }
+  if (error == beast::error::timeout) co_return Reject::kTimeout;
+  if (error == bhttp::error::header_limit) co_return Reject::kHeadersTooLarge;
+  if (error == bhttp::error::body_limit) co_return Reject::kBodyTooLarge;
+  if (error == bhttp::error::end_of_stream ||
+      error == bhttp::error::partial_message ||
+      error.category() !=
+          bhttp::make_error_code(bhttp::error::bad_line_ending).category()) {
+    this->gone = true;
+    co_return std::nullopt;
+  }
+  co_return Reject::kMalformed;
+}
+
+net::awaitable<void> Connection::Handle() {
+  bool failed = false;
+  try {
+    co_await this->state->handler(*this);
+  } catch (const std::exception&) {
+    failed = true;
+  }
+  if (!failed && this->answered) co_return;
+  if (this->answered) {
+    this->Abort();
+    co_return;
+  }
+  co_await this->Send(this->state->reject_answer(Reject::kHandlerFailed));
+}
+
+net::awaitable<bool> Connection::Send(Response response) {
+  if (this->gone) co_return false;
+  this->answered = true;
+  bhttp::response<bhttp::string_body> message;
+  SetHead(message, response, this->KeepAlive());
+  message.body() = std::move(response.body);
+  message.prepare_payload();
+  error_code error;
+  this->stream.expires_after(this->state->limits.write_timeout);
+  co_await bhttp::async_write(this->stream, message,
+                              net::redirect_error(net::use_awaitable, error));
+  this->gone = this->gone || static_cast<bool>(error);
+  co_return !error;
+}
+
+net::awaitable<bool> Connection::BeginStream(Response head) {
+  if (this->gone) co_return false;
+  this->answered = true;
+  bhttp::response<bhttp::empty_body> message;
+  SetHead(message, head, this->KeepAlive());
+  message.chunked(true);
+  bhttp::response_serializer<bhttp::empty_body> serializer(message);
+  error_code error;
+  this->stream.expires_after(this->state->limits.write_timeout);
+  co_await bhttp::async_write_header(
+      this->stream, serializer, net::redirect_error(net::use_awaitable, error));
+  this->gone = this->gone || static_cast<bool>(error);
+  co_return !error;
+}
+
+net::awaitable<bool> Connection::Write(std::string_view bytes) {
+  if (this->gone) co_return false;
+  if (bytes.empty()) co_return true;
+  error_code error;
+  this->stream.expires_after(this->state->limits.write_timeout);
+  co_await net::async_write(
+      this->stream, bhttp::make_chunk(net::buffer(bytes.data(), bytes.size())),
+      net::redirect_error(net::use_awaitable, error));
+  this->gone = this->gone || static_cast<bool>(error);
+  co_return !error;
+}
+
+net::awaitable<bool> Connection::EndStream() {
+  if (this->gone) co_return false;
+  error_code error;
+  this->stream.expires_after(this->state->limits.write_timeout);
+  co_await net::async_write(this->stream, bhttp::make_chunk_last(),
+                            net::redirect_error(net::use_awaitable, error));
+  this->gone = this->gone || static_cast<bool>(error);
+  co_return !error;
+}
+
+void Connection::Abort() {
+  this->gone = true;
+  this->stream.close();
+}
+
+net::awaitable<void> Accept(std::shared_ptr<Server::State> state) {
+  while (!state->draining) {
+    error_code error;
+    tcp::socket socket = co_await state->acceptor->async_accept(
+        net::redirect_error(net::use_awaitable, error));
+    if (error == net::error::operation_aborted) co_return;
+    if (error) continue;
+    socket.set_option(tcp::no_delay(true), error);
+    auto connection = std::make_shared<Connection>(std::move(socket), state);
+    net::co_spawn(
+        *state->io,
+        [connection]() -> net::awaitable<void> { co_await connection->Run(); },
+        net::detached);
+  }
+}
+
+}  // namespace
+
+Server::Server(net::io_context& io, ServerLimits limits, Handler handler,
+               RejectAnswer reject_answer)
+    : state(std::make_shared<State>()) {
+  this->state->io = &io;
+  this->state->limits = limits;
+  this->state->handler = std::move(handler);
+  this->state->reject_answer = std::move(reject_answer);
+}
+
+Server::~Server() { this->Drain(); }
+
+std::uint16_t Server::Listen(std::string_view address) {
+  const auto endpoint = ParseTcp(address);
+  if (!endpoint) return 0;
+  try {
+    this->state->acceptor.emplace(*this->state->io, *endpoint);
+    this->state->acceptor->listen(net::socket_base::max_listen_connections);
+  } catch (const boost::system::system_error&) {
+    this->state->acceptor.reset();
+    return 0;
+  }
+  net::co_spawn(*this->state->io, Accept(this->state), net::detached);
+  return this->state->acceptor->local_endpoint().port();
+}
+
+void Server::Drain() {
+  this->state->draining = true;
+  error_code ignored;
+  if (this->state->acceptor) this->state->acceptor->close(ignored);
+  for (beast::tcp_stream* stream : this->state->idle) stream->cancel();
+}
+
+std::size_t Server::OpenConnections() const { return this->state->connections; }
+
+std::size_t Server::OpenRequests() const { return this->state->requests; }
+
+}  // namespace hornbeamspool::http
--- /dev/null
+++ b/http/server.h
@@ -0,0 +1,69 @@
+// HTTP/1.1 server with limits on time and size. Runs on one io_context with
+// one thread.
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string_view>
+
+#include "coordination/time.h"
+#include "http/exchange.h"
+#include "http/message.h"
+
+namespace hornbeamspool::http {
+
+struct ServerLimits {
+  coordination::Duration header_timeout = std::chrono::seconds(10);
+  coordination::Duration body_timeout = std::chrono::seconds(30);
+  coordination::Duration idle_timeout = std::chrono::seconds(75);
+  coordination::Duration write_timeout = std::chrono::seconds(60);
+  std::uint32_t header_bytes = 16 * 1024;
+  std::uint64_t body_bytes = 4 * 1024 * 1024;
+  std::size_t connections = 20'000;
+};
+
+// Why the server answers a request by itself.
+enum class Reject : std::uint8_t {
+  kMalformed,
+  kHeadersTooLarge,
+  kBodyTooLarge,
+  kTimeout,
+  kTooManyConnections,
+  kHandlerFailed,
+  kCount
+};
+
+using Handler = std::function<boost::asio::awaitable<void>(Exchange&)>;
+using RejectAnswer = std::function<Response(Reject)>;
+
+class Server {
+ public:
+  Server(boost::asio::io_context& io, ServerLimits limits, Handler handler,
+         RejectAnswer reject_answer);
+  Server(const Server&) = delete;
+  Server& operator=(const Server&) = delete;
+  ~Server();
+
+  // Starts to accept on `ip:port`. Returns the port, 0 on failure.
+  std::uint16_t Listen(std::string_view address);
+
+  // Stops accepting and closes idle connections. Requests in progress go on,
+  // and their connections close after the answer.
+  void Drain();
+
+  std::size_t OpenConnections() const;
+  // Requests whose first byte has arrived and whose answer has not ended.
+  std::size_t OpenRequests() const;
+
+  // Shared with the connections; defined where they are.
+  struct State;
+
+ private:
+  std::shared_ptr<State> state;
+};
+
+}  // namespace hornbeamspool::http
--- /dev/null
+++ b/policy/billing.cc
@@ -0,0 +1,52 @@
+#include "policy/billing.h"
+
+#include <algorithm>
+#include <iterator>
+#include <span>
+#include <utility>
+
+namespace hornbeamspool::policy {
+
+void Billing::Add(Settlement settlement) {
+  settlement.sequence = this->next_sequence++;
+  this->queue.push_back(std::move(settlement));
+}
+
+std::vector<Settlement> Billing::TakeBatch(coordination::TimePoint now) {
+  if (!this->outstanding.empty()) return {};
+  if (now < this->not_before) return {};
+  while (!this->queue.empty() && this->outstanding.size() < kMaxBatch) {
+    this->outstanding.push_back(std::move(this->queue.front()));
+    this->queue.pop_front();
+  }
+  return this->outstanding;
+}
+
+std::vector<SettledEntry> Billing::OnWritten(const BatchWritten& written,
+                                             coordination::TimePoint now) {
+  const auto names = [](std::span<const std::uint64_t> sequences,
+                        std::uint64_t sequence) {
+    return std::find(sequences.begin(), sequences.end(), sequence) !=
+           sequences.end();
+  };
+  std::vector<SettledEntry> done;
+  std::vector<Settlement> again;
+  const bool all = written.status == TableStatus::kOk;
+  for (Settlement& settlement : std::exchange(this->outstanding, {})) {
+    const bool duplicate = names(written.duplicates, settlement.sequence);
+    const bool landed = names(written.landed, settlement.sequence);
+    if (all || duplicate || landed) {
+      done.push_back(SettledEntry{std::move(settlement), duplicate});
+    } else {
+      again.push_back(std::move(settlement));
+    }
+  }
+  // The others go back to the front, in their order.
+  this->queue.insert(this->queue.begin(),
+                     std::make_move_iterator(again.begin()),
+                     std::make_move_iterator(again.end()));
+  if (done.empty()) this->not_before = now + kRetryAfter;
+  return done;
+}
+
+}  // namespace hornbeamspool::policy
--- /dev/null
+++ b/policy/budget_book.cc
@@ -0,0 +1,321 @@
+#include "policy/budget_book.h"
+
+#include <algorithm>
+#include <cassert>
+#include <cmath>
+#include <numeric>
+#include <optional>
+
+namespace hornbeamspool::policy {
+namespace {
+
+using coordination::Duration;
+using coordination::TimePoint;
+
+// A grant should last this long at the recent demand.
+constexpr Duration kGrantHorizon = std::chrono::seconds(60);
+// A request waits at most this long for a grant.
+constexpr Duration kMaxWait = std::chrono::seconds(2);
+// After a refused draw, no further draw for this long.
+constexpr Duration kRetryAfterExhausted = std::chrono::seconds(1);
+constexpr Duration kRetryAfterFailure = std::chrono::milliseconds(500);
+// Time constant of the demand estimate.
+constexpr Duration kDemandWindow = std::chrono::seconds(20);
+// Requests that may wait on one budget.
+constexpr std::size_t kMaxWaiters = 1000;
+
+double Seconds(Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+}  // namespace
+
+ReserveVerdict BudgetBook::Reserve(std::string_view budget, std::int64_t amount,
+                                   std::uint64_t reservation, TimePoint now,
+                                   BudgetOutcome& out) {
+  Account& account = this->AccountOf(budget);
+  this->NoteDemand(account, amount, now);
+  // Requests that wait go first.
+  if (account.waiters.empty() && account.grant.Reserve(amount)) {
+    if (this->LowWater(account)) this->StartDraw(account, now, out);
+    return ReserveVerdict::kReserved;
+  }
+  if (now < account.retry_at) {
+    return account.last_refusal == ErrorKind::kBudgetExhausted
+               ? ReserveVerdict::kExhausted
+               : ReserveVerdict::kUnavailable;
+  }
+  if (account.waiters.size() >= kMaxWaiters) {
+    return ReserveVerdict::kUnavailable;
+  }
+  account.waiters.push_back(Waiter{reservation, amount, now + kMaxWait});
+  this->StartDraw(account, now, out);
+  return ReserveVerdict::kWaiting;
+}
+
+std::int64_t BudgetBook::Settle(std::string_view budget, std::int64_t reserved,
+                                std::int64_t used) {
+  return this->AccountOf(budget).grant.Settle(reserved, used);
+}
+
+void BudgetBook::Refund(std::string_view budget, std::int64_t amount) {
+  this->AccountOf(budget).grant.Refund(amount);
+}
+
+void BudgetBook::OnRead(const BudgetRead& read, TimePoint now,
+                        BudgetOutcome& out) {
+  Account& account = this->AccountOf(read.budget);
+  account.step = Step::kIdle;
+  if (read.status == TableStatus::kNotFound) {
+    this->FailDraw(account, ErrorKind::kBudgetExhausted, now, out);
+    return;
+  }
+  if (read.status != TableStatus::kOk) {
+    this->FailDraw(account, ErrorKind::kBudgetUnavailable, now, out);
+    return;
+  }
+  account.ledger = read.ledger;
+  account.version = read.version;
+  // This node is the only writer of its grant row, so the row tells whether
+  // the write whose answer was lost took effect.
+  account.unresolved = false;
+  const std::int64_t change = read.grant - account.confirmed;
+  account.confirmed = read.grant;
+  if (change > 0) account.grant.Add(change);
+  if (change < 0)
+    account.returning = std::max<std::int64_t>(0, account.returning + change);
+  this->ServeWaiters(account, out);
+  if (this->stopping) {
+    this->ContinueReturn(account, out);
+    return;
+  }
+  this->Draw(account, now, out);
+}
+
+void BudgetBook::OnWritten(const GrantWritten& written, TimePoint now,
+                           BudgetOutcome& out) {
+  Account& account = this->AccountOf(written.budget);
+  if (written.operation != account.operation) return;
+  account.step = Step::kIdle;
+  const std::int64_t amount = account.writing;
+  account.writing = 0;
+  if (written.status == TableStatus::kOk) {
+    account.confirmed += amount;
+    account.ledger.granted += amount;
+    ++account.version;
+    if (amount > 0) account.grant.Add(amount);
+    if (amount < 0) account.returning += amount;
+    Event event;
+    event.kind =
+        amount > 0 ? EventKind::kGrantDrawn : EventKind::kGrantReturned;
+    event.budget = account.name;
+    event.detail = KeyValue("amount", amount) + ' ' +
+                   KeyValue("ungranted", account.ledger.Ungranted());
+    out.events.push_back(std::move(event));
+    this->ServeWaiters(account, out);
+    if (this->stopping) this->ContinueReturn(account, out);
+    if (!account.waiters.empty()) this->StartDraw(account, now, out);
+    return;
+  }
+  // The rows changed, or the answer was lost: read before anything else.
+  account.version = 0;
+  if (written.status == TableStatus::kUnknown) account.unresolved = true;
+  if (written.status == TableStatus::kUnavailable) {
+    this->FailDraw(account, ErrorKind::kBudgetUnavailable, now, out);
+    return;
+  }
+  this->StartDraw(account, now, out);
+}
+
+void BudgetBook::OnTick(TimePoint now, BudgetOutcome& out) {
+  for (auto& [name, account] : this->accounts) {
+    while (!account.waiters.empty() &&
+           account.waiters.front().deadline <= now) {
+      out.waiters.push_back(WaiterOutcome{account.waiters.front().reservation,
+                                          false,
+                                          ErrorKind::kBudgetUnavailable});
+      account.waiters.pop_front();
+    }
+  }
+}
+
+void BudgetBook::ReturnAll(TimePoint now, BudgetOutcome& out) {
+  this->stopping = true;
+  for (auto& [name, account] : this->accounts) {
+    if (now < account.retry_at) continue;
+    this->ContinueReturn(account, out);
+  }
+}
+
+bool BudgetBook::AllReturned() const {
+  return std::all_of(
+      this->accounts.begin(), this->accounts.end(), [](const auto& entry) {
+        const Account& account = entry.second;
+        return account.step == Step::kIdle && account.returning == 0 &&
+               !account.unresolved && account.grant.Available() == 0;
+      });
+}
+
+std::int64_t BudgetBook::Spent(std::string_view budget) const {
+  const Account* account = this->Find(budget);
+  return account == nullptr ? 0 : account->grant.Spent();
+}
+
+std::map<std::string, BudgetFigures> BudgetBook::AllFigures() const {
+  std::map<std::string, BudgetFigures> figures;
+  for (const auto& [name, account] : this->accounts) {
+    figures[name] =
+        BudgetFigures{account.grant.Granted(), account.grant.Reserved(),
+                      account.grant.Spent()};
+  }
+  return figures;
+}
+
+bool BudgetBook::Consistent() const {
+  return std::all_of(
+      this->accounts.begin(), this->accounts.end(),
+      [](const auto& entry) { return entry.second.grant.Consistent(); });
+}
+
+BudgetBook::Account& BudgetBook::AccountOf(std::string_view budget) {
+  auto found = this->accounts.find(budget);
+  if (found != this->accounts.end()) return found->second;
+  Account account;
+  account.name = std::string(budget);
+  return this->accounts.emplace(account.name, account).first->second;
+}
+
+const BudgetBook::Account* BudgetBook::Find(std::string_view budget) const {
+  auto found = this->accounts.find(budget);
+  return found == this->accounts.end() ? nullptr : &found->second;
+}
+
+// Keeps an exponentially weighted rate of reserved units.
+void BudgetBook::NoteDemand(Account& account, std::int64_t amount,
+                            TimePoint now) {
+  const double window_s = Seconds(kDemandWindow);
+  const double elapsed_s = std::max(0.0, Seconds(now - account.demand_at));
+  account.units_per_second *= std::exp(-elapsed_s / window_s);
+  account.units_per_second += static_cast<double>(amount) / window_s;
+  account.demand_at = now;
+}
+
+bool BudgetBook::LowWater(const Account& account) const {
+  const double expected = account.units_per_second * Seconds(kGrantHorizon);
+  return static_cast<double>(account.grant.Available()) < expected / 2;
+}
+
+void BudgetBook::StartDraw(Account& account, TimePoint now,
+                           BudgetOutcome& out) {
+  if (account.step != Step::kIdle) return;
+  if (now < account.retry_at) return;
+  if (account.version > 0) {
+    this->Draw(account, now, out);
+    return;
+  }
+  account.step = Step::kReading;
+  out.commands.emplace_back(ReadBudget{account.name});
+}
+
+// Sizes and writes the next grant from a ledger that was read.
+void BudgetBook::Draw(Account& account, TimePoint now, BudgetOutcome& out) {
+  if (this->stopping) return;
+  this->RefuseUnpayable(account, out);
+  const std::int64_t wanted = std::accumulate(
+      account.waiters.begin(), account.waiters.end(), std::int64_t{0},
+      [](std::int64_t sum, const Waiter& waiter) {
+        return sum + waiter.amount;
+      });
+  coordination::GrantDemand demand;
+  demand.needed = std::max<std::int64_t>(0, wanted - account.grant.Available());
+  demand.units_per_second = account.units_per_second;
+  demand.ungranted = account.ledger.Ungranted();
+  demand.holders = this->holders;
+  demand.horizon = kGrantHorizon;
+  const std::int64_t amount = coordination::GrantSize(demand);
+  if (amount <= 0) {
+    // What is cached says that nothing is left: look again later, since a
+    // top-up may have come.
+    account.version = 0;
+    account.last_refusal = ErrorKind::kBudgetExhausted;
+    account.retry_at = now + kRetryAfterExhausted;
+    return;
+  }
+  this->EmitWrite(account, amount, out);
+}
+
+void BudgetBook::EmitWrite(Account& account, std::int64_t amount,
+                           BudgetOutcome& out) {
+  account.step = Step::kWriting;
+  account.writing = amount;
+  account.operation = this->next_operation++;
+  WriteGrant write;
+  write.budget = account.name;
+  write.ledger = account.ledger;
+  write.version = account.version;
+  write.grant_before = account.confirmed;
+  write.amount = amount;
+  write.operation = account.operation;
+  out.commands.emplace_back(std::move(write));
+}
+
+void BudgetBook::ServeWaiters(Account& account, BudgetOutcome& out) {
+  while (!account.waiters.empty()) {
+    const Waiter& first = account.waiters.front();
+    if (!account.grant.Reserve(first.amount)) return;
+    out.waiters.push_back(WaiterOutcome{first.reservation, true});
+    account.waiters.pop_front();
+  }
+}
+
+// Refuses, in order, each waiting request that what is left cannot pay after
+// those before it.
+void BudgetBook::RefuseUnpayable(Account& account, BudgetOutcome& out) {
+  std::int64_t left = account.grant.Available() + account.ledger.Ungranted();
+  std::deque<Waiter> payable;
+  for (const Waiter& waiter : account.waiters) {
+    if (waiter.amount <= left) {
+      left -= waiter.amount;
+      payable.push_back(waiter);
+      continue;
+    }
+    out.waiters.push_back(
+        WaiterOutcome{waiter.reservation, false, ErrorKind::kBudgetExhausted});
+  }
+  account.waiters = std::move(payable);
+}
+
+void BudgetBook::FailDraw(Account& account, ErrorKind error, TimePoint now,
+                          BudgetOutcome& out) {
+  const bool exhausted = error == ErrorKind::kBudgetExhausted;
+  account.retry_at =
+      now + (exhausted ? kRetryAfterExhausted : kRetryAfterFailure);
+  account.last_refusal = error;
+  for (const Waiter& waiter : account.waiters) {
+    out.waiters.push_back(WaiterOutcome{waiter.reservation, false, error});
+  }
+  account.waiters.clear();
+  Event event;
+  event.kind = EventKind::kDrawFailed;
+  event.budget = account.name;
+  event.detail = KeyValue("error", AnswerFor(error).name);
+  out.events.push_back(std::move(event));
+}
+
+// One step of handing units back: read when the rows are not known, then
+// withdraw what is unspent and write.
+void BudgetBook::ContinueReturn(Account& account, BudgetOutcome& out) {
+  if (account.step != Step::kIdle) return;
+  const bool due = account.returning > 0 || account.unresolved ||
+                   account.grant.Available() > 0;
+  if (!due) return;
+  if (account.version == 0) {
+    account.step = Step::kReading;
+    out.commands.emplace_back(ReadBudget{account.name});
+    return;
+  }
+  account.returning += account.grant.Withdraw(account.grant.Available());
+  if (account.returning > 0) this->EmitWrite(account, -account.returning, out);
+}
+
+}  // namespace hornbeamspool::policy
--- /dev/null
+++ b/policy/event.cc
@@ -0,0 +1,61 @@
+#include "policy/event.h"
+
+#include <array>
+#include <cstddef>
+
+namespace hornbeamspool::policy {
+namespace {
+
+constexpr std::array<std::string_view,
+                     static_cast<std::size_t>(EventKind::kCount)>
+    kNames{"started",         "ready",
+           "stopping",        "stopped",
+           "config_in_force", "config_refused",
+           "member_changed",  "upstream_changed",
+           "admitted",        "refused",
+           "retried",         "finished",
+           "billed",          "bill_duplicate",
+           "budget_created",  "budget_topped_up",
+           "grant_drawn",     "grant_returned",
+           "draw_failed",     "intent_committed",
+           "intent_exists",   "settle_failed"};
+
+bool NeedsQuotes(std::string_view value) {
+  if (value.empty()) return true;
+  for (const char c : value) {
+    const auto byte = static_cast<unsigned char>(c);
+    if (byte <= ' ' || byte == 0x7f || c == '"' || c == '=' || c == '\\') {
+      return true;
+    }
+  }
+  return false;
+}
+
+}  // namespace
+
+std::string_view EventKindName(EventKind kind) {
+  return kNames.at(static_cast<std::size_t>(kind));
+}
+
+std::string KeyValue(std::string_view key, std::string_view value) {
+  std::string text(key);
+  text += '=';
+  if (!NeedsQuotes(value)) {
+    text += value;
+    return text;
+  }
+  text += '"';
+  for (const char c : value) {
+    if (c == '"' || c == '\\') text += '\\';
+    const bool control = static_cast<unsigned char>(c) < ' ';
+    text += control ? ' ' : c;
+  }
+  text += '"';
+  return text;
+}
+
+std::string KeyValue(std::string_view key, std::int64_t value) {
+  return KeyValue(key, std::to_string(value));
+}
+
+}  // namespace hornbeamspool::policy
--- /dev/null
+++ b/policy/order_book.cc
@@ -0,0 +1,26 @@
+#include "policy/order_book.h"
+
+namespace hornbeamspool::policy {
+namespace {
+
+// Organisation names hold no line feed, so the pair is unambiguous.
+std::string Joined(std::string_view organisation, std::string_view key) {
+  std::string joined(organisation);
+  joined += '\n';
+  joined += key;
+  return joined;
+}
+
+}  // namespace
+
+bool OrderBook::Begin(std::string_view organisation,
+                      std::string_view request_key) {
+  return this->in_progress.insert(Joined(organisation, request_key)).second;
+}
+
+void OrderBook::End(std::string_view organisation,
+                    std::string_view request_key) {
+  this->in_progress.erase(Joined(organisation, request_key));
+}
+
+}  // namespace hornbeamspool::policy
--- /dev/null
+++ b/settings/fault.h
@@ -0,0 +1,16 @@
+// A fault in a settings file.
+#pragma once
+
+#include <string>
+#include <vector>
+
+namespace hornbeamspool::settings {
+
+struct Fault {
+  std::string where;  // `line 3, column 7`, or a JSON pointer
+  std::string message;
+};
+
+using FaultList = std::vector<Fault>;
+
+}  // namespace hornbeamspool::settings
--- /dev/null
+++ b/settings/node_settings.cc
@@ -0,0 +1,103 @@
+#include "settings/node_settings.h"
+
+#include <array>
+#include <string>
+
+#include "settings/json_text.h"
+#include "settings/object_reader.h"
+
+namespace hornbeamspool::settings {
+namespace {
+
+constexpr std::array<std::string_view, 4> kLogLevels{"debug", "info", "warn",
+                                                     "error"};
+constexpr IntegerRange kMilliseconds{1, 24LL * 3600 * 1000};
+constexpr std::int64_t kMaxBodyBytes = 256LL * 1024 * 1024;
+constexpr std::size_t kLeastPeerKeyBytes = 16;
+
+coordination::Duration MillisecondsOr(ObjectReader& reader,
+                                      std::string_view key,
+                                      std::int64_t fallback) {
+  return std::chrono::milliseconds(
+      reader.IntegerOr(key, kMilliseconds, fallback));
+}
+
+std::string Address(ObjectReader& reader, std::string_view key) {
+  std::string address = reader.Text(key);
+  const std::size_t colon = address.rfind(':');
+  const bool plausible =
+      colon != std::string::npos && colon > 0 &&
+      address.find_first_not_of("0123456789", colon + 1) == std::string::npos &&
+      colon + 1 < address.size() &&
+      address.find_first_not_of("0123456789abcdefABCDEF.:[]") ==
+          std::string::npos;
+  if (!address.empty() && !plausible) {
+    reader.AddFault(key, "must be an IP number, a colon and a port");
+  }
+  return address;
+}
+
+void ReadCallers(ObjectReader& reader, CallerSettings& callers) {
+  callers.address = Address(reader, "address");
+  callers.header_timeout = MillisecondsOr(reader, "header_timeout_ms", 10'000);
+  callers.body_timeout = MillisecondsOr(reader, "body_timeout_ms", 30'000);
+  callers.idle_timeout = MillisecondsOr(reader, "idle_timeout_ms", 75'000);
+  callers.write_timeout = MillisecondsOr(reader, "write_timeout_ms", 60'000);
+  callers.header_bytes =
+      reader.IntegerOr("header_bytes", IntegerRange{1024, 1 << 20}, 16 * 1024);
+  callers.body_bytes = reader.IntegerOr(
+      "body_bytes", IntegerRange{1024, kMaxBodyBytes}, 4 * 1024 * 1024);
+  callers.max_connections =
+      reader.IntegerOr("max_connections", IntegerRange{1, 1'000'000}, 20'000);
+  callers.max_in_flight =
+      reader.IntegerOr("max_in_flight", IntegerRange{1, 100'000}, 8192);
+}
+
+void ReadPeers(ObjectReader& reader, PeerSettings& peers) {
+  peers.address = Address(reader, "address");
+  peers.key = reader.Text("key");
+  if (!peers.key.empty() && peers.key.size() < kLeastPeerKeyBytes) {
+    reader.AddFault("key", "must hold at least 16 bytes");
+  }
+  peers.heartbeat = MillisecondsOr(reader, "heartbeat_ms", 500);
+  peers.fanout = reader.IntegerOr("fanout", IntegerRange{1, 64}, 4);
+}
+
+void ReadPlatform(ObjectReader& reader, PlatformSettings& platform) {
+  platform.table = Address(reader, "table");
+  platform.objects = Address(reader, "objects");
+  platform.weights = Address(reader, "weights");
+  platform.vms = Address(reader, "vms");
+  platform.timeout = MillisecondsOr(reader, "timeout_ms", 1'000);
+  platform.poll = MillisecondsOr(reader, "poll_ms", 1'000);
+}
+
+}  // namespace
+
+boost::leaf::result<NodeSettings> ParseNodeSettings(std::string_view text) {
+  BOOST_LEAF_AUTO(document, ParseJsonText(text));
+  NodeSettings node;
+  FaultList faults;
+  {
+    ObjectReader root(document, "", faults);
+    if (root.Text("kind") != "node") root.AddFault("kind", "must be node");
+    node.name = root.Text("name");
+    node.region = root.Text("region");
+    node.availability_zone = root.Text("availability_zone");
+    root.Member("callers",
+                [&](ObjectReader& r) { ReadCallers(r, node.callers); });
+    root.Member("operators", [&](ObjectReader& r) {
+      node.operators.address = Address(r, "address");
+      node.operators.key_sha256 = r.Text("key_sha256");
+    });
+    root.Member("peers", [&](ObjectReader& r) { ReadPeers(r, node.peers); });
+    root.Member("platform",
+                [&](ObjectReader& r) { ReadPlatform(r, node.platform); });
+    node.log_level = kLogLevels.at(root.ChoiceOr("log_level", kLogLevels, 1));
+    node.drain_timeout = MillisecondsOr(root, "drain_timeout_ms", 600'000);
+  }
+  if (!faults.empty()) return boost::leaf::new_error(std::move(faults));
+  return node;
+}
+
+}  // namespace hornbeamspool::settings
--- /dev/null
+++ b/settings/object_reader.cc
@@ -0,0 +1,159 @@
+#include "settings/object_reader.h"
+
+#include <algorithm>
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+
+namespace hornbeamspool::settings {
+namespace {
+
+const boost::json::value& EmptyObject() {
+  static const boost::json::value kEmpty = boost::json::object();
+  return kEmpty;
+}
+
+}  // namespace
+
+ObjectReader::ObjectReader(const boost::json::value& value, std::string pointer,
+                           FaultList& faults)
+    : object(value.if_object()), pointer(std::move(pointer)), faults(&faults) {
+  if (this->object == nullptr) {
+    this->faults->push_back({this->pointer, "must be an object"});
+    this->object = EmptyObject().if_object();
+  }
+}
+
+ObjectReader::~ObjectReader() {
+  for (const auto& member : *this->object) {
+    const std::string_view key(member.key().data(), member.key().size());
+    if (this->asked.contains(key)) continue;
+    this->AddFault(key, "unknown key");
+  }
+}
+
+void ObjectReader::AddFault(std::string_view key, std::string message) {
+  std::string where = this->pointer + '/' + std::string(key);
+  this->faults->push_back({std::move(where), std::move(message)});
+}
+
+const boost::json::value* ObjectReader::Find(std::string_view key,
+                                             bool required) {
+  this->asked.insert(std::string(key));
+  const boost::json::value* value = this->object->if_contains(key);
+  if (value == nullptr && required) this->AddFault(key, "is missing");
+  return value;
+}
+
+std::string ObjectReader::Text(std::string_view key) {
+  const boost::json::value* value = this->Find(key, true);
+  if (value == nullptr) return {};
+  const boost::json::string* text = value->if_string();
+  if (text == nullptr || text->empty()) {
+    this->AddFault(key, "must be a text that is not empty");
+    return {};
+  }
+  return std::string(text->data(), text->size());
+}
+
+std::string ObjectReader::TextOr(std::string_view key,
+                                 std::string_view fallback) {
+  if (this->Find(key, false) == nullptr) return std::string(fallback);
+  return this->Text(key);
+}
+
+std::int64_t ObjectReader::Integer(std::string_view key, IntegerRange range) {
+  const boost::json::value* value = this->Find(key, true);
+  if (value == nullptr) return range.least;
+  const std::int64_t* number = value->if_int64();
+  const bool fits =
+      number != nullptr && *number >= range.least && *number <= range.most;
+  if (fits) return *number;
+  std::string message = "must be a whole number of at least ";
+  message += std::to_string(range.least);
+  if (range.most != INT64_MAX) {
+    message += " and at most " + std::to_string(range.most);
+  }
+  this->AddFault(key, std::move(message));
+  return range.least;
+}
+
+std::int64_t ObjectReader::IntegerOr(std::string_view key, IntegerRange range,
+                                     std::int64_t fallback) {
+  if (this->Find(key, false) == nullptr) return fallback;
+  return this->Integer(key, range);
+}
+
+bool ObjectReader::BooleanOr(std::string_view key, bool fallback) {
+  const boost::json::value* value = this->Find(key, false);
+  if (value == nullptr) return fallback;
+  if (const bool* flag = value->if_bool()) return *flag;
+  this->AddFault(key, "must be true or false");
+  return fallback;
+}
+
+std::vector<std::string> ObjectReader::Texts(std::string_view key) {
+  std::vector<std::string> texts;
+  const boost::json::value* value = this->Find(key, true);
+  if (value == nullptr) return texts;
+  const boost::json::array* array = value->if_array();
+  if (array == nullptr || array->empty()) {
+    this->AddFault(key, "must be a list of texts that is not empty");
+    return texts;
+  }
+  for (std::size_t i = 0; i < array->size(); ++i) {
+    const boost::json::string* text = (*array)[i].if_string();
+    if (text == nullptr || text->empty()) {
+      this->AddFault(std::string(key) + '/' + std::to_string(i),
+                     "must be a text that is not empty");
+      continue;
+    }
+    texts.emplace_back(text->data(), text->size());
+  }
+  return texts;
+}
+
+std::size_t ObjectReader::ChoiceOr(std::string_view key,
+                                   std::span<const std::string_view> choices,
+                                   std::size_t fallback) {
+  if (this->Find(key, false) == nullptr) return fallback;
+  const std::string text = this->Text(key);
+  if (text.empty()) return fallback;
+  const auto found = std::find(choices.begin(), choices.end(), text);
+  if (found != choices.end()) {
+    return static_cast<std::size_t>(found - choices.begin());
+  }
+  std::string message = "must be one of";
+  for (const std::string_view choice : choices) {
+    message += ' ';
+    message += choice;
+  }
+  this->AddFault(key, std::move(message));
+  return fallback;
+}
+
+void ObjectReader::Each(std::string_view key, bool required,
+                        const std::function<void(ObjectReader&)>& read) {
+  const boost::json::value* value = this->Find(key, required);
+  if (value == nullptr) return;
+  const boost::json::array* array = value->if_array();
+  if (array == nullptr) {
+    this->AddFault(key, "must be a list");
+    return;
+  }
+  for (std::size_t i = 0; i < array->size(); ++i) {
+    std::string place = this->pointer + '/' + std::string(key);
+    place += '/' + std::to_string(i);
+    ObjectReader element((*array)[i], std::move(place), *this->faults);
+    read(element);
+  }
+}
+
+void ObjectReader::Member(std::string_view key,
+                          const std::function<void(ObjectReader&)>& read) {
+  const boost::json::value* value = this->Find(key, false);
+  ObjectReader member(value == nullptr ? EmptyObject() : *value,
+                      this->pointer + '/' + std::string(key), *this->faults);
+  read(member);
+}
+
+}  // namespace hornbeamspool::settings
--- /dev/null
+++ b/standin/fault_gate.h
@@ -0,0 +1,45 @@
+// Faults of a stand-in, switched on and off by PUT /faults.
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <cstdint>
+#include <string_view>
+
+#include "coordination/time.h"
+#include "http/exchange.h"
+#include "http/message.h"
+
+namespace hornbeamspool::standin {
+
+// {"down": true, "frozen": true, "slow_ms": 200, "lose_answers": 3}
+struct Faults {
+  bool down = false;              // connections are cut without an answer
+  bool frozen = false;            // requests wait until it thaws
+  coordination::Duration slow{};  // added before each answer
+  std::int64_t lose_answers = 0;  // carried out, and the answer is lost
+};
+
+class FaultGate {
+ public:
+  explicit FaultGate(boost::asio::io_context& io) : io(&io) {}
+
+  // Members that are absent keep their value. Returns false when the text is
+  // not understood.
+  bool Set(std::string_view text);
+  const Faults& Get() const { return this->faults; }
+
+  // Before a request is carried out. False: it was cut.
+  boost::asio::awaitable<bool> Enter(http::Exchange& exchange);
+  // Sends the answer, or loses it.
+  boost::asio::awaitable<void> Leave(http::Exchange& exchange,
+                                     http::Response response);
+
+ private:
+  boost::asio::awaitable<void> Sleep(coordination::Duration duration);
+
+  boost::asio::io_context* io;
+  Faults faults;
+};
+
+}  // namespace hornbeamspool::standin
--- /dev/null
+++ b/standin/load.cc
@@ -0,0 +1,151 @@
+#include "standin/load.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+#include <chrono>
+#include <optional>
+#include <utility>
+
+#include "http/event_stream.h"
+
+namespace hornbeamspool::standin {
+namespace {
+
+namespace json = boost::json;
+namespace net = boost::asio;
+using Clock = std::chrono::steady_clock;
+
+constexpr std::size_t kPieceBytes = 8 * 1024;
+constexpr coordination::Duration kPoll = std::chrono::milliseconds(1);
+
+double Milliseconds(Clock::duration duration) {
+  return std::chrono::duration<double, std::milli>(duration).count();
+}
+
+}  // namespace
+
+Load::Load(net::io_context& io, LoadOptions options)
+    : io(&io), options(std::move(options)), client(io) {}
+
+net::awaitable<LoadResult> Load::Run() {
+  const Clock::time_point started = Clock::now();
+  for (std::int64_t i = 0; i < this->options.concurrency; ++i) {
+    ++this->callers;
+    net::co_spawn(*this->io, this->Caller(), net::detached);
+  }
+  net::steady_timer timer(*this->io);
+  while (this->callers > 0) {
+    timer.expires_after(kPoll);
+    co_await timer.async_wait(net::use_awaitable);
+  }
+  this->result.seconds = Milliseconds(Clock::now() - started) / 1000;
+  co_return std::move(this->result);
+}
+
+net::awaitable<void> Load::Caller() {
+  while (this->next < this->options.requests) {
+    co_await this->One(this->next++);
+  }
+  --this->callers;
+}
+
+http::Request Load::RequestOf(std::int64_t number) const {
+  http::Request request;
+  request.method = "POST";
+  request.headers = {{"Content-Type", "application/json"},
+                     {"Authorization", "Bearer " + this->options.bearer},
+                     {"X-Request-Id", std::to_string(number)}};
+  if (!this->options.key_prefix.empty()) {
+    request.headers.push_back(
+        {"Idempotency-Key", this->options.key_prefix + std::to_string(number)});
+  }
+  if (!this->options.plain_path.empty()) {
+    request.target = this->options.plain_path;
+    request.body = json::serialize(json::object{{"order", number}});
+    return request;
+  }
+  request.target = "/v1/chat/completions";
+  std::string prompt = std::to_string(number);
+  prompt.resize(static_cast<std::size_t>(this->options.prompt_bytes), 'k');
+  json::object body{{"model", this->options.model},
+                    {"stream", this->options.stream},
+                    {"max_tokens", this->options.max_tokens},
+                    {"messages", json::array{json::object{
+                                     {"role", "user"}, {"content", prompt}}}}};
+  request.body = json::serialize(body);
+  return request;
+}
+
+net::awaitable<void> Load::One(std::int64_t number) {
+  const Clock::time_point started = Clock::now();
+  http::FetchOptions fetch;
+  fetch.first_byte_timeout = std::chrono::seconds(60);
+  fetch.read_timeout = std::chrono::seconds(60);
+  const http::OpenResult opened = co_await this->client.Open(
+      this->options.target, this->RequestOf(number), fetch);
+  if (opened.status != http::FetchStatus::kOk) {
+    ++this->result.broken;
+    co_return;
+  }
+  const std::uint16_t status = opened.stream->Head().status;
+  const bool streamed = opened.stream->Head()
+                            .HeaderValue("Content-Type")
+                            .starts_with("text/event-stream");
+  http::EventReader events;
+  std::vector<char> piece(kPieceBytes);
+  std::optional<Clock::time_point> last;
+  bool done = !streamed;
+  while (true) {
+    const http::ReadResult read = co_await opened.stream->Read(piece);
+    if (read.status != http::FetchStatus::kOk) {
+      ++this->result.broken;
+      co_return;
+    }
+    if (read.count == 0) break;
+    if (!streamed) continue;
+    events.Feed({piece.data(), read.count});
+    const Clock::time_point now = Clock::now();
+    while (const auto event = events.Next()) {
+      if (event->data == "[DONE]") {
+        done = true;
+        continue;
+      }
+      if (event->data.find("\"content\"") == std::string_view::npos) continue;
+      ++this->result.tokens;
+      if (last) {
+        this->result.gap_ms.push_back(Milliseconds(now - *last));
+      } else {
+        this->result.first_token_ms.push_back(Milliseconds(now - started));
+      }
+      last = now;
+    }
+    if (this->options.read_delay.count() > 0) {
+      net::steady_timer timer(*this->io, this->options.read_delay);
+      co_await timer.async_wait(net::use_awaitable);
+    }
+  }
+  if (status >= 300) {
+    ++this->result.refused;
+  } else if (!done) {
+    ++this->result.broken;
+  } else {
+    ++this->result.whole;
+    this->result.whole_ms.push_back(Milliseconds(Clock::now() - started));
+  }
+}
+
+double Percentile(std::vector<double> values, double share) {
+  if (values.empty()) return 0;
+  const auto index = static_cast<std::ptrdiff_t>(
+      share * static_cast<double>(values.size() - 1));
+  std::nth_element(values.begin(), values.begin() + index, values.end());
+  return values[static_cast<std::size_t>(index)];
+}
+
+}  // namespace hornbeamspool::standin
--- /dev/null
+++ b/standin/main.cc
@@ -0,0 +1,155 @@
+// The stand-ins as separate processes:
+//   standin platform --listen=IP:PORT --vms=FILE
+//   standin engine --listen=IP:PORT --name=NAME --version=v1 ...
+//   standin service --listen=IP:PORT --name=NAME
+//   standin load --target=IP:PORT --bearer=KEY ...
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "standin/engine_standin.h"
+#include "standin/load.h"
+#include "standin/platform_standin.h"
+#include "standin/service_standin.h"
+
+ABSL_FLAG(std::string, listen, "127.0.0.1:0", "address to listen on");
+ABSL_FLAG(std::string, name, "engine", "name of the stand-in");
+ABSL_FLAG(std::string, engine_version, "v1", "version that the engine runs");
+ABSL_FLAG(std::string, vms, "", "file with the list of VMs");
+ABSL_FLAG(std::int64_t, capacity_tokens, 40'000, "the engine's memory");
+ABSL_FLAG(std::int64_t, batch, 64, "sequences that the engine runs at once");
+ABSL_FLAG(std::int64_t, step_us, 5'000, "time of one step of the batch");
+ABSL_FLAG(std::int64_t, report_lag_ms, 500, "age of load reports");
+ABSL_FLAG(bool, check_fencing, false, "refuse orders with an old number");
+ABSL_FLAG(std::string, target, "127.0.0.1:8080", "where the load goes");
+ABSL_FLAG(std::string, bearer, "", "the callers' key");
+ABSL_FLAG(std::string, model, "planner", "model asked for");
+ABSL_FLAG(std::string, plain_path, "", "send plain POSTs to this path");
+ABSL_FLAG(std::string, key_prefix, "", "prefix of Idempotency-Key");
+ABSL_FLAG(std::int64_t, concurrency, 8, "callers at once");
+ABSL_FLAG(std::int64_t, requests, 100, "requests in all");
+ABSL_FLAG(std::int64_t, max_tokens, 32, "tokens of each answer");
+ABSL_FLAG(std::int64_t, prompt_bytes, 200, "bytes of each prompt");
+ABSL_FLAG(bool, stream, true, "ask for streams");
+ABSL_FLAG(std::int64_t, read_delay_ms, 0, "pause of a slow reader");
+
+namespace {
+
+namespace json = boost::json;
+namespace net = boost::asio;
+using namespace hornbeamspool::standin;  // NOLINT(google-build-using-namespace)
+
+std::string ReadFile(const std::string& path) {
+  std::ifstream file(path);
+  std::ostringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+int Serve(net::io_context& io, std::uint16_t port) {
+  if (port == 0) {
+    std::cerr << "cannot listen on " << absl::GetFlag(FLAGS_listen) << '\n';
+    return 1;
+  }
+  net::signal_set signals(io, SIGTERM, SIGINT);
+  signals.async_wait([&](auto, int) { io.stop(); });
+  io.run();
+  return 0;
+}
+
+int RunPlatform() {
+  net::io_context io{1};
+  const std::string file = absl::GetFlag(FLAGS_vms);
+  PlatformStandin platform(
+      io, file.empty() ? std::string(R"({"vms":[]})") : ReadFile(file));
+  return Serve(io, platform.Listen(absl::GetFlag(FLAGS_listen)));
+}
+
+int RunEngine() {
+  net::io_context io{1};
+  EngineOptions options;
+  options.name = absl::GetFlag(FLAGS_name);
+  options.version = absl::GetFlag(FLAGS_engine_version);
+  options.capacity_tokens = absl::GetFlag(FLAGS_capacity_tokens);
+  options.batch = absl::GetFlag(FLAGS_batch);
+  options.step = std::chrono::microseconds(absl::GetFlag(FLAGS_step_us));
+  options.report_lag =
+      std::chrono::milliseconds(absl::GetFlag(FLAGS_report_lag_ms));
+  options.check_fencing = absl::GetFlag(FLAGS_check_fencing);
+  EngineStandin engine(io, options);
+  return Serve(io, engine.Listen(absl::GetFlag(FLAGS_listen)));
+}
+
+int RunService() {
+  net::io_context io{1};
+  ServiceStandin service(io, absl::GetFlag(FLAGS_name));
+  return Serve(io, service.Listen(absl::GetFlag(FLAGS_listen)));
+}
+
+json::object Percentiles(const std::vector<double>& values) {
+  return {{"p50", Percentile(values, 0.50)},
+          {"p95", Percentile(values, 0.95)},
+          {"p99", Percentile(values, 0.99)}};
+}
+
+int RunLoad() {
+  net::io_context io{1};
+  LoadOptions options;
+  options.target = absl::GetFlag(FLAGS_target);
+  options.bearer = absl::GetFlag(FLAGS_bearer);
+  options.model = absl::GetFlag(FLAGS_model);
+  options.plain_path = absl::GetFlag(FLAGS_plain_path);
+  options.key_prefix = absl::GetFlag(FLAGS_key_prefix);
+  options.concurrency = absl::GetFlag(FLAGS_concurrency);
+  options.requests = absl::GetFlag(FLAGS_requests);
+  options.max_tokens = absl::GetFlag(FLAGS_max_tokens);
+  options.prompt_bytes = absl::GetFlag(FLAGS_prompt_bytes);
+  options.stream = absl::GetFlag(FLAGS_stream);
+  options.read_delay =
+      std::chrono::milliseconds(absl::GetFlag(FLAGS_read_delay_ms));
+  Load load(io, options);
+  LoadResult result;
+  net::co_spawn(io, load.Run(), [&](std::exception_ptr, LoadResult done) {
+    result = std::move(done);
+    io.stop();
+  });
+  io.run();
+  const double seconds = result.seconds;
+  const json::object report{
+      {"whole", result.whole},
+      {"refused", result.refused},
+      {"broken", result.broken},
+      {"seconds", seconds},
+      {"requests_per_second", static_cast<double>(result.whole) / seconds},
+      {"tokens_per_second", static_cast<double>(result.tokens) / seconds},
+      {"first_token_ms", Percentiles(result.first_token_ms)},
+      {"token_gap_ms", Percentiles(result.gap_ms)},
+      {"whole_ms", Percentiles(result.whole_ms)}};
+  std::cout << json::serialize(report) << '\n';
+  return result.broken == 0 ? 0 : 1;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  const std::vector<char*> words = absl::ParseCommandLine(argc, argv);
+  const std::string_view command = words.size() > 1 ? words[1] : "";
+  if (command == "platform") return RunPlatform();
+  if (command == "engine") return RunEngine();
+  if (command == "service") return RunService();
+  if (command == "load") return RunLoad();
+  std::cerr << "usage: standin platform|engine|service|load [flags]\n";
+  return 2;
+}
--- /dev/null
+++ b/standin/service_standin.cc
@@ -0,0 +1,62 @@
+#include "standin/service_standin.h"
+
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+#include <utility>
+
+namespace hornbeamspool::standin {
+
+namespace json = boost::json;
+
+ServiceStandin::ServiceStandin(boost::asio::io_context& io, std::string name)
+    : name(std::move(name)),
+      server(
+          io, http::ServerLimits{},
+          [this](http::Exchange& exchange) { return this->Handle(exchange); },
+          [](http::Reject) { return http::JsonResponse(400, "{}"); }),
+      gate(io) {}
+
+std::uint16_t ServiceStandin::Listen(std::string_view address) {
+  return this->server.Listen(address);
+}
+
+boost::asio::awaitable<void> ServiceStandin::Handle(http::Exchange& exchange) {
+  const http::Request& request = exchange.GetRequest();
+  if (request.Path() == "/faults") {
+    const bool taken = this->gate.Set(request.body);
+    co_await exchange.Send(http::JsonResponse(taken ? 200 : 400, "{}"));
+    co_return;
+  }
+  if (request.Path() == "/executions") {
+    co_await exchange.Send(this->Executions());
+    co_return;
+  }
+  if (!co_await this->gate.Enter(exchange)) co_return;
+  if (request.Path() == "/load") {
+    co_await this->gate.Leave(exchange,
+                              http::JsonResponse(200, R"({"waiting":0})"));
+    co_return;
+  }
+  co_await this->gate.Leave(exchange, this->Carry(request));
+}
+
+http::Response ServiceStandin::Carry(const http::Request& request) {
+  json::object answer{{"service", this->name}, {"method", request.method}};
+  if (request.method == "GET") {
+    answer["orders"] = this->orders;
+    return http::JsonResponse(200, json::serialize(answer));
+  }
+  ++this->executions[std::string(request.HeaderValue("Idempotency-Key"))];
+  answer["order"] = ++this->orders;
+  answer["bytes"] = request.body.size();
+  return http::JsonResponse(201, json::serialize(answer));
+}
+
+http::Response ServiceStandin::Executions() const {
+  json::object counts;
+  for (const auto& [key, count] : this->executions) counts[key] = count;
+  return http::JsonResponse(200, json::serialize(counts));
+}
+
+}  // namespace hornbeamspool::standin
--- /dev/null
+++ b/standin/service_standin.h
@@ -0,0 +1,37 @@
+// A stand-in for a plain service that takes orders. It counts how often each
+// key was carried out, so that a test can see a doubled order.
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+
+#include "http/exchange.h"
+#include "http/server.h"
+#include "standin/fault_gate.h"
+
+namespace hornbeamspool::standin {
+
+class ServiceStandin {
+ public:
+  ServiceStandin(boost::asio::io_context& io, std::string name);
+
+  // Returns the port, 0 on failure.
+  std::uint16_t Listen(std::string_view address);
+
+ private:
+  boost::asio::awaitable<void> Handle(http::Exchange& exchange);
+  http::Response Carry(const http::Request& request);
+  http::Response Executions() const;
+
+  std::string name;
+  http::Server server;
+  FaultGate gate;
+  std::int64_t orders = 0;
+  std::map<std::string, std::int64_t, std::less<>> executions;
+};
+
+}  // namespace hornbeamspool::standin
--- /dev/null
+++ b/transport/heartbeat.h
@@ -0,0 +1,29 @@
+// The heartbeat that routers send each other by UDP, encoded with cereal.
+#pragma once
+
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "coordination/hybrid_clock.h"
+#include "coordination/member_view.h"
+
+namespace hornbeamspool::transport {
+
+struct Heartbeat {
+  coordination::HybridTime sent_at;
+  coordination::MemberReport sender;
+  std::vector<coordination::MemberReport> sample;  // of the sender's view
+};
+
+// Largest datagram sent; fits an Ethernet frame.
+inline constexpr std::size_t kMaxDatagramBytes = 1400;
+
+std::string EncodeHeartbeat(const Heartbeat& heartbeat);
+
+// Empty when the bytes are not a heartbeat.
+std::optional<Heartbeat> DecodeHeartbeat(std::string_view bytes);
+
+}  // namespace hornbeamspool::transport
