--- a/hornbeamctl/operator_client.cc
+++ b/hornbeamctl/operator_client.cc
@@ -37,7 +37,7 @@
   const http::FetchOptions options;
   http::FetchResult fetched;
   net::co_spawn(io, client.Fetch(this->address, request, options),
-                [&](std::exception_ptr, http::FetchResult result) {
+                [&](const std::exception_ptr&, http::FetchResult result) {
                   fetched = std::move(result);
                 });
   io.run();
--- a/http/client.h
+++ b/http/client.h
@@ -27,7 +27,7 @@
   coordination::Duration connect_timeout = std::chrono::seconds(1);
   coordination::Duration first_byte_timeout = std::chrono::seconds(5);
   coordination::Duration read_timeout = std::chrono::seconds(30);
-  std::uint64_t body_bytes = 16 * 1024 * 1024;  // largest answer taken
+  std::uint64_t body_bytes = std::uint64_t{16} << 20U;  // largest answer taken
   // Never uses a pooled connection, whose peer may have closed it already:
   // needed where it matters whether a byte was sent.
   bool fresh_connection = false;
--- a/http/server.cc
+++ b/http/server.cc
@@ -4,6 +4,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -41,6 +42,28 @@
   return request;
 }
 
+// Cancels what a stream waits for when time is up. The connection stays open,
+// so that the caller can be told.
+class ReadDeadline {
+ public:
+  ReadDeadline(beast::tcp_stream& stream, coordination::Duration duration)
+      : timer(stream.get_executor(), duration),
+        passed(std::make_shared<bool>(false)) {
+    stream.expires_never();
+    this->timer.async_wait([&stream, passed = this->passed](error_code error) {
+      if (error) return;
+      *passed = true;
+      stream.cancel();
+    });
+  }
+
+  bool Passed() const { return *this->passed; }
+
+ private:
+  net::steady_timer timer;
+  std::shared_ptr<bool> passed;
+};
+
 template <typename Body>
 void SetHead(bhttp::response<Body>& message, const Response& response,
              bool keep_alive) {
@@ -88,6 +111,7 @@
  private:
   net::awaitable<bool> WaitForBytes();
   net::awaitable<std::optional<Reject>> ReadRequest();
+  std::optional<Reject> RejectOf(const error_code& error);
   net::awaitable<void> Handle();
   bool KeepAlive() const {
     return this->wants_keep_alive && !this->state->draining;
@@ -151,12 +175,17 @@
   parser.body_limit(this->state->limits.body_bytes);
   this->answered = false;
   error_code error;
-  this->stream.expires_after(this->state->limits.header_timeout);
-  co_await bhttp::async_read_header(
-      this->stream, this->buffer, parser,
-      net::redirect_error(net::use_awaitable, error));
+  bool late = false;
+  {
+    const ReadDeadline deadline(this->stream,
+                                this->state->limits.header_timeout);
+    co_await bhttp::async_read_header(
+        this->stream, this->buffer, parser,
+        net::redirect_error(net::use_awaitable, error));
+    late = deadline.Passed();
+  }
   if (!error) {
-    this->stream.expires_after(this->state->limits.body_timeout);
+    const ReadDeadline deadline(this->stream, this->state->limits.body_timeout);
     if (beast::iequals(parser.get()[bhttp::field::expect], "100-continue")) {
       bhttp::response<bhttp::empty_body> go_on(bhttp::status::continue_, 11);
       co_await bhttp::async_write(
@@ -164,23 +193,29 @@
     }
     co_await bhttp::async_read(this->stream, this->buffer, parser,
                                net::redirect_error(net::use_awaitable, error));
+    late = deadline.Passed();
   }
   if (!error) {
     this->wants_keep_alive = parser.keep_alive();
     this->request = FromBeast(parser.release());
     co_return std::nullopt;
   }
-  if (error == beast::error::timeout) co_return Reject::kTimeout;
-  if (error == bhttp::error::header_limit) co_return Reject::kHeadersTooLarge;
-  if (error == bhttp::error::body_limit) co_return Reject::kBodyTooLarge;
-  if (error == bhttp::error::end_of_stream ||
-      error == bhttp::error::partial_message ||
-      error.category() !=
-          bhttp::make_error_code(bhttp::error::bad_line_ending).category()) {
-    this->gone = true;
-    co_return std::nullopt;
-  }
-  co_return Reject::kMalformed;
+  if (late) co_return Reject::kTimeout;
+  co_return this->RejectOf(error);
+}
+
+// The answer to bytes that are no request. None when the caller is gone.
+std::optional<Reject> Connection::RejectOf(const error_code& error) {
+  if (error == bhttp::error::header_limit) return Reject::kHeadersTooLarge;
+  if (error == bhttp::error::body_limit) return Reject::kBodyTooLarge;
+  const bool parsing =
+      error.category() ==
+      bhttp::make_error_code(bhttp::error::bad_line_ending).category();
+  const bool ended = error == bhttp::error::end_of_stream ||
+                     error == bhttp::error::partial_message;
+  if (parsing && !ended) return Reject::kMalformed;
+  this->gone = true;
+  return std::nullopt;
 }
 
 net::awaitable<void> Connection::Handle() {
--- a/http/server.h
+++ b/http/server.h
@@ -22,7 +22,7 @@
   coordination::Duration idle_timeout = std::chrono::seconds(75);
   coordination::Duration write_timeout = std::chrono::seconds(60);
   std::uint32_t header_bytes = 16 * 1024;
-  std::uint64_t body_bytes = 4 * 1024 * 1024;
+  std::uint64_t body_bytes = std::uint64_t{4} << 20U;
   std::size_t connections = 20'000;
 };
 
--- a/policy/billing.cc
+++ b/policy/billing.cc
@@ -6,6 +6,27 @@
 #include <utility>
 
 namespace hornbeamspool::policy {
+namespace {
+
+// Names the row of a settlement: one transaction may write a row only once.
+const std::string& OrganisationOf(const Settlement& settlement) {
+  return settlement.has_bill ? settlement.bill.organisation
+                             : settlement.order.organisation;
+}
+
+const std::string& RequestKeyOf(const Settlement& settlement) {
+  return settlement.has_bill ? settlement.bill.request_key
+                             : settlement.order.request_key;
+}
+
+bool SharesRow(std::span<const Settlement> batch, const Settlement& next) {
+  return std::any_of(batch.begin(), batch.end(), [&](const Settlement& other) {
+    return RequestKeyOf(other) == RequestKeyOf(next) &&
+           OrganisationOf(other) == OrganisationOf(next);
+  });
+}
+
+}  // namespace
 
 void Billing::Add(Settlement settlement) {
   settlement.sequence = this->next_sequence++;
@@ -16,6 +37,7 @@
   if (!this->outstanding.empty()) return {};
   if (now < this->not_before) return {};
   while (!this->queue.empty() && this->outstanding.size() < kMaxBatch) {
+    if (SharesRow(this->outstanding, this->queue.front())) break;
     this->outstanding.push_back(std::move(this->queue.front()));
     this->queue.pop_front();
   }
--- a/policy/budget_book.cc
+++ b/policy/budget_book.cc
@@ -198,6 +198,7 @@
   account.units_per_second *= std::exp(-elapsed_s / window_s);
   account.units_per_second += static_cast<double>(amount) / window_s;
   account.demand_at = now;
+  account.last_amount = amount;
 }
 
 bool BudgetBook::LowWater(const Account& account) const {
@@ -233,7 +234,10 @@
   demand.holders = this->holders;
   demand.horizon = kGrantHorizon;
   const std::int64_t amount = coordination::GrantSize(demand);
-  if (amount <= 0) {
+  // A grant that no request fits into would only be stranded here.
+  const bool useless = demand.needed == 0 &&
+                       account.grant.Available() + amount < account.last_amount;
+  if (amount <= 0 || useless) {
     // What is cached says that nothing is left: look again later, since a
     // top-up may have come.
     account.version = 0;
--- a/policy/budget_book.h
+++ b/policy/budget_book.h
@@ -109,6 +109,7 @@
     bool unresolved = false;  // the last write's answer was lost
     std::deque<Waiter> waiters;
     double units_per_second = 0;
+    std::int64_t last_amount = 0;  // of the latest request
     coordination::TimePoint demand_at{};
     coordination::TimePoint retry_at{};  // no draw before this
     ErrorKind last_refusal = ErrorKind::kBudgetExhausted;
--- /dev/null
+++ b/scripts/fleet.sh
@@ -0,0 +1,112 @@
+#!/usr/bin/env bash
+# A loopback cut of a deployment as separate processes: 3 routers in 3
+# availability zones, the platform, 4 engines in two versions, 2 plain
+# services.
+#
+#   scripts/fleet.sh start serumpun|oja [BIN]   starts it and waits until ready
+#   scripts/fleet.sh stop                       ends it
+#
+# Ports: routers 1810N (callers), 1910N (operators), 1710N (peers);
+# platform 18200; engines 1830N; services 1840N. PIDs and logs: $FLEET_DIR.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+FLEET_DIR=${FLEET_DIR:-${TMPDIR:-/tmp}/hornbeamspool-fleet}
+
+# Ends the processes whose names match, and waits for them.
+stop_some() {
+  local files=() file
+  for file in "$FLEET_DIR"/$1.pid; do
+    [ -e "$file" ] || continue
+    files+=("$file")
+    kill -CONT "$(cat "$file")" 2>/dev/null || true
+    kill -TERM "$(cat "$file")" 2>/dev/null || true
+  done
+  for file in "${files[@]}"; do
+    for _ in $(seq 100); do
+      kill -0 "$(cat "$file")" 2>/dev/null || break
+      sleep 0.05
+    done
+    kill -KILL "$(cat "$file")" 2>/dev/null || true
+    rm -f "$file"
+  done
+}
+
+# Routers first, so that they can hand their grants back.
+stop() {
+  [ -d "$FLEET_DIR" ] || return 0
+  stop_some 'router-*'
+  stop_some '*'
+}
+
+run() {  # run NAME COMMAND...
+  local name=$1
+  shift
+  "$@" >>"$FLEET_DIR/$name.out" 2>>"$FLEET_DIR/$name.log" </dev/null &
+  echo $! >"$FLEET_DIR/$name.pid"
+}
+
+vm_line() {  # NAME SERVICE VERSION ZONE ADDRESS
+  printf '{"name":"%s","service":"%s","version":"%s","availability_zone":"%s","address":"%s","state":"live"}' "$@"
+}
+
+router_settings() {  # N ZONE
+  cat <<EOF
+{
+  "kind": "node", "name": "router-$1", "region": "loopback", "availability_zone": "$2",
+  "callers": {"address": "127.0.0.1:1810$1", "max_connections": ${MAX_CONNECTIONS:-20000}},
+  "operators": {"address": "127.0.0.1:1910$1", "key_sha256": "$(printf operator-key | sha256sum | cut -d' ' -f1)"},
+  "peers": {"address": "127.0.0.1:1710$1", "key": "loopback-peer-key-0123"},
+  "platform": {"table": "127.0.0.1:18200", "objects": "127.0.0.1:18200", "weights": "127.0.0.1:18200",
+               "vms": "127.0.0.1:18200", "poll_ms": ${POLL_MS:-250}, "timeout_ms": ${TABLE_TIMEOUT_MS:-1000}},
+  "log_level": "${LOG_LEVEL:-info}"
+}
+EOF
+}
+
+start() {
+  local deployment=$1 bin=${2:-build/release/bin} zones model desk
+  case "$deployment" in
+    serumpun) zones=(kul-a kul-b kul-c) model=planner desk=ordering ;;
+    oja) zones=(lag-a lag-b ibd-a) model=label-model desk=label-desk ;;
+    *) echo "no deployment $deployment" >&2; exit 2 ;;
+  esac
+  stop
+  rm -rf "$FLEET_DIR"
+  mkdir -p "$FLEET_DIR"
+  local lines=() n
+  for n in 1 2 3; do lines+=("$(vm_line "router-$n" hornbeamspool "" "${zones[n-1]}" "127.0.0.1:1710$n")"); done
+  for n in 1 2 3 4; do
+    local version=v1
+    [ "$n" -gt 2 ] && version=${SECOND_VERSION:-v2}
+    lines+=("$(vm_line "engine-$n" "$model" "$version" "${zones[(n-1)%3]}" "127.0.0.1:1830$n")")
+    run "engine-$n" "$bin/standin" engine --listen="127.0.0.1:1830$n" --name="engine-$n" \
+      --engine_version="$version" ${ENGINE_FLAGS:-}
+  done
+  for n in 1 2; do
+    lines+=("$(vm_line "desk-$n" "$desk" v1 "${zones[n-1]}" "127.0.0.1:1840$n")")
+    run "desk-$n" "$bin/standin" service --listen="127.0.0.1:1840$n" --name="desk-$n"
+  done
+  (IFS=,; printf '{"vms":[%s]}\n' "${lines[*]}") >"$FLEET_DIR/vms.json"
+  run platform "$bin/standin" platform --listen=127.0.0.1:18200 --vms="$FLEET_DIR/vms.json"
+  for n in 1 2 3; do
+    router_settings "$n" "${zones[n-1]}" >"$FLEET_DIR/router-$n.json"
+    run "router-$n" "$bin/hornbeamspool" --settings="$FLEET_DIR/router-$n.json"
+  done
+  for _ in $(seq 200); do
+    "$bin/hornbeamctl" --router=127.0.0.1:19101 --key=operator-key \
+      config put "deployments/$deployment/fleet.json" >/dev/null 2>&1 && break
+    sleep 0.05
+  done
+  for n in 1 2 3; do
+    for _ in $(seq 200); do
+      curl -sf "http://127.0.0.1:1810$n/readyz" >/dev/null && break
+      sleep 0.05
+    done
+  done
+}
+
+case "${1:-}" in
+  start) start "${@:2}" ;;
+  stop) stop ;;
+  *) sed -n '2,12p' "$0"; exit 2 ;;
+esac
--- a/standin/main.cc
+++ b/standin/main.cc
@@ -121,10 +121,11 @@
       std::chrono::milliseconds(absl::GetFlag(FLAGS_read_delay_ms));
   Load load(io, options);
   LoadResult result;
-  net::co_spawn(io, load.Run(), [&](std::exception_ptr, LoadResult done) {
-    result = std::move(done);
-    io.stop();
-  });
+  net::co_spawn(io, load.Run(),
+                [&](const std::exception_ptr&, LoadResult done) {
+                  result = std::move(done);
+                  io.stop();
+                });
   io.run();
   const double seconds = result.seconds;
   const json::object report{
--- a/standin/table_standin.cc
+++ b/standin/table_standin.cc
@@ -3,6 +3,7 @@
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 #include <exception>
+#include <set>
 #include <utility>
 
 #include "coordination/rendezvous.h"
@@ -122,6 +123,15 @@
     if (known->second == content) return http::JsonResponse(200, "{}");
     return Refusal("IdempotentParameterMismatchException");
   }
+  std::set<std::string> rows;
+  for (const json::value& item : items) {
+    const Row& keyed = KeyedRow(item);
+    const std::string row =
+        TypedText(keyed, "pk") + '\n' + TypedText(keyed, "sk");
+    if (rows.insert(row).second) continue;
+    return Refusal("ValidationException",
+                   {{"message", "a transaction names one item twice"}});
+  }
   json::array reasons;
   bool holds = true;
   for (const json::value& item : items) {
--- /dev/null
+++ b/tests/policy_test.cc
@@ -0,0 +1,292 @@
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <string>
+#include <variant>
+
+#include "policy/billing.h"
+#include "policy/error_kind.h"
+#include "policy/event.h"
+#include "policy/retry.h"
+#include "policy/router.h"
+#include "policy/upstream_set.h"
+
+namespace hornbeamspool::policy {
+namespace {
+
+using coordination::TimePoint;
+using std::chrono::seconds;
+
+const TimePoint kNow{seconds(1'000)};
+
+TEST_CASE("every error kind has an answer of its own") {
+  for (std::size_t i = 0; i < static_cast<std::size_t>(ErrorKind::kCount);
+       ++i) {
+    const ErrorAnswer& answer = AnswerFor(static_cast<ErrorKind>(i));
+    CHECK_GE(answer.status, 400);
+    CHECK_FALSE(answer.name.empty());
+    CHECK_FALSE(answer.message.empty());
+    // A refusal that may succeed later says when to come back.
+    if (answer.status == 503) CHECK_GT(answer.retry_after_s, 0);
+  }
+}
+
+TEST_CASE("log values cannot forge another pair") {
+  CHECK_EQ(KeyValue("key", "plain"), "key=plain");
+  CHECK_EQ(KeyValue("key", "a b=\"c\"\n"), "key=\"a b=\\\"c\\\" \"");
+}
+
+TEST_CASE("retries run out") {
+  RetryBudget budget;
+  int taken = 0;
+  while (budget.Take()) ++taken;
+  CHECK_EQ(taken, 10);
+  TryState state;
+  state.repeatable = false;
+  state.reached = true;
+  for (int i = 0; i < 1'000; ++i) budget.NoteFirstTry();
+  CHECK_FALSE(MayRetry(state, budget));
+  state.reached = false;
+  CHECK(MayRetry(state, budget));
+  state.tries = 3;
+  CHECK_FALSE(MayRetry(state, budget));
+}
+
+std::vector<ListedUpstream> TwoUpstreams() {
+  return {{"near", "s", "v1", "zone-a", "1", false},
+          {"far", "s", "v1", "zone-b", "2", false}};
+}
+
+UpstreamDemand Demand(std::int64_t tokens) {
+  UpstreamDemand demand;
+  demand.service = "s";
+  demand.version = "v1";
+  demand.availability_zone = "zone-a";
+  demand.tokens = tokens;
+  return demand;
+}
+
+TEST_CASE("the near upstream goes first, until it holds much more") {
+  UpstreamSet set;
+  set.SetListed(TwoUpstreams());
+  set.SetReport({"near", 0, 1'000, 0});
+  set.SetReport({"far", 0, 1'000, 0});
+  CHECK_EQ(set.Choose(Demand(10), kNow)->listed.name, "near");
+  set.Open("near", 300);
+  CHECK_EQ(set.Choose(Demand(10), kNow)->listed.name, "far");
+}
+
+TEST_CASE("no upstream is chosen beyond its memory") {
+  UpstreamSet set;
+  set.SetListed(TwoUpstreams());
+  set.SetReport({"near", 900, 1'000, 0});
+  set.SetReport({"far", 0, 1'000, 0});
+  CHECK_EQ(set.Choose(Demand(101), kNow)->listed.name, "far");
+  set.Open("far", 950);
+  CHECK_EQ(set.Choose(Demand(101), kNow), nullptr);
+}
+
+TEST_CASE("leaving, failed and excluded upstreams get no new work") {
+  UpstreamSet set;
+  auto listed = TwoUpstreams();
+  listed[0].leaving = true;
+  set.SetListed(listed);
+  CHECK_EQ(set.Choose(Demand(1), kNow)->listed.name, "far");
+  set.Avoid("far", kNow);
+  // The last one that serves is used, even after a failure.
+  CHECK_EQ(set.Choose(Demand(1), kNow)->listed.name, "far");
+  const std::vector<std::string> excluded{"far"};
+  UpstreamDemand demand = Demand(1);
+  demand.excluded = excluded;
+  CHECK_EQ(set.Choose(demand, kNow), nullptr);
+}
+
+Settlement BillOf(std::string key) {
+  Settlement settlement;
+  settlement.has_bill = true;
+  settlement.bill.organisation = "o";
+  settlement.bill.request_key = std::move(key);
+  return settlement;
+}
+
+TEST_CASE("one batch at a time, and one row at a time in a batch") {
+  Billing billing;
+  billing.Add(BillOf("a"));
+  billing.Add(BillOf("b"));
+  billing.Add(BillOf("a"));
+  CHECK_EQ(billing.TakeBatch(kNow).size(), 2);
+  CHECK(billing.TakeBatch(kNow).empty());
+  CHECK_EQ(billing.OnWritten({TableStatus::kOk, {}, {}}, kNow).size(), 2);
+  CHECK_EQ(billing.TakeBatch(kNow).size(), 1);
+}
+
+TEST_CASE("a batch that failed is written again, less what stood already") {
+  Billing billing;
+  billing.Add(BillOf("a"));
+  billing.Add(BillOf("b"));
+  billing.Add(BillOf("c"));
+  CHECK_EQ(billing.TakeBatch(kNow).size(), 3);
+  const auto done = billing.OnWritten({TableStatus::kConflict, {1}, {3}}, kNow);
+  REQUIRE_EQ(done.size(), 2);
+  CHECK(done[0].duplicate);
+  CHECK_FALSE(done[1].duplicate);
+  const auto next = billing.TakeBatch(kNow);
+  REQUIRE_EQ(next.size(), 1);
+  CHECK_EQ(next[0].bill.request_key, "b");
+}
+
+FleetConfig SmallConfig() {
+  FleetConfig config;
+  WorkClass quick;
+  quick.name = "quick";
+  quick.targets.first_token = seconds(1);
+  quick.targets.deadline = seconds(20);
+  config.classes = {quick};
+  Organisation organisation;
+  organisation.name = "o";
+  organisation.classes = {"quick"};
+  organisation.keys = {{"digest", "budget"}};
+  config.organisations = {organisation};
+  Model model;
+  model.name = "m";
+  model.service = "s";
+  model.version = "v1";
+  model.default_max_tokens = 10;
+  model.limit_max_tokens = 100;
+  config.models = {model};
+  return config;
+}
+
+AdmissionRequest ModelRequest(std::uint64_t ticket) {
+  AdmissionRequest request;
+  request.ticket = ticket;
+  request.key_digest = "digest";
+  request.target = "m";
+  request.request_id = "id-" + std::to_string(ticket);
+  return request;
+}
+
+ErrorKind RefusalOf(const Outbox& out) {
+  REQUIRE_EQ(out.replies.size(), 1);
+  const auto* refused = std::get_if<Refused>(&out.replies[0].verdict);
+  REQUIRE_NE(refused, nullptr);
+  return refused->kind;
+}
+
+// A router with a configuration, two upstreams and an answer to its reads.
+struct Fixture {
+  Fixture() : router(RouterOptions{"zone-a", 4}) {
+    this->router.SetConfig(3, SmallConfig(), this->out);
+    this->router.SetUpstreams(TwoUpstreams(), this->out);
+    this->out = {};
+  }
+
+  Outbox Request(const AdmissionRequest& request) {
+    Outbox next;
+    this->router.OnRequest(request, kNow, next);
+    return next;
+  }
+
+  // Lets the first draw succeed with `ungranted` units left.
+  Outbox AnswerDraw(std::int64_t ungranted) {
+    Outbox next;
+    BudgetRead read;
+    read.budget = "budget";
+    read.status = TableStatus::kOk;
+    read.ledger = {ungranted, 0};
+    read.version = 1;
+    this->router.OnTableReply(read, kNow, next);
+    const auto* write = next.commands.empty()
+                            ? nullptr
+                            : std::get_if<WriteGrant>(&next.commands[0]);
+    if (write == nullptr || !next.replies.empty()) return next;
+    GrantWritten written;
+    written.budget = "budget";
+    written.operation = write->operation;
+    written.status = TableStatus::kOk;
+    next = {};
+    this->router.OnTableReply(written, kNow, next);
+    return next;
+  }
+
+  Router router;
+  Outbox out;
+};
+
+TEST_CASE("refusals before admission") {
+  Fixture fixture;
+  AdmissionRequest request = ModelRequest(1);
+  request.key_digest = "other";
+  CHECK_EQ(RefusalOf(fixture.Request(request)), ErrorKind::kUnauthenticated);
+  request = ModelRequest(2);
+  request.target = "other";
+  CHECK_EQ(RefusalOf(fixture.Request(request)), ErrorKind::kUnknownModel);
+  request = ModelRequest(3);
+  request.work_class = "other";
+  CHECK_EQ(RefusalOf(fixture.Request(request)), ErrorKind::kUnknownClass);
+  request = ModelRequest(4);
+  request.max_tokens = 101;
+  CHECK_EQ(RefusalOf(fixture.Request(request)), ErrorKind::kTooManyTokens);
+  CHECK_EQ(fixture.router.InFlight(), 0);
+}
+
+TEST_CASE("a configuration never goes back") {
+  Fixture fixture;
+  Outbox next;
+  CHECK_FALSE(fixture.router.SetConfig(3, SmallConfig(), next));
+  CHECK_FALSE(fixture.router.SetConfig(2, SmallConfig(), next));
+  CHECK_EQ(fixture.router.ConfigEpoch(), 3);
+}
+
+TEST_CASE("a request waits for a grant and is admitted with it") {
+  Fixture fixture;
+  CHECK(fixture.Request(ModelRequest(1)).replies.empty());
+  const Outbox next = fixture.AnswerDraw(10'000);
+  REQUIRE_EQ(next.replies.size(), 1);
+  CHECK(std::holds_alternative<Admitted>(next.replies[0].verdict));
+}
+
+TEST_CASE("an exhausted budget is refused at once, with when to come back") {
+  Fixture fixture;
+  fixture.Request(ModelRequest(1));
+  CHECK_EQ(RefusalOf(fixture.AnswerDraw(5)), ErrorKind::kBudgetExhausted);
+  CHECK_EQ(RefusalOf(fixture.Request(ModelRequest(2))),
+           ErrorKind::kBudgetExhausted);
+  CHECK_EQ(fixture.router.InFlight(), 0);
+}
+
+TEST_CASE("the same key in progress is told so") {
+  Fixture fixture;
+  AdmissionRequest request = ModelRequest(1);
+  request.request_key = "key";
+  fixture.Request(request);
+  request.ticket = 2;
+  CHECK_EQ(RefusalOf(fixture.Request(request)), ErrorKind::kInProgress);
+}
+
+TEST_CASE("the router at its limit refuses, and a stopping one too") {
+  Fixture fixture;
+  for (std::uint64_t i = 1; i <= 4; ++i) fixture.Request(ModelRequest(i));
+  CHECK_EQ(RefusalOf(fixture.Request(ModelRequest(5))), ErrorKind::kOverloaded);
+  fixture.router.BeginStop();
+  CHECK_EQ(RefusalOf(fixture.Request(ModelRequest(6))), ErrorKind::kStopping);
+}
+
+TEST_CASE("a request that reached an upstream is never said not to have run") {
+  Fixture fixture;
+  fixture.Request(ModelRequest(1));
+  Outbox next = fixture.AnswerDraw(10'000);
+  std::uint64_t reservation =
+      std::get<Admitted>(next.replies.at(0).verdict).reservation;
+  next = {};
+  fixture.router.OnRetry({2, reservation, true}, kNow, next);
+  REQUIRE(std::holds_alternative<Admitted>(next.replies.at(0).verdict));
+  next = {};
+  fixture.router.OnRetry({3, reservation, false}, kNow, next);
+  const ErrorKind kind = RefusalOf(next);
+  CHECK_EQ(kind, ErrorKind::kUpstreamFailed);
+  CHECK_EQ(AnswerFor(kind).run, RunState::kMayHaveRun);
+}
+
+}  // namespace
+}  // namespace hornbeamspool::policy
--- /dev/null
+++ b/tests/relay_test.cc
@@ -0,0 +1,68 @@
+// What the relays read out of requests and answers.
+#include <doctest/doctest.h>
+
+#include <string>
+#include <variant>
+
+#include "hornbeamspool/answer_checker.h"
+#include "hornbeamspool/chat_request.h"
+#include "hornbeamspool/error_response.h"
+
+namespace hornbeamspool {
+namespace {
+
+std::string FaultOf(std::string_view body) {
+  const auto parsed = ParseChatRequest(body);
+  const auto* fault = std::get_if<ChatFault>(&parsed);
+  return fault == nullptr ? std::string() : fault->message;
+}
+
+TEST_CASE("chat requests with faults are told what is wrong") {
+  CHECK_EQ(FaultOf(R"({"model":"m","messages":[{"role":"user"}]})"), "");
+  CHECK_NE(FaultOf("{"), "");
+  CHECK_EQ(FaultOf("[]"), "the body must be an object");
+  CHECK_EQ(FaultOf(R"({"messages":[{"role":"user"}]})"),
+           "model must be a text");
+  CHECK_EQ(FaultOf(R"({"model":"m","messages":[]})"),
+           "messages must be a list that is not empty");
+  CHECK_EQ(FaultOf(R"({"model":"m","messages":[{"role":"user"}],"n":2})"),
+           "n must be 1");
+  CHECK_EQ(FaultOf(R"({"model":"m","max_tokens":0,"messages":[{"role":"u"}]})"),
+           "max_tokens must be a whole number of at least 1");
+  CHECK_EQ(FaultOf(R"({"model":"m","messages":[{"role":"user",
+             "content":[{"type":"image_url"}]}]})"),
+           "message content must be text");
+}
+
+TEST_CASE("the upstream is always asked for usage") {
+  const auto parsed = ParseChatRequest(
+      R"({"model":"m","stream":true,"messages":[{"role":"user"}]})");
+  const auto& request = std::get<ChatRequest>(parsed);
+  CHECK_FALSE(request.include_usage);
+  const std::string body = UpstreamBody(request, 7, 3);
+  CHECK_NE(body.find("\"include_usage\":true"), std::string::npos);
+  CHECK_NE(body.find("\"max_tokens\":7"), std::string::npos);
+}
+
+TEST_CASE("an answer to another request does not match") {
+  const std::string answer =
+      R"({"id":"chatcmpl-r-1","choices":[{}],"usage":
+         {"prompt_tokens":3,"completion_tokens":4}})";
+  const AnswerFacts facts = InspectAnswer(answer, "r-1");
+  CHECK(facts.matches);
+  CHECK(facts.has_choices);
+  REQUIRE(facts.usage);
+  CHECK_EQ(facts.usage->completion_tokens, 4);
+  CHECK_FALSE(InspectAnswer(answer, "r-2").matches);
+  CHECK_FALSE(InspectAnswer("{", "r-1").readable);
+}
+
+TEST_CASE("a refusal says whether it ran and when to come back") {
+  const http::Response response = ErrorResponse(policy::ErrorKind::kNoUpstream);
+  CHECK_EQ(response.status, 503);
+  CHECK_EQ(response.HeaderValue("Retry-After"), "2");
+  CHECK_NE(response.body.find("\"run\":\"not_run\""), std::string::npos);
+}
+
+}  // namespace
+}  // namespace hornbeamspool
--- /dev/null
+++ b/tests/settings_test.cc
@@ -0,0 +1,96 @@
+#include <doctest/doctest.h>
+
+#include <boost/leaf/handle_errors.hpp>
+#include <optional>
+#include <string>
+
+#include "settings/fault.h"
+#include "settings/fleet_settings.h"
+#include "settings/node_settings.h"
+
+namespace hornbeamspool::settings {
+namespace {
+
+constexpr std::string_view kSound = R"(
+// A comment.
+{"kind": "fleet",
+ "classes": [{"name": "quick", "targets":
+   {"first_token_ms": 1, "token_gap_ms": 2, "deadline_ms": 3}}],
+ "organisations": [{"name": "one", "classes": ["quick"], "keys": [
+   {"sha256": "0000000000000000000000000000000000000000000000000000000000000000",
+    "budget": "one/main"}]}],
+ "models": [{"name": "m", "service": "s", "version": "v1",
+   "default_max_tokens": 5, "limit_max_tokens": 9}]})";
+
+FaultList FaultsOf(std::string_view text) {
+  FaultList found;
+  boost::leaf::try_handle_all(
+      [&]() -> boost::leaf::result<void> {
+        BOOST_LEAF_CHECK(ParseFleetConfig(text));
+        return {};
+      },
+      [&](const FaultList& faults) { found = faults; },
+      [&] {
+        found.push_back({"", "?"});
+      });
+  return found;
+}
+
+std::string Replaced(std::string_view from, std::string_view to) {
+  std::string text(kSound);
+  const std::size_t at = text.find(from);
+  REQUIRE_NE(at, std::string::npos);
+  text.replace(at, from.size(), to);
+  return text;
+}
+
+TEST_CASE("a sound configuration with comments is read") {
+  CHECK(FaultsOf(kSound).empty());
+}
+
+TEST_CASE("a broken text is told by line and column") {
+  const FaultList faults = FaultsOf("{\n  \"kind\": ?}");
+  REQUIRE_EQ(faults.size(), 1);
+  CHECK_EQ(faults[0].where, "line 2, column 11");
+}
+
+TEST_CASE("an unknown key is a fault with its pointer") {
+  const FaultList faults =
+      FaultsOf(Replaced("\"version\":", "\"weight\": 3, \"version\":"));
+  REQUIRE_EQ(faults.size(), 1);
+  CHECK_EQ(faults[0].where, "/models/0/weight");
+}
+
+TEST_CASE("every fault is told") {
+  std::string text = Replaced("\"first_token_ms\": 1", "\"first_token_ms\": 0");
+  text.replace(text.find("[\"quick\"]"), 9, "[\"slow\"]");
+  text.replace(text.find("\"limit_max_tokens\": 9"), 21,
+               "\"limit_max_tokens\": 4");
+  const FaultList faults = FaultsOf(text);
+  REQUIRE_EQ(faults.size(), 3);
+  CHECK_EQ(faults[0].where, "/classes/0/targets/first_token_ms");
+  CHECK_EQ(faults[1].where, "/organisations/0/classes/0");
+  CHECK_EQ(faults[2].where, "/models/0/default_max_tokens");
+}
+
+TEST_CASE("a name that stands twice is a fault") {
+  const FaultList faults = FaultsOf(
+      Replaced("\"models\": [", R"("models": [{"name": "m", "service": "s",
+        "version": "v1", "default_max_tokens": 5, "limit_max_tokens": 9},)"));
+  REQUIRE_EQ(faults.size(), 1);
+  CHECK_EQ(faults[0].where, "/models/1");
+}
+
+TEST_CASE("node settings name what is missing") {
+  FaultList found;
+  boost::leaf::try_handle_all(
+      [&]() -> boost::leaf::result<void> {
+        BOOST_LEAF_CHECK(ParseNodeSettings(R"({"kind": "node"})"));
+        return {};
+      },
+      [&](const FaultList& faults) { found = faults; }, [] {});
+  CHECK_GE(found.size(), 8);
+}
+
+}  // namespace
+}  // namespace hornbeamspool::settings
--- /dev/null
+++ b/tests/transport_test.cc
@@ -0,0 +1,70 @@
+#include <doctest/doctest.h>
+
+#include <random>
+#include <string>
+
+#include "transport/heartbeat.h"
+#include "transport/seal.h"
+
+namespace hornbeamspool::transport {
+namespace {
+
+constexpr std::string_view kKey = "0123456789abcdef";
+
+Heartbeat FullHeartbeat() {
+  Heartbeat heartbeat;
+  heartbeat.sent_at = {12, 3};
+  heartbeat.sender.name = "router-1-with-a-long-name";
+  heartbeat.sender.availability_zone = "zone-a";
+  heartbeat.sender.peer_address = "192.0.2.100:17101";
+  heartbeat.sender.operator_address = "192.0.2.100:19101";
+  heartbeat.sender.config_epoch = 9;
+  heartbeat.sample.assign(8, heartbeat.sender);
+  return heartbeat;
+}
+
+TEST_CASE("a heartbeat comes back as it was, and fits a datagram") {
+  const std::string sealed = Seal(kKey, EncodeHeartbeat(FullHeartbeat()));
+  CHECK_LE(sealed.size(), kMaxDatagramBytes);
+  const auto payload = Unseal(kKey, sealed);
+  REQUIRE(payload);
+  const auto heartbeat = DecodeHeartbeat(*payload);
+  REQUIRE(heartbeat);
+  CHECK_EQ(heartbeat->sender.name, "router-1-with-a-long-name");
+  CHECK_EQ(heartbeat->sample.size(), 8);
+  CHECK_EQ(heartbeat->sent_at.counter, 3);
+}
+
+TEST_CASE("a changed byte or another key is refused") {
+  const std::string sealed = Seal(kKey, EncodeHeartbeat(FullHeartbeat()));
+  CHECK_FALSE(Unseal("another key 1234", sealed));
+  for (std::size_t i = 0; i < sealed.size(); i += 7) {
+    std::string changed = sealed;
+    changed[i] = static_cast<char>(changed[i] ^ 1);
+    CHECK_FALSE(Unseal(kKey, changed));
+  }
+}
+
+TEST_CASE("bytes that are no heartbeat are refused whole") {
+  std::mt19937 random(7);
+  const std::string sound = EncodeHeartbeat(FullHeartbeat());
+  for (int i = 0; i < 20'000; ++i) {
+    std::string bytes = sound;
+    const std::size_t changes = 1 + random() % 8;
+    for (std::size_t j = 0; j < changes; ++j) {
+      bytes[random() % bytes.size()] = static_cast<char>(random());
+    }
+    bytes.resize(random() % (bytes.size() + 1));
+    // Whatever it says, it ends and stays within bounds.
+    const auto heartbeat = DecodeHeartbeat(bytes);
+    if (heartbeat) CHECK_LE(heartbeat->sample.size(), kMaxDatagramBytes);
+  }
+}
+
+TEST_CASE("digests") {
+  CHECK_EQ(Sha256Hex("abc"),
+           "ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad");
+}
+
+}  // namespace
+}  // namespace hornbeamspool::transport
--- a/transport/heartbeat.cc
+++ b/transport/heartbeat.cc
@@ -1,11 +1,35 @@
 #include "transport/heartbeat.h"
 
 #include <cereal/archives/portable_binary.hpp>
-#include <cereal/types/string.hpp>
-#include <cereal/types/vector.hpp>
+#include <cereal/cereal.hpp>
 #include <exception>
 #include <sstream>
 
+namespace hornbeamspool::transport {
+namespace {
+
+// A text with a length of 16 bits: a broken length costs little memory.
+struct ShortText {
+  std::string* text;
+
+  template <typename Archive>
+  void save(Archive& archive) const {
+    const auto size = static_cast<std::uint16_t>(this->text->size());
+    archive(size, cereal::binary_data(this->text->data(), size));
+  }
+
+  template <typename Archive>
+  void load(Archive& archive) {
+    std::uint16_t size = 0;
+    archive(size);
+    this->text->resize(size);
+    archive(cereal::binary_data(this->text->data(), size));
+  }
+};
+
+}  // namespace
+}  // namespace hornbeamspool::transport
+
 namespace hornbeamspool::coordination {
 
 template <typename Archive>
@@ -15,9 +39,10 @@
 
 template <typename Archive>
 void serialize(Archive& archive, MemberReport& report) {
-  archive(report.name, report.availability_zone, report.peer_address,
-          report.operator_address, report.incarnation, report.beat,
-          report.config_epoch, report.leaving);
+  using transport::ShortText;
+  archive(ShortText{&report.name}, ShortText{&report.availability_zone},
+          ShortText{&report.peer_address}, ShortText{&report.operator_address},
+          report.incarnation, report.beat, report.config_epoch, report.leaving);
 }
 
 }  // namespace hornbeamspool::coordination
@@ -31,8 +56,19 @@
 }  // namespace
 
 template <typename Archive>
-void serialize(Archive& archive, Heartbeat& heartbeat) {
-  archive(heartbeat.sent_at, heartbeat.sender, heartbeat.sample);
+void save(Archive& archive, const Heartbeat& heartbeat) {
+  const auto count = static_cast<std::uint8_t>(heartbeat.sample.size());
+  archive(heartbeat.sent_at, heartbeat.sender, count);
+  for (const auto& report : heartbeat.sample) archive(report);
+}
+
+template <typename Archive>
+void load(Archive& archive, Heartbeat& heartbeat) {
+  std::uint8_t count = 0;
+  archive(heartbeat.sent_at, heartbeat.sender, count);
+  for (std::uint8_t i = 0; i < count; ++i) {
+    archive(heartbeat.sample.emplace_back());
+  }
 }
 
 std::string EncodeHeartbeat(const Heartbeat& heartbeat) {
