--- a/hornbeamspool/model_relay.cc
+++ b/hornbeamspool/model_relay.cc
@@ -123,7 +123,9 @@
       co_return TryResult{TryEnd::kAnswered, true};
     }
   }
-  if (!this->done) co_return co_await this->Fail(ErrorKind::kAnswerBroken);
+  if (!this->done) {
+    co_return co_await this->Fail(ErrorKind::kAnswerBroken);
+  }
   const bool delivered = co_await this->attempt->exchange->EndStream();
   this->reservation->Complete(delivered ? CompletionOutcome::kWhole
                                         : CompletionOutcome::kCallerGone);
--- a/hornbeamspool/operator_server.cc
+++ b/hornbeamspool/operator_server.cc
@@ -151,7 +151,7 @@
 }
 
 const std::vector<OperatorServer::Verb>& OperatorServer::Verbs() {
-  static const std::vector<Verb> kVerbs{
+  static const std::vector<Verb> verbs{
       {"GET", "/healthz", true, &OperatorServer::Health},
       {"GET", "/readyz", true, &OperatorServer::Ready},
       {"GET", "/metrics", true, &OperatorServer::MetricsText},
@@ -166,7 +166,7 @@
       {"GET", "/v1/moves", false, &OperatorServer::Moves},
       {"POST", "/v1/moves", false, &OperatorServer::Moves},
   };
-  return kVerbs;
+  return verbs;
 }
 
 net::awaitable<void> OperatorServer::Handle(http::Exchange& exchange) {
--- a/hornbeamspool/platform_thread.cc
+++ b/hornbeamspool/platform_thread.cc
@@ -34,7 +34,6 @@
                                std::string holder, Metrics& metrics,
                                EventSink& sink)
     : settings(settings),
-      metrics(&metrics),
       sink(&sink),
       work(net::make_work_guard(this->io)),
       config_timer(this->io),
--- a/hornbeamspool/platform_thread.h
+++ b/hornbeamspool/platform_thread.h
@@ -58,7 +58,6 @@
   boost::asio::awaitable<void> Deliver(PlatformMessage message);
 
   settings::PlatformSettings settings;
-  Metrics* metrics;
   EventSink* sink;
   boost::asio::io_context io{1};
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work;
--- a/http/client.cc
+++ b/http/client.cc
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "http/address.h"
+#include "http/watchdog.h"
 
 namespace hornbeamspool::http {
 namespace {
@@ -26,10 +27,8 @@
 // Idle connections kept for each address.
 constexpr std::size_t kMaxIdle = 64;
 
-FetchStatus StatusOf(const error_code& error) {
-  return error == beast::error::timeout ? FetchStatus::kTimeout
-                                        : FetchStatus::kBroken;
-}
+// Bytes asked of the socket at once.
+constexpr std::size_t kReadBytes = 8 * 1024;
 
 bhttp::request<bhttp::string_body> ToBeast(std::string_view address,
                                            const Request& request) {
@@ -49,7 +48,7 @@
 }  // namespace
 
 struct Client::Pool {
-  explicit Pool(net::io_context& io) : io(&io) {}
+  explicit Pool(net::io_context& io) : io(&io), watchdog(io) {}
 
   std::unique_ptr<beast::tcp_stream> Take(std::string_view address) {
     auto found = this->idle.find(address);
@@ -63,11 +62,11 @@
             std::unique_ptr<beast::tcp_stream> stream) {
     auto& streams = this->idle[std::string(address)];
     if (streams.size() >= kMaxIdle) return;
-    stream->expires_never();
     streams.push_back(std::move(stream));
   }
 
   net::io_context* io;
+  Watchdog watchdog;
   std::map<std::string, std::vector<std::unique_ptr<beast::tcp_stream>>,
            std::less<>>
       idle;
@@ -81,6 +80,15 @@
   bhttp::response_parser<bhttp::buffer_body> parser;
   FetchOptions options;
   Response head;
+  std::optional<Watchdog::Guard> guard;
+
+  void Watch() {
+    this->guard.emplace(this->pool->watchdog,
+                        [this] { this->stream->socket().cancel(); });
+  }
+  FetchStatus Failure() const {
+    return this->guard->Fired() ? FetchStatus::kTimeout : FetchStatus::kBroken;
+  }
 };
 
 ResponseStream::ResponseStream(std::unique_ptr<State> state)
@@ -89,6 +97,7 @@
 ResponseStream::~ResponseStream() {
   State& state = *this->state;
   if (!state.stream) return;
+  state.guard.reset();
   const bool reusable = state.parser.is_done() && state.parser.keep_alive() &&
                         state.buffer.size() == 0;
   if (reusable) state.pool->Give(state.address, std::move(state.stream));
@@ -96,25 +105,51 @@
 
 const Response& ResponseStream::Head() const { return this->state->head; }
 
-net::awaitable<ReadResult> ResponseStream::Read(std::span<char> into) {
-  State& state = *this->state;
-  if (state.parser.is_done()) co_return ReadResult{};
+namespace {
+
+// Parses what the buffer holds into `into`. Returns the bytes of the body.
+std::size_t ParseBuffered(ResponseStream::State& state, std::span<char> into,
+                          error_code& error) {
   auto& body = state.parser.get().body();
   body.data = into.data();
   body.size = into.size();
   body.more = true;
-  error_code error;
-  state.stream->expires_after(state.options.read_timeout);
-  co_await bhttp::async_read_some(
-      *state.stream, state.buffer, state.parser,
-      net::redirect_error(net::use_awaitable, error));
-  if (error == bhttp::error::need_buffer) error = {};
-  if (error) co_return ReadResult{StatusOf(error), 0};
-  const std::size_t count = into.size() - body.size;
-  // A piece of chunk framing alone carries no body: read on.
-  if (count == 0 && !state.parser.is_done())
-    co_return co_await this->Read(into);
-  co_return ReadResult{FetchStatus::kOk, count};
+  while (!state.parser.is_done() && state.buffer.size() > 0) {
+    const std::size_t taken = state.parser.put(state.buffer.data(), error);
+    state.buffer.consume(taken);
+    if (error) break;
+  }
+  const bool goes_on =
+      error == bhttp::error::need_more || error == bhttp::error::need_buffer;
+  if (goes_on) error = {};
+  return into.size() - body.size;
+}
+
+}  // namespace
+
+net::awaitable<ReadResult> ResponseStream::Read(std::span<char> into) {
+  State& state = *this->state;
+  while (true) {
+    error_code error;
+    const std::size_t count = ParseBuffered(state, into, error);
+    if (error) co_return ReadResult{FetchStatus::kBroken, 0};
+    if (count > 0 || state.parser.is_done()) {
+      co_return ReadResult{FetchStatus::kOk, count};
+    }
+    state.guard->Arm(state.options.read_timeout);
+    const std::size_t received =
+        co_await state.stream->socket().async_read_some(
+            state.buffer.prepare(kReadBytes),
+            net::redirect_error(net::use_awaitable, error));
+    state.guard->Disarm();
+    state.buffer.commit(received);
+    if (error == net::error::eof) {
+      state.parser.put_eof(error);
+      if (!error && state.parser.is_done()) continue;
+      co_return ReadResult{FetchStatus::kBroken, 0};
+    }
+    if (error) co_return ReadResult{state.Failure(), 0};
+  }
 }
 
 Client::Client(net::io_context& io) : pool(std::make_shared<Pool>(io)) {}
@@ -134,6 +169,7 @@
   co_await stream->async_connect(
       *endpoint, net::redirect_error(net::use_awaitable, error));
   if (error) co_return nullptr;
+  stream->expires_never();
   stream->socket().set_option(tcp::no_delay(true), error);
   co_return stream;
 }
@@ -143,14 +179,17 @@
     ResponseStream::State& state,
     const bhttp::request<bhttp::string_body>& message) {
   error_code error;
-  state.stream->expires_after(state.options.first_byte_timeout);
-  co_await bhttp::async_write(*state.stream, message,
+  auto& socket = state.stream->socket();
+  state.guard->Arm(state.options.first_byte_timeout);
+  co_await bhttp::async_write(socket, message,
                               net::redirect_error(net::use_awaitable, error));
-  if (error) co_return StatusOf(error);
+  if (error) co_return state.Failure();
   co_await bhttp::async_read_header(
-      *state.stream, state.buffer, state.parser,
+      socket, state.buffer, state.parser,
       net::redirect_error(net::use_awaitable, error));
-  if (error) co_return StatusOf(error);
+  if (error) co_return state.Failure();
+  state.guard->Disarm();
+  state.parser.eager(true);
   const auto& head = state.parser.get();
   state.head.status = static_cast<std::uint16_t>(head.result_int());
   for (const auto& field : head) {
@@ -180,6 +219,7 @@
       state->stream = co_await Connect(*this->pool->io, address, options);
     }
     if (!state->stream) co_return OpenResult{};
+    state->Watch();
     const FetchStatus status = co_await SendAndReadHead(*state, message);
     if (status == FetchStatus::kOk) {
       co_return OpenResult{status,
--- a/http/event_stream.cc
+++ b/http/event_stream.cc
@@ -31,8 +31,8 @@
 }
 
 std::optional<StreamEvent> EventReader::Next() {
-  const std::string_view rest =
-      std::string_view(this->buffer).substr(this->taken);
+  const std::string_view whole = this->buffer;
+  const std::string_view rest = whole.substr(this->taken);
   std::size_t end = rest.find("\n\n");
   std::size_t length = 2;
   const std::size_t carriage_end = rest.find("\r\n\r\n");
--- a/http/message.cc
+++ b/http/message.cc
@@ -51,7 +51,8 @@
 std::string Request::QueryValue(std::string_view name) const {
   const std::size_t mark = this->target.find('?');
   if (mark == std::string::npos) return {};
-  std::string_view query = std::string_view(this->target).substr(mark + 1);
+  std::string_view query = this->target;
+  query.remove_prefix(mark + 1);
   while (!query.empty()) {
     const std::string_view pair = query.substr(0, query.find('&'));
     query.remove_prefix(std::min(query.size(), pair.size() + 1));
--- a/http/server.cc
+++ b/http/server.cc
@@ -4,11 +4,9 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 #include <exception>
 #include <optional>
@@ -17,6 +15,7 @@
 #include <utility>
 
 #include "http/address.h"
+#include "http/watchdog.h"
 
 namespace hornbeamspool::http {
 namespace {
@@ -42,28 +41,6 @@
   return request;
 }
 
-// Cancels what a stream waits for when time is up. The connection stays open,
-// so that the caller can be told.
-class ReadDeadline {
- public:
-  ReadDeadline(beast::tcp_stream& stream, coordination::Duration duration)
-      : timer(stream.get_executor(), duration),
-        passed(std::make_shared<bool>(false)) {
-    stream.expires_never();
-    this->timer.async_wait([&stream, passed = this->passed](error_code error) {
-      if (error) return;
-      *passed = true;
-      stream.cancel();
-    });
-  }
-
-  bool Passed() const { return *this->passed; }
-
- private:
-  net::steady_timer timer;
-  std::shared_ptr<bool> passed;
-};
-
 template <typename Body>
 void SetHead(bhttp::response<Body>& message, const Response& response,
              bool keep_alive) {
@@ -79,12 +56,14 @@
 
 // Shared by the server and its connections.
 struct Server::State {
-  net::io_context* io = nullptr;
+  explicit State(net::io_context& io) : io(&io), watchdog(io) {}
+  net::io_context* io;
+  Watchdog watchdog;
   ServerLimits limits;
   Handler handler;
   RejectAnswer reject_answer;
   std::optional<tcp::acceptor> acceptor;
-  std::set<beast::tcp_stream*> idle;
+  std::set<tcp::socket*> idle;
   std::size_t connections = 0;
   std::size_t requests = 0;
   bool draining = false;
@@ -117,8 +96,9 @@
     return this->wants_keep_alive && !this->state->draining;
   }
 
-  beast::tcp_stream stream;
+  tcp::socket socket;
   std::shared_ptr<Server::State> state;
+  Watchdog::Guard guard;
   beast::flat_buffer buffer;
   Request request;
   bool wants_keep_alive = true;
@@ -127,7 +107,12 @@
 };
 
 Connection::Connection(tcp::socket socket, std::shared_ptr<Server::State> state)
-    : stream(std::move(socket)), state(std::move(state)) {
+    : socket(std::move(socket)),
+      state(std::move(state)),
+      guard(this->state->watchdog, [this] {
+        error_code ignored;
+        this->socket.cancel(ignored);
+      }) {
   ++this->state->connections;
 }
 
@@ -151,20 +136,20 @@
     --this->state->requests;
   }
   error_code ignored;
-  this->stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+  this->socket.shutdown(tcp::socket::shutdown_send, ignored);
 }
 
 // Waits for the first bytes of the next request. False when none come.
 net::awaitable<bool> Connection::WaitForBytes() {
   if (this->buffer.size() > 0) co_return true;
   this->buffer = beast::flat_buffer();
-  this->state->idle.insert(&this->stream);
-  this->stream.expires_after(this->state->limits.idle_timeout);
+  this->state->idle.insert(&this->socket);
+  this->guard.Arm(this->state->limits.idle_timeout);
   error_code error;
-  const std::size_t count = co_await this->stream.async_read_some(
+  const std::size_t count = co_await this->socket.async_read_some(
       this->buffer.prepare(kFirstReadBytes),
       net::redirect_error(net::use_awaitable, error));
-  this->state->idle.erase(&this->stream);
+  this->state->idle.erase(&this->socket);
   this->buffer.commit(count);
   co_return !error;
 }
@@ -177,23 +162,22 @@
   error_code error;
   bool late = false;
   {
-    const ReadDeadline deadline(this->stream,
-                                this->state->limits.header_timeout);
+    this->guard.Arm(this->state->limits.header_timeout);
     co_await bhttp::async_read_header(
-        this->stream, this->buffer, parser,
+        this->socket, this->buffer, parser,
         net::redirect_error(net::use_awaitable, error));
-    late = deadline.Passed();
+    late = this->guard.Fired();
   }
   if (!error) {
-    const ReadDeadline deadline(this->stream, this->state->limits.body_timeout);
+    this->guard.Arm(this->state->limits.body_timeout);
     if (beast::iequals(parser.get()[bhttp::field::expect], "100-continue")) {
       bhttp::response<bhttp::empty_body> go_on(bhttp::status::continue_, 11);
       co_await bhttp::async_write(
-          this->stream, go_on, net::redirect_error(net::use_awaitable, error));
+          this->socket, go_on, net::redirect_error(net::use_awaitable, error));
     }
-    co_await bhttp::async_read(this->stream, this->buffer, parser,
+    co_await bhttp::async_read(this->socket, this->buffer, parser,
                                net::redirect_error(net::use_awaitable, error));
-    late = deadline.Passed();
+    late = this->guard.Fired();
   }
   if (!error) {
     this->wants_keep_alive = parser.keep_alive();
@@ -241,8 +225,8 @@
   message.body() = std::move(response.body);
   message.prepare_payload();
   error_code error;
-  this->stream.expires_after(this->state->limits.write_timeout);
-  co_await bhttp::async_write(this->stream, message,
+  this->guard.Arm(this->state->limits.write_timeout);
+  co_await bhttp::async_write(this->socket, message,
                               net::redirect_error(net::use_awaitable, error));
   this->gone = this->gone || static_cast<bool>(error);
   co_return !error;
@@ -256,9 +240,9 @@
   message.chunked(true);
   bhttp::response_serializer<bhttp::empty_body> serializer(message);
   error_code error;
-  this->stream.expires_after(this->state->limits.write_timeout);
+  this->guard.Arm(this->state->limits.write_timeout);
   co_await bhttp::async_write_header(
-      this->stream, serializer, net::redirect_error(net::use_awaitable, error));
+      this->socket, serializer, net::redirect_error(net::use_awaitable, error));
   this->gone = this->gone || static_cast<bool>(error);
   co_return !error;
 }
@@ -267,9 +251,9 @@
   if (this->gone) co_return false;
   if (bytes.empty()) co_return true;
   error_code error;
-  this->stream.expires_after(this->state->limits.write_timeout);
+  this->guard.Arm(this->state->limits.write_timeout);
   co_await net::async_write(
-      this->stream, bhttp::make_chunk(net::buffer(bytes.data(), bytes.size())),
+      this->socket, bhttp::make_chunk(net::buffer(bytes.data(), bytes.size())),
       net::redirect_error(net::use_awaitable, error));
   this->gone = this->gone || static_cast<bool>(error);
   co_return !error;
@@ -278,8 +262,8 @@
 net::awaitable<bool> Connection::EndStream() {
   if (this->gone) co_return false;
   error_code error;
-  this->stream.expires_after(this->state->limits.write_timeout);
-  co_await net::async_write(this->stream, bhttp::make_chunk_last(),
+  this->guard.Arm(this->state->limits.write_timeout);
+  co_await net::async_write(this->socket, bhttp::make_chunk_last(),
                             net::redirect_error(net::use_awaitable, error));
   this->gone = this->gone || static_cast<bool>(error);
   co_return !error;
@@ -287,7 +271,8 @@
 
 void Connection::Abort() {
   this->gone = true;
-  this->stream.close();
+  error_code ignored;
+  this->socket.close(ignored);
 }
 
 net::awaitable<void> Accept(std::shared_ptr<Server::State> state) {
@@ -310,8 +295,7 @@
 
 Server::Server(net::io_context& io, ServerLimits limits, Handler handler,
                RejectAnswer reject_answer)
-    : state(std::make_shared<State>()) {
-  this->state->io = &io;
+    : state(std::make_shared<State>(io)) {
   this->state->limits = limits;
   this->state->handler = std::move(handler);
   this->state->reject_answer = std::move(reject_answer);
@@ -337,7 +321,7 @@
   this->state->draining = true;
   error_code ignored;
   if (this->state->acceptor) this->state->acceptor->close(ignored);
-  for (beast::tcp_stream* stream : this->state->idle) stream->cancel();
+  for (tcp::socket* socket : this->state->idle) socket->cancel(ignored);
 }
 
 std::size_t Server::OpenConnections() const { return this->state->connections; }
--- /dev/null
+++ b/http/watchdog.cc
@@ -0,0 +1,70 @@
+#include "http/watchdog.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <chrono>
+#include <utility>
+
+namespace hornbeamspool::http {
+namespace {
+
+namespace net = boost::asio;
+
+// A deadline is noticed at most this late.
+constexpr coordination::Duration kSweepInterval = std::chrono::milliseconds(50);
+
+coordination::TimePoint Now() {
+  return std::chrono::time_point_cast<coordination::Duration>(
+      std::chrono::steady_clock::now());
+}
+
+}  // namespace
+
+struct Watchdog::State {
+  explicit State(net::io_context& io) : io(&io) {}
+  net::io_context* io;
+  std::list<Guard*> guards;
+  bool sweeping = false;
+};
+
+Watchdog::Watchdog(net::io_context& io) : state(std::make_shared<State>(io)) {}
+
+// Ends by itself when nothing is watched, so that an io_context can run dry.
+net::awaitable<void> Watchdog::Sweep(std::shared_ptr<State> state) {
+  net::steady_timer timer(*state->io);
+  while (!state->guards.empty()) {
+    timer.expires_after(kSweepInterval);
+    co_await timer.async_wait(net::use_awaitable);
+    const coordination::TimePoint now = Now();
+    for (Guard* guard : state->guards) {
+      if (guard->deadline > now) continue;
+      guard->deadline = coordination::TimePoint::max();
+      guard->fired = true;
+      guard->cancel();
+    }
+  }
+  state->sweeping = false;
+}
+
+Watchdog::Guard::Guard(Watchdog& watchdog, std::function<void()> cancel)
+    : state(watchdog.state), cancel(std::move(cancel)) {
+  this->place = this->state->guards.insert(this->state->guards.end(), this);
+  if (this->state->sweeping) return;
+  this->state->sweeping = true;
+  net::co_spawn(*this->state->io, Sweep(this->state), net::detached);
+}
+
+Watchdog::Guard::~Guard() { this->state->guards.erase(this->place); }
+
+void Watchdog::Guard::Arm(coordination::Duration longest) {
+  this->fired = false;
+  this->deadline = Now() + longest;
+}
+
+void Watchdog::Guard::Disarm() {
+  this->deadline = coordination::TimePoint::max();
+}
+
+}  // namespace hornbeamspool::http
--- a/policy/budget_book.cc
+++ b/policy/budget_book.cc
@@ -82,8 +82,9 @@
   const std::int64_t change = read.grant - account.confirmed;
   account.confirmed = read.grant;
   if (change > 0) account.grant.Add(change);
-  if (change < 0)
+  if (change < 0) {
     account.returning = std::max<std::int64_t>(0, account.returning + change);
+  }
   this->ServeWaiters(account, out);
   if (this->stopping) {
     this->ContinueReturn(account, out);
--- a/settings/object_reader.cc
+++ b/settings/object_reader.cc
@@ -8,8 +8,8 @@
 namespace {
 
 const boost::json::value& EmptyObject() {
-  static const boost::json::value kEmpty = boost::json::object();
-  return kEmpty;
+  static const boost::json::value empty = boost::json::object();
+  return empty;
 }
 
 }  // namespace
--- a/standin/fault_gate.cc
+++ b/standin/fault_gate.cc
@@ -40,8 +40,12 @@
 }
 
 boost::asio::awaitable<bool> FaultGate::Enter(http::Exchange& exchange) {
-  while (this->faults.frozen) co_await this->Sleep(kFrozenPoll);
-  if (this->faults.slow.count() > 0) co_await this->Sleep(this->faults.slow);
+  while (this->faults.frozen) {
+    co_await this->Sleep(kFrozenPoll);
+  }
+  if (this->faults.slow.count() > 0) {
+    co_await this->Sleep(this->faults.slow);
+  }
   if (!this->faults.down) co_return true;
   exchange.Abort();
   co_return false;
--- a/standin/service_standin.cc
+++ b/standin/service_standin.cc
@@ -33,9 +33,9 @@
     co_return;
   }
   if (!co_await this->gate.Enter(exchange)) co_return;
+  // A lost answer is one of an order, never of a report.
   if (request.Path() == "/load") {
-    co_await this->gate.Leave(exchange,
-                              http::JsonResponse(200, R"({"waiting":0})"));
+    co_await exchange.Send(http::JsonResponse(200, R"({"waiting":0})"));
     co_return;
   }
   co_await this->gate.Leave(exchange, this->Carry(request));
