Grants sized to outlast an hour's cut, reviewed and handed back; measured against baselines

Cause: grants covered 60 s of demand, so a region cut from the table refused falsely within minutes. Grants now follow 90 minutes of recent spending, are filled up at three quarters, bounded by a fair part of what is left, and handed back above twice the target at reviews that come the more often the sooner the budget ends.

The check now counts a request as its bill, and as its runs until it has one.

--- a/bench/fake_table.h
+++ b/bench/fake_table.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <string_view>
 #include <utility>
+#include <vector>
 
 #include "policy/table_messages.h"
 
@@ -40,6 +41,10 @@
   policy::RecordedAnswer answer;
 };
 
+// The name under which a request is billed.
+std::string BillName(std::string_view organisation, std::string_view key,
+                     std::uint64_t fingerprint);
+
 class FakeTable {
  public:
   explicit FakeTable(Mutation mutation) : mutation(mutation) {}
@@ -60,6 +65,10 @@
   const std::map<std::string, BilledRequest>& Bills() const {
     return this->bills;
   }
+  // Keys billed since the last call.
+  std::vector<std::string> TakeNewBills() {
+    return std::exchange(this->new_bills, {});
+  }
   std::int64_t GrantOf(const std::string& budget,
                        const std::string& holder) const;
   std::int64_t Writes() const { return this->writes; }
@@ -81,6 +90,7 @@
   std::map<std::string, BudgetRow> budgets;
   std::map<GrantKey, std::int64_t> grants;
   std::map<std::string, BilledRequest> bills;
+  std::vector<std::string> new_bills;
   std::map<std::string, IntentRow> intents;
   std::int64_t writes = 0;
   std::int64_t reads = 0;
--- a/bench/world.h
+++ b/bench/world.h
@@ -83,6 +83,10 @@
   void CheckDrained();
   void Fail(std::string text);
   void Sign(std::uint64_t value);
+  void NoteRun(const std::string& budget, const std::string& key,
+               std::int64_t tokens);
+  void NoteBills();
+  std::int64_t SpendOf(const std::string& budget) const;
   std::int64_t Unreserved(const std::string& budget) const;
 
   WorldOptions options;
@@ -93,9 +97,11 @@
   std::vector<Flight> flights;
   std::vector<Work> works;
   std::vector<Caller> callers;  // whose last try ended without an answer
-  std::map<std::string, std::int64_t> run_tokens;   // by budget
-  std::map<std::string, std::int64_t> order_sends;  // by request key
-  std::map<std::string, std::string> owed_bills;    // key to holder
+  std::map<std::string, std::int64_t> billed;    // by budget
+  std::map<std::string, std::int64_t> unbilled;  // run and not billed, likewise
+  std::map<std::string, std::int64_t> unbilled_runs;  // by bill
+  std::map<std::string, std::int64_t> order_sends;    // by request key
+  std::map<std::string, std::string> owed_bills;      // key to holder
   policy::FleetConfig config;
   coordination::TimePoint table_down_until{};
   bool draining = false;
--- a/coordination/escrow.cc
+++ b/coordination/escrow.cc
@@ -53,19 +53,39 @@
   return this->reserved + this->spent <= this->granted;
 }
 
-std::int64_t GrantSize(const GrantDemand& demand) {
+std::int64_t TargetHold(const GrantDemand& demand) {
   // A holder leaves this many equal parts of the remainder to the others.
   constexpr std::int64_t kPartsPerHolder = 2;
 
-  if (demand.needed > demand.ungranted) return 0;
   const double horizon_s =
       std::chrono::duration<double>(demand.horizon).count();
   const auto expected =
       static_cast<std::int64_t>(std::ceil(demand.units_per_second * horizon_s));
+  const std::int64_t remainder =
+      demand.ungranted + std::max<std::int64_t>(0, demand.available);
   const std::int64_t fair =
-      demand.ungranted /
-      (kPartsPerHolder * std::max<std::int64_t>(demand.holders, 1));
-  return std::max(demand.needed, std::min(demand.needed + expected, fair));
+      remainder / (kPartsPerHolder * std::max<std::int64_t>(demand.holders, 1));
+  return std::min(expected, fair);
+}
+
+std::int64_t GrantChange(const GrantDemand& demand) {
+  // Far enough from the target to be worth a write: above twice the target, or
+  // below three quarters of it.
+  constexpr std::int64_t kMost = 2;
+  constexpr std::int64_t kLeastParts = 3;
+  constexpr std::int64_t kParts = 4;
+
+  const std::int64_t target = TargetHold(demand);
+  if (demand.needed > 0) {
+    if (demand.needed > demand.ungranted) return 0;
+    return std::clamp(target, demand.needed, demand.ungranted);
+  }
+  if (demand.available > kMost * target) return target - demand.available;
+  if (demand.available >= target / kParts * kLeastParts) return 0;
+  const std::int64_t change =
+      std::min(target - demand.available, demand.ungranted);
+  // A grant that no request fits into would only be stranded here.
+  return demand.available + change < demand.typical ? 0 : change;
 }
 
 }  // namespace hornbeamspool::coordination
--- a/coordination/escrow.h
+++ b/coordination/escrow.h
@@ -60,19 +60,25 @@
   std::int64_t spent = 0;
 };
 
-// Inputs of the size of the next grant.
+// What the size of a holder's grant follows from.
 struct GrantDemand {
-  std::int64_t needed = 0;         // units that waiting requests need now
-  double units_per_second = 0;     // recent demand at this holder
+  std::int64_t needed = 0;         // units that waiting requests lack now
+  std::int64_t available = 0;      // units the holder has and has not reserved
+  std::int64_t typical = 0;        // units of a usual request
+  double units_per_second = 0;     // recent spending at this holder
   std::int64_t ungranted = 0;      // units the issuer still has
   std::int64_t holders = 1;        // live holders that draw on the resource
-  Duration horizon = Duration(0);  // how long the grant should last
+  Duration horizon = Duration(0);  // spending that the grant should cover
 };
 
-// Chooses the size of the next grant: demand times horizon, at least what is
-// needed now, at most a fair part of what is left. The fair part shrinks as the
-// resource runs out, so that no holder strands much of the end. Returns 0 when
-// what is needed now does not fit.
-std::int64_t GrantSize(const GrantDemand& demand);
+// Units that a holder should have at hand: its spending over the horizon, and
+// at most a fair part of what is left. The fair part shrinks as the resource
+// runs out, so that no holder strands much of the end.
+std::int64_t TargetHold(const GrantDemand& demand);
+
+// Units to draw (positive) or to hand back (negative) now. Between three
+// quarters of the target and twice the target nothing moves, unless a request
+// waits.
+std::int64_t GrantChange(const GrantDemand& demand);
 
 }  // namespace hornbeamspool::coordination
--- a/policy/budget_book.cc
+++ b/policy/budget_book.cc
@@ -12,15 +12,21 @@
 using coordination::Duration;
 using coordination::TimePoint;
 
-// A grant should last this long at the recent demand.
-constexpr Duration kGrantHorizon = std::chrono::seconds(60);
+// Spending that a full grant covers. A grant is filled up at three quarters, so
+// that a cut of an hour finds at least an hour's spending, with some room for
+// the estimate's error.
+constexpr Duration kGrantHorizon = std::chrono::minutes(90);
 // A request waits at most this long for a grant.
 constexpr Duration kMaxWait = std::chrono::seconds(2);
 // After a refused draw, no further draw for this long.
 constexpr Duration kRetryAfterExhausted = std::chrono::seconds(1);
 constexpr Duration kRetryAfterFailure = std::chrono::milliseconds(500);
-// Time constant of the demand estimate.
-constexpr Duration kDemandWindow = std::chrono::seconds(20);
+// Time constant of the estimate of spending.
+constexpr Duration kDemandWindow = std::chrono::minutes(10);
+// Grants are reviewed so often, the more often the sooner the budget ends.
+constexpr Duration kLeastReview = std::chrono::seconds(5);
+constexpr Duration kMostReview = std::chrono::minutes(10);
+constexpr double kReviewsUntilEnd = 4;
 // Requests that may wait on one budget.
 constexpr std::size_t kMaxWaiters = 1000;
 
@@ -34,10 +40,10 @@
                                    std::uint64_t reservation, TimePoint now,
                                    BudgetOutcome& out) {
   Account& account = this->AccountOf(budget);
-  this->NoteDemand(account, amount, now);
+  account.last_amount = amount;
   // Requests that wait go first.
   if (account.waiters.empty() && account.grant.Reserve(amount)) {
-    if (this->LowWater(account)) this->StartDraw(account, now, out);
+    if (this->ChangeOf(account) > 0) this->StartDraw(account, now, out);
     return ReserveVerdict::kReserved;
   }
   if (now < account.retry_at) {
@@ -54,8 +60,11 @@
 }
 
 std::int64_t BudgetBook::Settle(std::string_view budget, std::int64_t reserved,
-                                std::int64_t used) {
-  return this->AccountOf(budget).grant.Settle(reserved, used);
+                                std::int64_t used, TimePoint now) {
+  Account& account = this->AccountOf(budget);
+  const std::int64_t spent = account.grant.Settle(reserved, used);
+  this->NoteSpending(account, spent, now);
+  return spent;
 }
 
 void BudgetBook::Refund(std::string_view budget, std::int64_t amount) {
@@ -137,6 +146,14 @@
                                           ErrorKind::kBudgetUnavailable});
       account.waiters.pop_front();
     }
+    const bool review = !this->stopping && now >= account.review_at &&
+                        account.step == Step::kIdle &&
+                        account.confirmed > account.grant.Spent();
+    if (!review) continue;
+    this->NoteSpending(account, 0, now);
+    account.review_at = now + this->ReviewInterval(account);
+    account.version = 0;
+    this->StartDraw(account, now, out);
   }
 }
 
@@ -191,20 +208,64 @@
   return found == this->accounts.end() ? nullptr : &found->second;
 }
 
-// Keeps an exponentially weighted rate of reserved units.
-void BudgetBook::NoteDemand(Account& account, std::int64_t amount,
-                            TimePoint now) {
+// Keeps an exponentially weighted rate of spending.
+void BudgetBook::NoteSpending(Account& account, std::int64_t amount,
+                              TimePoint now) {
   const double window_s = Seconds(kDemandWindow);
   const double elapsed_s = std::max(0.0, Seconds(now - account.demand_at));
   account.units_per_second *= std::exp(-elapsed_s / window_s);
   account.units_per_second += static_cast<double>(amount) / window_s;
   account.demand_at = now;
-  account.last_amount = amount;
 }
 
-bool BudgetBook::LowWater(const Account& account) const {
-  const double expected = account.units_per_second * Seconds(kGrantHorizon);
-  return static_cast<double>(account.grant.Available()) < expected / 2;
+coordination::GrantDemand BudgetBook::DemandOf(const Account& account) const {
+  const std::int64_t wanted = std::accumulate(
+      account.waiters.begin(), account.waiters.end(), std::int64_t{0},
+      [](std::int64_t sum, const Waiter& waiter) {
+        return sum + waiter.amount;
+      });
+  coordination::GrantDemand demand;
+  demand.needed = std::max<std::int64_t>(0, wanted - account.grant.Available());
+  demand.available = account.grant.Available();
+  demand.typical = account.last_amount;
+  demand.units_per_second = account.units_per_second;
+  demand.ungranted = account.ledger.Ungranted();
+  demand.holders = this->holders;
+  demand.horizon = kGrantHorizon;
+  return demand;
+}
+
+// Units to draw now, or to hand back when negative.
+std::int64_t BudgetBook::ChangeOf(const Account& account) const {
+  const coordination::GrantDemand demand = this->DemandOf(account);
+  if (this->policy == GrantPolicy::kEscrow) {
+    return coordination::GrantChange(demand);
+  }
+  if (this->policy == GrantPolicy::kCentral) {
+    const bool fits = demand.needed <= demand.ungranted;
+    if (demand.needed > 0) return fits ? demand.needed : 0;
+    return -demand.available;
+  }
+  const bool has_part = account.confirmed > 0;
+  if (has_part) return 0;
+  return std::min(account.ledger.total / this->holders, demand.ungranted);
+}
+
+// A quarter of the time that is left at the present spending of all holders.
+Duration BudgetBook::ReviewInterval(const Account& account) const {
+  if (this->policy == GrantPolicy::kCentral) return kLeastReview;
+  const double all_per_second =
+      account.units_per_second * static_cast<double>(this->holders);
+  const auto remainder = static_cast<double>(account.ledger.Ungranted() +
+                                             account.grant.Available());
+  const double longest_s = Seconds(kMostReview);
+  if (all_per_second * longest_s * kReviewsUntilEnd <= remainder) {
+    return kMostReview;
+  }
+  const double seconds = remainder / all_per_second / kReviewsUntilEnd;
+  const auto interval = std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(seconds));
+  return std::max(interval, kLeastReview);
 }
 
 void BudgetBook::StartDraw(Account& account, TimePoint now,
@@ -222,28 +283,28 @@
 // Sizes and writes the next grant from a ledger that was read.
 void BudgetBook::Draw(Account& account, TimePoint now, BudgetOutcome& out) {
   if (this->stopping) return;
+  // Units on their way back are never taken up again: the write that returns
+  // them may have been carried out.
+  if (account.returning > 0) {
+    this->EmitWrite(account, -account.returning, out);
+    return;
+  }
   this->RefuseUnpayable(account, out);
-  const std::int64_t wanted = std::accumulate(
-      account.waiters.begin(), account.waiters.end(), std::int64_t{0},
-      [](std::int64_t sum, const Waiter& waiter) {
-        return sum + waiter.amount;
-      });
-  coordination::GrantDemand demand;
-  demand.needed = std::max<std::int64_t>(0, wanted - account.grant.Available());
-  demand.units_per_second = account.units_per_second;
-  demand.ungranted = account.ledger.Ungranted();
-  demand.holders = this->holders;
-  demand.horizon = kGrantHorizon;
-  const std::int64_t amount = coordination::GrantSize(demand);
-  // A grant that no request fits into would only be stranded here.
-  const bool useless = demand.needed == 0 &&
-                       account.grant.Available() + amount < account.last_amount;
-  if (amount <= 0 || useless) {
-    // What is cached says that nothing is left: look again later, since a
-    // top-up may have come.
+  const std::int64_t amount = this->ChangeOf(account);
+  account.review_at = now + this->ReviewInterval(account);
+  if (amount == 0) {
+    const bool unpaid = !account.waiters.empty() ||
+                        account.grant.Available() < account.last_amount;
+    if (!unpaid) return;
+    // What is cached may be old: a top-up may have come.
     account.version = 0;
-    account.last_refusal = ErrorKind::kBudgetExhausted;
-    account.retry_at = now + kRetryAfterExhausted;
+    this->RefuseWaiters(account, ErrorKind::kBudgetExhausted,
+                        now + kRetryAfterExhausted, out);
+    return;
+  }
+  if (amount < 0) {
+    account.returning += account.grant.Withdraw(-amount);
+    this->EmitWrite(account, -account.returning, out);
     return;
   }
   this->EmitWrite(account, amount, out);
@@ -290,16 +351,23 @@
   account.waiters = std::move(payable);
 }
 
-void BudgetBook::FailDraw(Account& account, ErrorKind error, TimePoint now,
-                          BudgetOutcome& out) {
-  const bool exhausted = error == ErrorKind::kBudgetExhausted;
-  account.retry_at =
-      now + (exhausted ? kRetryAfterExhausted : kRetryAfterFailure);
+// Refuses everyone who waits, and draws no more before `retry_at`.
+void BudgetBook::RefuseWaiters(Account& account, ErrorKind error,
+                               TimePoint retry_at, BudgetOutcome& out) {
+  account.retry_at = retry_at;
   account.last_refusal = error;
   for (const Waiter& waiter : account.waiters) {
     out.waiters.push_back(WaiterOutcome{waiter.reservation, false, error});
   }
   account.waiters.clear();
+}
+
+void BudgetBook::FailDraw(Account& account, ErrorKind error, TimePoint now,
+                          BudgetOutcome& out) {
+  const bool exhausted = error == ErrorKind::kBudgetExhausted;
+  this->RefuseWaiters(
+      account, error,
+      now + (exhausted ? kRetryAfterExhausted : kRetryAfterFailure), out);
   Event event;
   event.kind = EventKind::kDrawFailed;
   event.budget = account.name;
--- a/policy/budget_book.h
+++ b/policy/budget_book.h
@@ -44,6 +44,14 @@
   std::vector<Event> events;
 };
 
+// How a node sizes its grants. The others are baselines to measure against.
+enum class GrantPolicy : std::uint8_t {
+  kEscrow,       // by demand, by what is left, and by the outage to outlast
+  kStaticSplit,  // an equal part for each holder, once
+  kCentral,      // each request draws for itself and hands back what is left
+  kCount
+};
+
 // A node's figures of one budget, for operators.
 struct BudgetFigures {
   std::int64_t granted = 0;
@@ -53,6 +61,9 @@
 
 class BudgetBook {
  public:
+  explicit BudgetBook(GrantPolicy policy = GrantPolicy::kEscrow)
+      : policy(policy) {}
+
   // `holders` is the number of live nodes that may draw on a budget.
   void SetHolders(std::int64_t holders) { this->holders = holders; }
 
@@ -63,7 +74,7 @@
 
   // Ends a reservation. Returns the units spent.
   std::int64_t Settle(std::string_view budget, std::int64_t reserved,
-                      std::int64_t used);
+                      std::int64_t used, coordination::TimePoint now);
 
   // Takes back units billed by another node for the same request.
   void Refund(std::string_view budget, std::int64_t amount);
@@ -73,7 +84,8 @@
   void OnWritten(const GrantWritten& written, coordination::TimePoint now,
                  BudgetOutcome& out);
 
-  // Refuses requests that have waited too long.
+  // Refuses requests that have waited too long, and reviews grants that are
+  // due: units far above the target are handed back.
   void OnTick(coordination::TimePoint now, BudgetOutcome& out);
 
   // Hands every unspent unit back. Call again after each reply and tick until
@@ -108,29 +120,35 @@
     std::uint64_t operation = 0;
     bool unresolved = false;  // the last write's answer was lost
     std::deque<Waiter> waiters;
-    double units_per_second = 0;
+    double units_per_second = 0;   // recent spending
     std::int64_t last_amount = 0;  // of the latest request
     coordination::TimePoint demand_at{};
+    coordination::TimePoint review_at{};
     coordination::TimePoint retry_at{};  // no draw before this
     ErrorKind last_refusal = ErrorKind::kBudgetExhausted;
   };
 
   Account& AccountOf(std::string_view budget);
   const Account* Find(std::string_view budget) const;
-  void NoteDemand(Account& account, std::int64_t amount,
-                  coordination::TimePoint now);
-  bool LowWater(const Account& account) const;
+  void NoteSpending(Account& account, std::int64_t amount,
+                    coordination::TimePoint now);
+  coordination::GrantDemand DemandOf(const Account& account) const;
+  std::int64_t ChangeOf(const Account& account) const;
+  coordination::Duration ReviewInterval(const Account& account) const;
   void StartDraw(Account& account, coordination::TimePoint now,
                  BudgetOutcome& out);
   void Draw(Account& account, coordination::TimePoint now, BudgetOutcome& out);
   void EmitWrite(Account& account, std::int64_t amount, BudgetOutcome& out);
   void ServeWaiters(Account& account, BudgetOutcome& out);
   void RefuseUnpayable(Account& account, BudgetOutcome& out);
+  void RefuseWaiters(Account& account, ErrorKind error,
+                     coordination::TimePoint retry_at, BudgetOutcome& out);
   void FailDraw(Account& account, ErrorKind error, coordination::TimePoint now,
                 BudgetOutcome& out);
   void ContinueReturn(Account& account, BudgetOutcome& out);
 
   std::map<std::string, Account, std::less<>> accounts;
+  GrantPolicy policy;
   std::int64_t holders = 1;
   std::uint64_t next_operation = 1;
   bool stopping = false;
--- a/policy/router.cc
+++ b/policy/router.cc
@@ -70,7 +70,8 @@
 
 }  // namespace
 
-Router::Router(RouterOptions options) : options(std::move(options)) {}
+Router::Router(RouterOptions options)
+    : options(std::move(options)), budgets(this->options.grant_policy) {}
 
 bool Router::SetConfig(std::uint64_t epoch, FleetConfig config, Outbox& out) {
   if (!this->config.Offer(epoch, std::move(config))) return false;
@@ -148,7 +149,7 @@
                verdict == ReserveVerdict::kExhausted
                    ? ErrorKind::kBudgetExhausted
                    : ErrorKind::kBudgetUnavailable,
-               out);
+               now, out);
 }
 
 std::optional<ErrorKind> Router::Gate(const AdmissionRequest& request) const {
@@ -245,7 +246,7 @@
   if (chosen == nullptr) {
     const bool tried = !work.failed_upstreams.empty();
     this->Refuse(id, tried ? FailureOf(work.tries) : ErrorKind::kNoUpstream,
-                 out);
+                 now, out);
     return;
   }
   work.upstream = chosen->listed.name;
@@ -285,7 +286,7 @@
   work.failed_upstreams.push_back(work.upstream);
   work.upstream.clear();
   if (!MayRetry(work.tries, this->retries)) {
-    this->Refuse(retry.reservation, FailureOf(work.tries), out);
+    this->Refuse(retry.reservation, FailureOf(work.tries), now, out);
     return;
   }
   ++work.tries.tries;
@@ -295,7 +296,8 @@
 }
 
 // Ends a reservation that never gets an answer of an upstream.
-void Router::Refuse(std::uint64_t id, ErrorKind kind, Outbox& out) {
+void Router::Refuse(std::uint64_t id, ErrorKind kind, TimePoint now,
+                    Outbox& out) {
   const Reservation& work = this->reservations.at(id);
   AddRefusal(out, work.request, kind);
   // A committed intent whose order was never sent is released, so that a
@@ -309,13 +311,13 @@
     release.order.reservation = id;
     this->billing.Add(std::move(release));
   }
-  this->Close(id, 0);
+  this->Close(id, 0, now);
 }
 
 // Ends a reservation, with `used` units spent.
-void Router::Close(std::uint64_t id, std::int64_t used) {
+void Router::Close(std::uint64_t id, std::int64_t used, TimePoint now) {
   const Reservation& work = this->reservations.at(id);
-  if (work.reserved) this->budgets.Settle(work.budget, work.amount, used);
+  if (work.reserved) this->budgets.Settle(work.budget, work.amount, used, now);
   const std::int64_t held =
       work.request.kind == WorkKind::kModel ? work.amount : 0;
   this->upstreams.Close(work.upstream, held);
@@ -344,7 +346,7 @@
                KeyValue("upstream", work.upstream),
            work.budget);
   if (due) this->billing.Add(std::move(settlement));
-  this->Close(completion.reservation, spent);
+  this->Close(completion.reservation, spent, now);
   this->FlushBilling(now, out);
 }
 
@@ -407,22 +409,22 @@
     return;
   }
   if (committed.status != TableStatus::kConflict) {
-    this->Refuse(committed.reservation, ErrorKind::kStoreUnavailable, out);
+    this->Refuse(committed.reservation, ErrorKind::kStoreUnavailable, now, out);
     return;
   }
   AddEvent(out, EventKind::kIntentExists, work.request.request_id,
            KeyValue("key", work.request.request_key));
   if (committed.fingerprint != work.request.fingerprint) {
-    this->Refuse(committed.reservation, ErrorKind::kKeyReused, out);
+    this->Refuse(committed.reservation, ErrorKind::kKeyReused, now, out);
     return;
   }
   if (!committed.answered) {
-    this->Refuse(committed.reservation, ErrorKind::kOrderUncertain, out);
+    this->Refuse(committed.reservation, ErrorKind::kOrderUncertain, now, out);
     return;
   }
   out.replies.push_back(
       AdmissionReply{work.request.ticket, Replayed{committed.answer}});
-  this->Close(committed.reservation, 0);
+  this->Close(committed.reservation, 0, now);
 }
 
 void Router::OnBatch(const BatchWritten& written, TimePoint now, Outbox& out) {
@@ -469,7 +471,7 @@
     const auto found = this->reservations.find(waiter.reservation);
     if (found == this->reservations.end()) continue;
     if (!waiter.reserved) {
-      this->Refuse(waiter.reservation, waiter.error, out);
+      this->Refuse(waiter.reservation, waiter.error, now, out);
       continue;
     }
     found->second.reserved = true;
--- a/policy/router.h
+++ b/policy/router.h
@@ -34,6 +34,7 @@
 struct RouterOptions {
   std::string availability_zone;
   std::size_t max_in_flight = 4096;
+  GrantPolicy grant_policy = GrantPolicy::kEscrow;
 };
 
 class Router {
@@ -107,8 +108,9 @@
   std::optional<ErrorKind> Gate(const AdmissionRequest& request) const;
   void Continue(std::uint64_t id, coordination::TimePoint now, Outbox& out);
   void Dispatch(std::uint64_t id, coordination::TimePoint now, Outbox& out);
-  void Refuse(std::uint64_t id, ErrorKind kind, Outbox& out);
-  void Close(std::uint64_t id, std::int64_t used);
+  void Refuse(std::uint64_t id, ErrorKind kind, coordination::TimePoint now,
+              Outbox& out);
+  void Close(std::uint64_t id, std::int64_t used, coordination::TimePoint now);
   void Absorb(BudgetOutcome& outcome, coordination::TimePoint now, Outbox& out);
   void OnIntent(const IntentCommitted& committed, coordination::TimePoint now,
                 Outbox& out);
