Ticks look at waiting accounts alone; slopes of state and messages

Cause: every tick of 20 ms looked at every account, and every 100 ms the status copied every account, although nobody read the copy.

--- /dev/null
+++ b/bench/slopes.cc
@@ -0,0 +1,196 @@
+// Prints what one unit of state or one message costs the decisions: the slopes
+// from which docs/CAPACITY.md is worked out. Times are of this machine.
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
+#include <cstdio>
+#include <fstream>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "coordination/member_view.h"
+#include "coordination/rendezvous.h"
+#include "policy/budget_book.h"
+#include "policy/upstream_set.h"
+#include "transport/heartbeat.h"
+#include "transport/seal.h"
+
+namespace {
+
+using hornbeamspool::coordination::MemberReport;
+using hornbeamspool::coordination::MemberTiming;
+using hornbeamspool::coordination::MemberView;
+using hornbeamspool::coordination::TimePoint;
+using hornbeamspool::policy::BudgetBook;
+using hornbeamspool::policy::BudgetOutcome;
+using hornbeamspool::policy::UpstreamDemand;
+using hornbeamspool::policy::UpstreamSet;
+
+constexpr int kBudgets = 30'000;
+constexpr int kNodes = 390;
+constexpr int kUpstreams = 600;
+const TimePoint kStart{std::chrono::hours(1)};
+
+double ResidentKb() {
+  std::ifstream status("/proc/self/status");
+  std::string word;
+  while (status >> word) {
+    if (word != "VmRSS:") continue;
+    double kilobytes = 0;
+    status >> kilobytes;
+    return kilobytes;
+  }
+  return 0;
+}
+
+// Nanoseconds of one call, over `count` calls.
+template <typename Call>
+double Nanoseconds(int count, const Call& call) {
+  const auto started = std::chrono::steady_clock::now();
+  for (int i = 0; i < count; ++i) call(i);
+  const std::chrono::duration<double, std::nano> taken =
+      std::chrono::steady_clock::now() - started;
+  return taken.count() / count;
+}
+
+void Print(std::string_view name, double value, std::string_view unit) {
+  std::printf("%-34.*s %12.1f %.*s\n", static_cast<int>(name.size()),
+              name.data(), value, static_cast<int>(unit.size()), unit.data());
+}
+
+void MeasureBudgets() {
+  namespace policy = hornbeamspool::policy;
+  const double before_kb = ResidentKb();
+  BudgetBook book;
+  book.SetHolders(kNodes);
+  std::vector<std::string> names;
+  for (int i = 0; i < kBudgets; ++i) {
+    names.push_back("organisation/budget-" + std::to_string(i));
+  }
+  std::uint64_t reservation = 1;
+  BudgetOutcome outcome;
+  const double draw = Nanoseconds(kBudgets, [&](int i) {
+    const std::string& name = names[static_cast<std::size_t>(i)];
+    outcome = {};
+    book.Reserve(name, 500, reservation++, kStart, outcome);
+    policy::BudgetRead read;
+    read.budget = name;
+    read.status = policy::TableStatus::kOk;
+    read.ledger = {10'000'000, 0};
+    read.version = 1;
+    outcome = {};
+    book.OnRead(read, kStart, outcome);
+    const auto& write = std::get<policy::WriteGrant>(outcome.commands.front());
+    policy::GrantWritten written;
+    written.budget = name;
+    written.operation = write.operation;
+    written.status = policy::TableStatus::kOk;
+    outcome = {};
+    book.OnWritten(written, kStart, outcome);
+    book.Settle(name, 500, 200, kStart);
+  });
+  Print("budget_account_bytes", (ResidentKb() - before_kb) * 1024 / kBudgets,
+        "bytes");
+  Print("budget_draw", draw, "ns");
+  Print("budget_tick_30000",
+        Nanoseconds(1'000,
+                    [&](int i) {
+                      outcome = {};
+                      book.OnTick(kStart + std::chrono::milliseconds(20 * i),
+                                  outcome);
+                    }),
+        "ns");
+}
+
+MemberReport ReportOf(int index, std::uint64_t beat) {
+  MemberReport report;
+  report.name = "router-" + std::to_string(index);
+  report.availability_zone = "zone-" + std::to_string(index % 10);
+  report.peer_address = "192.0.2.100:17101";
+  report.operator_address = "192.0.2.100:19101";
+  report.incarnation = 1'796'000'000'000'000;
+  report.beat = beat;
+  return report;
+}
+
+void MeasureMembers() {
+  namespace transport = hornbeamspool::transport;
+  const double before_kb = ResidentKb();
+  MemberView view(MemberTiming{});
+  for (int i = 0; i < kNodes; ++i) view.Observe(ReportOf(i, 1), kStart);
+  Print("member_bytes", (ResidentKb() - before_kb) * 1024 / kNodes, "bytes");
+  transport::Heartbeat heartbeat;
+  heartbeat.sender = ReportOf(0, 1);
+  heartbeat.sample = view.Sample(8);
+  constexpr std::string_view kKey = "0123456789abcdef";
+  std::string sealed;
+  Print("heartbeat_encode_and_seal",
+        Nanoseconds(20'000,
+                    [&](int) {
+                      sealed = transport::Seal(
+                          kKey, transport::EncodeHeartbeat(heartbeat));
+                    }),
+        "ns");
+  Print("heartbeat_bytes", static_cast<double>(sealed.size()), "bytes");
+  Print("heartbeat_open_and_observe",
+        Nanoseconds(20'000,
+                    [&](int) {
+                      const auto payload = transport::Unseal(kKey, sealed);
+                      const auto decoded = transport::DecodeHeartbeat(*payload);
+                      for (const auto& report : decoded->sample) {
+                        view.Observe(report, kStart);
+                      }
+                    }),
+        "ns");
+  Print("member_advance_390",
+        Nanoseconds(1'000, [&](int) { view.Advance(kStart); }), "ns");
+}
+
+void MeasureRouting() {
+  namespace policy = hornbeamspool::policy;
+  UpstreamSet set;
+  std::vector<policy::ListedUpstream> listed;
+  for (int i = 0; i < kUpstreams; ++i) {
+    listed.push_back(
+        {"upstream-" + std::to_string(i), "service-" + std::to_string(i % 15),
+         "v1", "zone-" + std::to_string(i % 10), "192.0.2.1:8000", false});
+  }
+  set.SetListed(listed);
+  UpstreamDemand demand;
+  demand.service = "service-3";
+  demand.version = "v1";
+  demand.availability_zone = "zone-3";
+  demand.tokens = 100;
+  std::size_t found = 0;
+  Print("choose_among_600",
+        Nanoseconds(20'000,
+                    [&](int) {
+                      found += set.Choose(demand, kStart) != nullptr ? 1 : 0;
+                    }),
+        "ns");
+  Print("set_list_of_600",
+        Nanoseconds(200, [&](int) { set.SetListed(listed); }), "ns");
+  std::vector<std::string> names;
+  for (int i = 0; i < kNodes; ++i) {
+    names.push_back("router-" + std::to_string(i));
+  }
+  const std::vector<std::string_view> members(names.begin(), names.end());
+  Print("rendezvous_among_390",
+        Nanoseconds(20'000,
+                    [&](int i) {
+                      found += *hornbeamspool::coordination::RendezvousOwner(
+                          std::to_string(i), members);
+                    }),
+        "ns");
+  if (found == 0) std::printf("nothing was found\n");
+}
+
+}  // namespace
+
+int main() {
+  MeasureMembers();
+  MeasureBudgets();
+  MeasureRouting();
+  return 0;
+}
--- a/hornbeamspool/decision_thread.cc
+++ b/hornbeamspool/decision_thread.cc
@@ -150,7 +150,6 @@
   next.stopping = this->stop_asked;
   next.in_flight = this->router.InFlight();
   next.billing_backlog = this->router.BillingBacklog();
-  next.budgets = this->router.AllFigures();
   for (const auto& [name, upstream] : this->router.Upstreams().All()) {
     next.upstreams.push_back({name, upstream.listed.service,
                               upstream.listed.version,
--- a/hornbeamspool/node_status.h
+++ b/hornbeamspool/node_status.h
@@ -2,12 +2,9 @@
 #pragma once
 
 #include <cstdint>
-#include <map>
 #include <string>
 #include <vector>
 
-#include "policy/budget_book.h"
-
 namespace hornbeamspool {
 
 struct UpstreamStatus {
@@ -25,7 +22,6 @@
   bool stopping = false;
   std::size_t in_flight = 0;
   std::size_t billing_backlog = 0;
-  std::map<std::string, policy::BudgetFigures> budgets;
   std::vector<UpstreamStatus> upstreams;
 };
 
--- a/policy/budget_book.cc
+++ b/policy/budget_book.cc
@@ -27,6 +27,7 @@
 constexpr Duration kLeastReview = std::chrono::seconds(5);
 constexpr Duration kMostReview = std::chrono::minutes(10);
 constexpr double kReviewsUntilEnd = 4;
+constexpr Duration kScanInterval = std::chrono::seconds(1);
 // Requests that may wait on one budget.
 constexpr std::size_t kMaxWaiters = 1000;
 
@@ -55,6 +56,7 @@
     return ReserveVerdict::kUnavailable;
   }
   account.waiters.push_back(Waiter{reservation, amount, now + kMaxWait});
+  this->waiting.insert(&account);
   this->StartDraw(account, now, out);
   return ReserveVerdict::kWaiting;
 }
@@ -138,15 +140,16 @@
 }
 
 void BudgetBook::OnTick(TimePoint now, BudgetOutcome& out) {
+  for (auto next = this->waiting.begin(); next != this->waiting.end();) {
+    Account& account = **next;
+    this->ExpireWaiters(account, now, out);
+    next = account.waiters.empty() ? this->waiting.erase(next) : ++next;
+  }
+  // Reviews are seconds apart: not every tick looks at every account.
+  if (now < this->next_scan || this->stopping) return;
+  this->next_scan = now + kScanInterval;
   for (auto& [name, account] : this->accounts) {
-    while (!account.waiters.empty() &&
-           account.waiters.front().deadline <= now) {
-      out.waiters.push_back(WaiterOutcome{account.waiters.front().reservation,
-                                          false,
-                                          ErrorKind::kBudgetUnavailable});
-      account.waiters.pop_front();
-    }
-    const bool review = !this->stopping && now >= account.review_at &&
+    const bool review = now >= account.review_at &&
                         account.step == Step::kIdle &&
                         account.confirmed > account.grant.Spent();
     if (!review) continue;
@@ -157,6 +160,15 @@
   }
 }
 
+void BudgetBook::ExpireWaiters(Account& account, TimePoint now,
+                               BudgetOutcome& out) {
+  while (!account.waiters.empty() && account.waiters.front().deadline <= now) {
+    out.waiters.push_back(WaiterOutcome{account.waiters.front().reservation,
+                                        false, ErrorKind::kBudgetUnavailable});
+    account.waiters.pop_front();
+  }
+}
+
 void BudgetBook::ReturnAll(TimePoint now, BudgetOutcome& out) {
   this->stopping = true;
   for (auto& [name, account] : this->accounts) {
--- a/policy/budget_book.h
+++ b/policy/budget_book.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -139,6 +140,8 @@
                  BudgetOutcome& out);
   void Draw(Account& account, coordination::TimePoint now, BudgetOutcome& out);
   void EmitWrite(Account& account, std::int64_t amount, BudgetOutcome& out);
+  void ExpireWaiters(Account& account, coordination::TimePoint now,
+                     BudgetOutcome& out);
   void ServeWaiters(Account& account, BudgetOutcome& out);
   void RefuseUnpayable(Account& account, BudgetOutcome& out);
   void RefuseWaiters(Account& account, ErrorKind error,
@@ -148,6 +151,8 @@
   void ContinueReturn(Account& account, BudgetOutcome& out);
 
   std::map<std::string, Account, std::less<>> accounts;
+  std::set<Account*> waiting;  // accounts with requests that wait
+  coordination::TimePoint next_scan{};
   GrantPolicy policy;
   std::int64_t holders = 1;
   std::uint64_t next_operation = 1;
--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -29,15 +29,6 @@
 sleep 1
 echo "idle_connection_kb=$(awk "BEGIN {print ($(rss_kb) - $before) / 1000}")"
 
-# Memory of open streams.
-before=$(rss_kb)
-load --target=127.0.0.1:18101 --requests=2000 --concurrency=2000 --max_tokens=3000 >/dev/null &
-stream_load=$!
-sleep 4
-echo "open_stream_kb=$(awk "BEGIN {print ($(rss_kb) - $before) / 2000}")"
-kill "$stream_load" 2>/dev/null || true
-wait "$stream_load" || true
-
 load --target=127.0.0.1:18101 --requests=500 --concurrency=50 >/dev/null
 
 compare() {  # NAME FLAGS...
@@ -82,3 +73,12 @@
 awk -v a="$(cpu_ms)" -v b="$before" 'BEGIN {printf "idle_cpu_percent=%.3f\n", (a - b) / 10000 * 100}'
 curl -s http://127.0.0.1:19101/metrics | grep -E '^hornbeamspool_heartbeat' >"$FLEET_DIR/after"
 paste -d' ' "$FLEET_DIR/before" "$FLEET_DIR/after" | awk '{printf "%s_per_second=%.1f\n", $1, ($4 - $2) / 10}'
+
+# Memory of open streams.
+before=$(rss_kb)
+load --target=127.0.0.1:18101 --requests=2000 --concurrency=2000 --max_tokens=3000 >/dev/null &
+stream_load=$!
+sleep 4
+echo "open_stream_kb=$(awk "BEGIN {print ($(rss_kb) - $before) / 2000}")"
+kill "$stream_load" 2>/dev/null || true
+wait "$stream_load" || true
