--- a/bench/slopes.cc
+++ b/bench/slopes.cc
@@ -30,7 +30,7 @@
 constexpr int kBudgets = 30'000;
 constexpr int kNodes = 390;
 constexpr int kUpstreams = 600;
-const TimePoint kStart{std::chrono::hours(1)};
+constexpr TimePoint kStart{std::chrono::hours(1)};
 
 double ResidentKb() {
   std::ifstream status("/proc/self/status");
@@ -65,6 +65,7 @@
   BudgetBook book;
   book.SetHolders(kNodes);
   std::vector<std::string> names;
+  names.reserve(kBudgets);
   for (int i = 0; i < kBudgets; ++i) {
     names.push_back("organisation/budget-" + std::to_string(i));
   }
@@ -151,6 +152,7 @@
   namespace policy = hornbeamspool::policy;
   UpstreamSet set;
   std::vector<policy::ListedUpstream> listed;
+  listed.reserve(kUpstreams);
   for (int i = 0; i < kUpstreams; ++i) {
     listed.push_back(
         {"upstream-" + std::to_string(i), "service-" + std::to_string(i % 15),
@@ -172,6 +174,7 @@
   Print("set_list_of_600",
         Nanoseconds(200, [&](int) { set.SetListed(listed); }), "ns");
   std::vector<std::string> names;
+  names.reserve(kNodes);
   for (int i = 0; i < kNodes; ++i) {
     names.push_back("router-" + std::to_string(i));
   }
--- a/bench/world.cc
+++ b/bench/world.cc
@@ -592,7 +592,11 @@
   for (const auto& [key, holder] : this->owed_bills) {
     const std::string bill = BillName(kOrganisation, key, kFingerprint);
     if (this->table.Bills().contains(bill)) continue;
-    this->Fail("not billed: " + key + " of " + holder);
+    std::string text = "not billed: ";
+    text += key;
+    text += " of ";
+    text += holder;
+    this->Fail(std::move(text));
   }
   std::map<std::string, std::int64_t> billed;
   for (const auto& [key, bill] : this->table.Bills()) {
--- a/standin/engine_standin.cc
+++ b/standin/engine_standin.cc
@@ -302,8 +302,10 @@
   const TimePoint now = Now();
   this->samples.push_back(LoadSample{
       now, this->Held(), static_cast<std::int64_t>(this->waiting.size())});
-  while (this->samples.size() > 1 &&
-         this->samples[1].at + this->options.report_lag <= now) {
+  const coordination::Duration fault_lag = this->gate.Get().lag;
+  const coordination::Duration lag =
+      fault_lag.count() > 0 ? fault_lag : this->options.report_lag;
+  while (this->samples.size() > 1 && this->samples[1].at + lag <= now) {
     this->samples.pop_front();
   }
 }
@@ -367,7 +369,9 @@
   this->prefixes.push_back(prefix);
   if (this->prefixes.size() > kMaxPrefixes) this->prefixes.pop_front();
   ++this->cache_sequence;
-  if (this->cache_sequence % kCacheEventGap == 0) return;
+  const std::int64_t fault_gap = this->gate.Get().gap_every;
+  const std::int64_t gap = fault_gap > 0 ? fault_gap : kCacheEventGap;
+  if (this->cache_sequence % gap == 0) return;
   this->cache_events.emplace_back(
       this->cache_sequence, std::to_string(coordination::StableHash(prefix)));
 }
--- a/standin/fault_gate.cc
+++ b/standin/fault_gate.cc
@@ -18,19 +18,27 @@
   const auto document = boost::json::parse(text, error);
   if (error || !document.is_object()) return false;
   const auto& object = document.get_object();
-  if (const auto* value = object.if_contains("down")) {
-    this->faults.down = value->is_bool() && value->get_bool();
-  }
-  if (const auto* value = object.if_contains("frozen")) {
-    this->faults.frozen = value->is_bool() && value->get_bool();
-  }
-  if (const auto* value = object.if_contains("slow_ms")) {
-    this->faults.slow =
-        std::chrono::milliseconds(value->is_int64() ? value->get_int64() : 0);
-  }
-  if (const auto* value = object.if_contains("lose_answers")) {
-    this->faults.lose_answers = value->is_int64() ? value->get_int64() : 0;
-  }
+  const auto set_flag = [&](std::string_view key, bool& flag) {
+    const auto* value = object.if_contains(key);
+    if (value != nullptr) flag = value->is_bool() && value->get_bool();
+  };
+  const auto set_number = [&](std::string_view key, std::int64_t& number) {
+    const auto* value = object.if_contains(key);
+    if (value == nullptr) return;
+    number = value->is_int64() ? value->get_int64() : 0;
+  };
+  const auto set_duration = [&](std::string_view key,
+                                coordination::Duration& duration) {
+    std::int64_t milliseconds = duration / std::chrono::milliseconds(1);
+    set_number(key, milliseconds);
+    duration = std::chrono::milliseconds(milliseconds);
+  };
+  set_flag("down", this->faults.down);
+  set_flag("frozen", this->faults.frozen);
+  set_duration("slow_ms", this->faults.slow);
+  set_number("lose_answers", this->faults.lose_answers);
+  set_duration("lag_ms", this->faults.lag);
+  set_number("gap_every", this->faults.gap_every);
   return true;
 }
 
--- a/standin/platform_standin.cc
+++ b/standin/platform_standin.cc
@@ -14,6 +14,11 @@
   return http::JsonResponse(400, "{}");
 }
 
+coordination::TimePoint Now() {
+  return std::chrono::time_point_cast<coordination::Duration>(
+      std::chrono::steady_clock::now());
+}
+
 http::Response NotFound() { return http::JsonResponse(404, "{}"); }
 
 }  // namespace
@@ -58,7 +63,7 @@
     response =
         this->table.Call(target.substr(target.find('.') + 1), request.body);
   } else if (path == "/vms") {
-    response = http::JsonResponse(200, this->vms);
+    response = http::JsonResponse(200, this->LaggingVms());
   } else if (path.starts_with("/weights/")) {
     response = this->Weights(request);
   } else {
@@ -78,6 +83,15 @@
   return http::JsonResponse(200, found->second);
 }
 
+// The newest list whose lag has passed.
+const std::string& PlatformStandin::LaggingVms() {
+  while (!this->vm_changes.empty() && this->vm_changes.front().due <= Now()) {
+    this->vms = std::move(this->vm_changes.front().vms);
+    this->vm_changes.pop_front();
+  }
+  return this->vms;
+}
+
 http::Response PlatformStandin::Weights(const http::Request& request) {
   const std::string service(request.Path());
   if (request.method != "PUT") {
@@ -86,8 +100,7 @@
                ? NotFound()
                : http::JsonResponse(200, found->second);
   }
-  const auto now = std::chrono::time_point_cast<coordination::Duration>(
-      std::chrono::steady_clock::now());
+  const coordination::TimePoint now = Now();
   const auto last = this->weights_at.find(service);
   const bool limited =
       last != this->weights_at.end() && now - last->second < kWeightInterval;
@@ -107,7 +120,7 @@
                                      {"table_writes", this->table.Writes()}}));
   }
   if (request.Path() == "/vms") {
-    this->vms = request.body;
+    this->vm_changes.push_back({Now() + this->vm_gate.Get().lag, request.body});
     return http::JsonResponse(200, "{}");
   }
   const std::string_view which = request.Path().substr(kFaultPrefix.size());
--- a/standin/platform_standin.h
+++ b/standin/platform_standin.h
@@ -4,8 +4,8 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/json/array.hpp>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <string>
 #include <string_view>
@@ -27,11 +27,18 @@
   std::uint16_t Listen(std::string_view address);
 
  private:
+  // A list that was put and is not seen yet.
+  struct VmChange {
+    coordination::TimePoint due;
+    std::string vms;
+  };
+
   boost::asio::awaitable<void> Handle(http::Exchange& exchange);
   http::Response Objects(const http::Request& request);
   http::Response Weights(const http::Request& request);
   http::Response Vms(const http::Request& request);
   http::Response Control(const http::Request& request);
+  const std::string& LaggingVms();
   FaultGate& GateOf(std::string_view path);
 
   // Writes to one service's weights are no closer than this.
@@ -49,6 +56,7 @@
   std::map<std::string, std::string, std::less<>> weights;
   std::map<std::string, coordination::TimePoint, std::less<>> weights_at;
   std::string vms;
+  std::deque<VmChange> vm_changes;
 };
 
 }  // namespace hornbeamspool::standin
--- a/tests/policy_test.cc
+++ b/tests/policy_test.cc
@@ -17,7 +17,7 @@
 using coordination::TimePoint;
 using std::chrono::seconds;
 
-const TimePoint kNow{seconds(1'000)};
+constexpr TimePoint kNow{seconds(1'000)};
 
 TEST_CASE("every error kind has an answer of its own") {
   for (std::size_t i = 0; i < static_cast<std::size_t>(ErrorKind::kCount);
--- a/tests/process/fleet_test.sh
+++ b/tests/process/fleet_test.sh
@@ -107,6 +107,17 @@
   check "an answer with an engine dead, $n" '*DONE*' "$(chat 1 5 "engine dead $n")"
 done
 
+# The platform says that an upstream leaves.
+sed 's/\("name":"engine-2"[^}]*\)"live"/\1"leaving"/' "$FLEET_DIR/vms.json" >"$FLEET_DIR/vms-leaving.json"
+curl -s -X PUT http://127.0.0.1:18200/vms --data-binary @"$FLEET_DIR/vms-leaving.json" >/dev/null
+refuses() { chat 1 5 leaving | grep -q '"not_run"'; }
+until_true refuses
+# Engine 1 is dead and still listed, so it is tried; engine 2 is not.
+check 'no new work for an upstream that leaves' '*upstream_unreachable*not_run*' "$(chat 1 5 leaving)"
+curl -s -X PUT http://127.0.0.1:18200/vms --data-binary @"$FLEET_DIR/vms.json" >/dev/null
+serves() { chat 1 5 back | grep -q DONE; }
+until_true serves
+
 # A planned stop cuts nothing.
 chat 1 300 stopping >"$FLEET_DIR/stopping" &
 stream=$!
