--- a/bench/world.cc
+++ b/bench/world.cc
@@ -5,7 +5,7 @@
 #include <utility>
 #include <variant>
 
-#include "coordination/rendezvous.h"
+#include "bench/world_parts.h"
 
 namespace hornbeamspool::bench {
 namespace {
@@ -16,14 +16,10 @@
 using policy::TableStatus;
 
 constexpr Duration kStep = std::chrono::milliseconds(10);
-// Steps that a drain may take before it counts as stuck.
-constexpr int kMaxDrainSteps = 20'000;
 constexpr std::int64_t kOrderPrice = 7;
 constexpr std::int64_t kMaxTokens = 400;
 // What admission adds to a prompt for the engine's template.
 constexpr std::int64_t kTemplateTokens = 64;
-constexpr const char* kOrganisation = "organisation";
-constexpr std::uint64_t kFingerprint = 1;
 
 std::string BudgetName(std::int64_t index) {
   return "budget-" + std::to_string(index);
@@ -71,40 +67,6 @@
 
 }  // namespace
 
-struct World::Node {
-  std::int64_t index = 0;
-  std::string holder;                      // of the present start
-  std::unique_ptr<policy::Router> router;  // null while dead
-  TimePoint paused_until{};
-  TimePoint cut_until{};  // from the table
-  std::int64_t starts = 0;
-};
-
-// A command on its way to the table, or a reply on its way back.
-struct World::Flight {
-  TimePoint due;
-  std::size_t node = 0;
-  std::string holder;
-  policy::TableCommand command;
-  policy::TableReply reply;
-  bool is_reply = false;
-  bool lose_answer = false;  // the sender is told that it does not know
-};
-
-// A request that an upstream runs.
-struct World::Work {
-  TimePoint due;
-  std::size_t node = 0;
-  std::string holder;
-  policy::AdmissionRequest request;
-  policy::Admitted admitted;
-  std::string budget;
-};
-
-struct World::Caller {
-  policy::AdmissionRequest request;
-};
-
 World::World(WorldOptions options)
     : options(options),
       random(options.seed),
@@ -353,37 +315,6 @@
   this->works.erase(found);
 }
 
-// A run counts until its request is billed, by whoever ran it; then the bill
-// counts alone, since every other run of the request is refunded.
-void World::NoteRun(const std::string& budget, const std::string& key,
-                    std::int64_t tokens) {
-  const std::string bill = BillName(kOrganisation, key, kFingerprint);
-  if (this->table.Bills().contains(bill)) return;
-  this->unbilled[budget] += tokens;
-  this->unbilled_runs[bill] += tokens;
-}
-
-void World::NoteBills() {
-  for (const std::string& name : this->table.TakeNewBills()) {
-    const BilledRequest& bill = this->table.Bills().at(name);
-    this->billed[bill.budget] += bill.amount;
-    this->unbilled[bill.budget] -= std::exchange(this->unbilled_runs[name], 0);
-  }
-}
-
-std::int64_t World::SpendOf(const std::string& budget) const {
-  const auto bills = this->billed.find(budget);
-  const auto runs = this->unbilled.find(budget);
-  return (bills == this->billed.end() ? 0 : bills->second) +
-         (runs == this->unbilled.end() ? 0 : runs->second);
-}
-
-// What a budget could still pay when nothing were held back by grants.
-std::int64_t World::Unreserved(const std::string& budget) const {
-  const auto row = this->table.Budgets().find(budget);
-  return row->second.ledger.total - this->SpendOf(budget);
-}
-
 void World::Carry(Node& node, policy::TableCommand command) {
   Flight flight;
   flight.due = this->now + std::chrono::milliseconds(this->Draw(0, 60));
@@ -542,84 +473,4 @@
   }
 }
 
-void World::Check() {
-  this->NoteBills();
-  for (const auto& [name, row] : this->table.Budgets()) {
-    if (row.ledger.granted > row.ledger.total) {
-      this->Fail("granted more than prepaid: " + name);
-    }
-    const std::int64_t over = this->SpendOf(name) - row.ledger.total;
-    if (over <= 0) continue;
-    this->result.overspend = std::max(this->result.overspend, over);
-    this->Fail("overspent: " + name);
-  }
-  for (const auto& node : this->nodes) {
-    if (node->router == nullptr || node->router->Consistent()) continue;
-    this->Fail("an account broke its invariant");
-  }
-  for (const auto& [key, bill] : this->table.Bills()) {
-    if (bill.times > 1) this->Fail("billed twice: " + key);
-  }
-}
-
-// Faults end; each router finishes, settles and hands its grants back.
-void World::Drain() {
-  this->draining = true;
-  this->table_down_until = {};
-  this->callers.clear();
-  for (const auto& node : this->nodes) {
-    node->cut_until = {};
-    node->paused_until = {};
-    if (node->router != nullptr) node->router->BeginStop();
-  }
-  for (int i = 0; i < kMaxDrainSteps; ++i) {
-    this->Step(false);
-    this->callers.clear();
-    const bool stopped = std::all_of(
-        this->nodes.begin(), this->nodes.end(), [](const auto& node) {
-          return node->router == nullptr || node->router->Stopped();
-        });
-    if (stopped && this->flights.empty()) {
-      this->CheckDrained();
-      return;
-    }
-  }
-  this->Fail("a router did not stop");
-}
-
-void World::CheckDrained() {
-  // Every answered request of a router that lived is billed.
-  for (const auto& [key, holder] : this->owed_bills) {
-    const std::string bill = BillName(kOrganisation, key, kFingerprint);
-    if (this->table.Bills().contains(bill)) continue;
-    std::string text = "not billed: ";
-    text += key;
-    text += " of ";
-    text += holder;
-    this->Fail(std::move(text));
-  }
-  std::map<std::string, std::int64_t> billed;
-  for (const auto& [key, bill] : this->table.Bills()) {
-    billed[bill.budget] += bill.amount;
-  }
-  for (const auto& [name, row] : this->table.Budgets()) {
-    if (billed[name] > row.ledger.total) this->Fail("billed beyond prepaid");
-    // A planned stop strands nothing: what is granted was spent, or is held
-    // by the dead.
-    std::int64_t held_by_stopped = 0;
-    for (const auto& node : this->nodes) {
-      if (node->router == nullptr) continue;
-      const auto figures = node->router->AllFigures();
-      const auto found = figures.find(name);
-      const std::int64_t spent =
-          found == figures.end() ? 0 : found->second.spent;
-      const std::int64_t grant = this->table.GrantOf(name, node->holder);
-      held_by_stopped += grant;
-      if (grant != spent) this->Fail("a planned stop stranded units: " + name);
-    }
-    this->result.stranded +=
-        row.ledger.granted - std::max(billed[name], held_by_stopped);
-  }
-}
-
 }  // namespace hornbeamspool::bench
--- a/hornbeamctl/verbs.cc
+++ b/hornbeamctl/verbs.cc
@@ -14,9 +14,8 @@
 #include <vector>
 
 #include "hornbeamctl/output.h"
-#include "settings/fleet_settings.h"
+#include "settings/check.h"
 #include "settings/json_text.h"
-#include "settings/node_settings.h"
 
 namespace hornbeamspool::ctl {
 namespace {
@@ -64,29 +63,6 @@
   return kExitOk;
 }
 
-// The faults of a settings file of either kind.
-settings::FaultList FaultsOf(std::string_view text) {
-  settings::FaultList found;
-  boost::leaf::try_handle_all(
-      [&]() -> boost::leaf::result<void> {
-        BOOST_LEAF_AUTO(document, settings::ParseJsonText(text));
-        const json::object* object = document.if_object();
-        const json::value* kind =
-            object ? object->if_contains("kind") : nullptr;
-        if (kind != nullptr && *kind == "node") {
-          BOOST_LEAF_CHECK(settings::ParseNodeSettings(text));
-        } else {
-          BOOST_LEAF_CHECK(settings::ParseFleetConfig(text));
-        }
-        return {};
-      },
-      [&](const settings::FaultList& faults) { found = faults; },
-      [&] {
-        found.push_back({"", "unknown fault"});
-      });
-  return found;
-}
-
 json::array FaultArray(const settings::FaultList& faults) {
   json::array list;
   for (const settings::Fault& fault : faults) {
@@ -103,7 +79,7 @@
   for (const std::string_view path : arguments) {
     const auto text = ReadFile(path);
     if (!text) return kExitUsage;
-    const settings::FaultList faults = FaultsOf(*text);
+    const settings::FaultList faults = settings::FaultsOf(*text);
     if (!faults.empty()) code = kExitFaults;
     report.push_back(json::object{{"file", path},
                                   {"sound", faults.empty()},
@@ -129,7 +105,7 @@
               Arguments arguments) {
   auto text = ReadFile(arguments[0]);
   if (!text) return kExitUsage;
-  const settings::FaultList faults = FaultsOf(*text);
+  const settings::FaultList faults = settings::FaultsOf(*text);
   for (const settings::Fault& fault : faults) {
     std::cerr << fault.where << ": " << fault.message << '\n';
   }
--- a/hornbeamspool/operator_server.cc
+++ b/hornbeamspool/operator_server.cc
@@ -5,7 +5,6 @@
 #include <boost/json/array.hpp>
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
-#include <boost/leaf/handle_errors.hpp>
 #include <charconv>
 #include <optional>
 #include <utility>
@@ -13,8 +12,8 @@
 #include "hornbeamspool/budget_admin.h"
 #include "hornbeamspool/config_store.h"
 #include "hornbeamspool/error_response.h"
+#include "settings/check.h"
 #include "settings/fault.h"
-#include "settings/fleet_settings.h"
 #include "transport/seal.h"
 
 namespace hornbeamspool {
@@ -28,21 +27,6 @@
   return http::JsonResponse(200, json::serialize(body));
 }
 
-// The faults of a settings text, empty when it is sound.
-settings::FaultList FaultsOf(std::string_view text) {
-  settings::FaultList found;
-  boost::leaf::try_handle_all(
-      [&]() -> boost::leaf::result<void> {
-        BOOST_LEAF_CHECK(settings::ParseFleetConfig(text));
-        return {};
-      },
-      [&](const settings::FaultList& faults) { found = faults; },
-      [&] {
-        found.push_back({"", "unknown fault"});
-      });
-  return found;
-}
-
 http::Response FaultsAnswer(std::span<const settings::Fault> faults) {
   json::array list;
   for (const settings::Fault& fault : faults) {
@@ -264,7 +248,7 @@
 
 net::awaitable<http::Response> OperatorServer::StoreConfig(
     const http::Request& request) {
-  const settings::FaultList faults = FaultsOf(request.body);
+  const settings::FaultList faults = settings::FaultsOfFleet(request.body);
   if (!faults.empty()) co_return FaultsAnswer(faults);
   const std::string wanted = request.QueryValue("base");
   std::uint64_t base = 0;
--- /dev/null
+++ b/settings/check.h
@@ -0,0 +1,16 @@
+// Checks a settings text of either kind.
+#pragma once
+
+#include <string_view>
+
+#include "settings/fault.h"
+
+namespace hornbeamspool::settings {
+
+// Every fault of a fleet configuration; empty when it is sound.
+FaultList FaultsOfFleet(std::string_view text);
+
+// The same for a text of either kind, as its member `kind` says.
+FaultList FaultsOf(std::string_view text);
+
+}  // namespace hornbeamspool::settings
--- a/tests/settings_test.cc
+++ b/tests/settings_test.cc
@@ -1,12 +1,9 @@
 #include <doctest/doctest.h>
 
-#include <boost/leaf/handle_errors.hpp>
-#include <optional>
 #include <string>
 
+#include "settings/check.h"
 #include "settings/fault.h"
-#include "settings/fleet_settings.h"
-#include "settings/node_settings.h"
 
 namespace hornbeamspool::settings {
 namespace {
@@ -22,20 +19,6 @@
  "models": [{"name": "m", "service": "s", "version": "v1",
    "default_max_tokens": 5, "limit_max_tokens": 9}]})";
 
-FaultList FaultsOf(std::string_view text) {
-  FaultList found;
-  boost::leaf::try_handle_all(
-      [&]() -> boost::leaf::result<void> {
-        BOOST_LEAF_CHECK(ParseFleetConfig(text));
-        return {};
-      },
-      [&](const FaultList& faults) { found = faults; },
-      [&] {
-        found.push_back({"", "?"});
-      });
-  return found;
-}
-
 std::string Replaced(std::string_view from, std::string_view to) {
   std::string text(kSound);
   const std::size_t at = text.find(from);
@@ -82,13 +65,7 @@
 }
 
 TEST_CASE("node settings name what is missing") {
-  FaultList found;
-  boost::leaf::try_handle_all(
-      [&]() -> boost::leaf::result<void> {
-        BOOST_LEAF_CHECK(ParseNodeSettings(R"({"kind": "node"})"));
-        return {};
-      },
-      [&](const FaultList& faults) { found = faults; }, [] {});
+  const FaultList found = FaultsOf(R"({"kind": "node"})");
   CHECK_GE(found.size(), 8);
 }
 
