An order's intent before its budget; refusals that could not look the key up say so

Cause: read as a caller, two answers to a repeated order were wrong. With the budget used up, the repeat of an order that had run was refused with 402 and not_run. With the table away, a repeat was told not_run although an earlier try might have run. Ruled out: telling repeats apart without the table; no router remembers the keys of another.

The intent is committed first now, so a repeat gets the recorded answer whatever is left; an order that the budget refuses releases its intent. A refusal before the key was looked up carries earlier_tries: unknown.

--- a/policy/messages.h
+++ b/policy/messages.h
@@ -45,6 +45,9 @@
   ErrorKind kind = ErrorKind::kInternal;
   std::string detail;  // replaces the default message when not empty
   std::optional<std::int64_t> retry_after_s;
+  // An order whose key could not be looked up: this try did not run, and
+  // nothing is known of earlier ones.
+  bool earlier_unknown = false;
 };
 
 // A repeated order is answered with what was recorded.
--- a/policy/router.cc
+++ b/policy/router.cc
@@ -25,13 +25,27 @@
   out.events.push_back(std::move(event));
 }
 
-void AddRefusal(Outbox& out, const AdmissionRequest& request, ErrorKind kind) {
-  out.replies.push_back(AdmissionReply{request.ticket, Refused{kind, {}, {}}});
+void AddRefusal(Outbox& out, const AdmissionRequest& request, ErrorKind kind,
+                bool earlier_unknown = false) {
+  Refused refused;
+  refused.kind = kind;
+  refused.earlier_unknown = earlier_unknown;
+  out.replies.push_back(AdmissionReply{request.ticket, std::move(refused)});
   AddEvent(out, EventKind::kRefused, request.request_id,
            KeyValue("error", AnswerFor(kind).name) + ' ' +
                KeyValue("run", RunStateName(AnswerFor(kind).run)));
 }
 
+CommitIntent IntentOf(std::uint64_t reservation, std::string organisation,
+                      const AdmissionRequest& request) {
+  CommitIntent intent;
+  intent.reservation = reservation;
+  intent.organisation = std::move(organisation);
+  intent.request_key = request.request_key;
+  intent.fingerprint = request.fingerprint;
+  return intent;
+}
+
 const WorkClass* FindClass(const FleetConfig& config, std::string_view name) {
   const auto found = std::find_if(
       config.classes.begin(), config.classes.end(),
@@ -104,7 +118,9 @@
                        Outbox& out) {
   // Step 1: the node's own state.
   if (const auto error = this->Gate(request)) {
-    AddRefusal(out, request, *error);
+    const bool keyed =
+        request.kind == WorkKind::kPlain && !request.request_key.empty();
+    AddRefusal(out, request, *error, keyed);
     return;
   }
 
@@ -130,19 +146,28 @@
     return;
   }
 
-  // Step 4: set the worst case aside.
+  // Step 4: an order commits its intent first, so that a repeat gets the
+  // recorded answer whatever its budget; anything else sets its worst case
+  // aside.
   const std::uint64_t id = this->next_reservation++;
-  const std::string budget = work.budget;
-  const std::int64_t amount = work.amount;
+  const bool order = !work.tries.repeatable;
+  if (order)
+    out.commands.emplace_back(IntentOf(id, work.organisation, work.request));
   this->reservations.emplace(id, std::move(work));
+  if (!order) this->SetAside(id, now, out);
+}
+
+// Sets the worst case of a request aside, and goes on when that is done.
+void Router::SetAside(std::uint64_t id, TimePoint now, Outbox& out) {
+  const Reservation& work = this->reservations.at(id);
   BudgetOutcome outcome;
   const ReserveVerdict verdict =
-      this->budgets.Reserve(budget, amount, id, now, outcome);
+      this->budgets.Reserve(work.budget, work.amount, id, now, outcome);
   this->Absorb(outcome, now, out);
   if (verdict == ReserveVerdict::kWaiting) return;
   if (verdict == ReserveVerdict::kReserved) {
     this->reservations.at(id).reserved = true;
-    this->Continue(id, now, out);
+    this->Dispatch(id, now, out);
     return;
   }
   this->Refuse(id,
@@ -219,21 +244,6 @@
   return std::nullopt;
 }
 
-// The units are set aside. An order commits its intent first.
-void Router::Continue(std::uint64_t id, TimePoint now, Outbox& out) {
-  Reservation& work = this->reservations.at(id);
-  if (work.tries.repeatable) {
-    this->Dispatch(id, now, out);
-    return;
-  }
-  CommitIntent intent;
-  intent.reservation = id;
-  intent.organisation = work.organisation;
-  intent.request_key = work.request.request_key;
-  intent.fingerprint = work.request.fingerprint;
-  out.commands.emplace_back(std::move(intent));
-}
-
 void Router::Dispatch(std::uint64_t id, TimePoint now, Outbox& out) {
   Reservation& work = this->reservations.at(id);
   UpstreamDemand demand;
@@ -299,16 +309,15 @@
 void Router::Refuse(std::uint64_t id, ErrorKind kind, TimePoint now,
                     Outbox& out) {
   const Reservation& work = this->reservations.at(id);
-  AddRefusal(out, work.request, kind);
+  const bool order = !work.tries.repeatable;
+  const bool looked_up = work.intent_committed || work.intent_found;
+  AddRefusal(out, work.request, kind, order && !looked_up);
   // A committed intent whose order was never sent is released, so that a
   // repeat of the key may run. One that may have run stays.
   if (work.intent_committed && AnswerFor(kind).run == RunState::kNotRun) {
     Settlement release;
     release.intent = IntentChange::kRelease;
-    release.order.organisation = work.organisation;
-    release.order.request_key = work.request.request_key;
-    release.order.fingerprint = work.request.fingerprint;
-    release.order.reservation = id;
+    release.order = IntentOf(id, work.organisation, work.request);
     this->billing.Add(std::move(release));
   }
   this->Close(id, 0, now);
@@ -368,10 +377,8 @@
   bill.amount = spent;
   bill.wall_us = completion.wall_us;
   if (!work.intent_committed) return settlement;
-  settlement.order.organisation = work.organisation;
-  settlement.order.request_key = work.request.request_key;
-  settlement.order.fingerprint = work.request.fingerprint;
-  settlement.order.reservation = completion.reservation;
+  settlement.order =
+      IntentOf(completion.reservation, work.organisation, work.request);
   if (completion.outcome == CompletionOutcome::kWhole ||
       completion.outcome == CompletionOutcome::kCallerGone) {
     settlement.intent = IntentChange::kAnswer;
@@ -405,13 +412,14 @@
     work.intent_committed = true;
     AddEvent(out, EventKind::kIntentCommitted, work.request.request_id,
              KeyValue("key", work.request.request_key));
-    this->Dispatch(committed.reservation, now, out);
+    this->SetAside(committed.reservation, now, out);
     return;
   }
   if (committed.status != TableStatus::kConflict) {
     this->Refuse(committed.reservation, ErrorKind::kStoreUnavailable, now, out);
     return;
   }
+  work.intent_found = true;
   AddEvent(out, EventKind::kIntentExists, work.request.request_id,
            KeyValue("key", work.request.request_key));
   if (committed.fingerprint != work.request.fingerprint) {
@@ -475,7 +483,7 @@
       continue;
     }
     found->second.reserved = true;
-    this->Continue(waiter.reservation, now, out);
+    this->Dispatch(waiter.reservation, now, out);
   }
 }
 
--- a/policy/router.h
+++ b/policy/router.h
@@ -97,6 +97,7 @@
     std::int64_t price = 0;       // of a plain call
     bool reserved = false;        // the units are set aside
     bool intent_committed = false;
+    bool intent_found = false;  // an earlier try had committed one
     TryState tries;
     std::string upstream;
     std::vector<std::string> failed_upstreams;
@@ -106,7 +107,7 @@
   std::optional<ErrorKind> PlanModel(Reservation& work) const;
   std::optional<ErrorKind> PlanPlain(Reservation& work) const;
   std::optional<ErrorKind> Gate(const AdmissionRequest& request) const;
-  void Continue(std::uint64_t id, coordination::TimePoint now, Outbox& out);
+  void SetAside(std::uint64_t id, coordination::TimePoint now, Outbox& out);
   void Dispatch(std::uint64_t id, coordination::TimePoint now, Outbox& out);
   void Refuse(std::uint64_t id, ErrorKind kind, coordination::TimePoint now,
               Outbox& out);
--- a/tests/policy_test.cc
+++ b/tests/policy_test.cc
@@ -255,6 +255,69 @@
   CHECK_EQ(fixture.router.InFlight(), 0);
 }
 
+FleetConfig OrderConfig() {
+  FleetConfig config = SmallConfig();
+  PlainRoute route;
+  route.prefix = "/orders";
+  route.service = "s";
+  route.price_tokens = 5;
+  route.calls = {{{"POST"}, false, true}};
+  config.routes = {route};
+  return config;
+}
+
+AdmissionRequest OrderRequest(std::uint64_t ticket) {
+  AdmissionRequest request = ModelRequest(ticket);
+  request.kind = WorkKind::kPlain;
+  request.target = "/orders/x";
+  request.method = "POST";
+  request.request_key = "key";
+  request.fingerprint = 7;
+  return request;
+}
+
+TEST_CASE("an order commits its intent before anything else") {
+  Fixture fixture;
+  Outbox next;
+  fixture.router.SetConfig(4, OrderConfig(), next);
+  next = fixture.Request(OrderRequest(1));
+  CHECK(next.replies.empty());
+  REQUIRE_EQ(next.commands.size(), 1);
+  CHECK(std::holds_alternative<CommitIntent>(next.commands[0]));
+}
+
+TEST_CASE("a repeat gets the recorded answer, whatever is left to spend") {
+  Fixture fixture;
+  Outbox next;
+  fixture.router.SetConfig(4, OrderConfig(), next);
+  fixture.Request(OrderRequest(1));
+  IntentCommitted found;
+  found.reservation = 1;
+  found.status = TableStatus::kConflict;
+  found.fingerprint = 7;
+  found.answered = true;
+  found.answer.status = 201;
+  next = {};
+  fixture.router.OnTableReply(found, kNow, next);
+  REQUIRE_EQ(next.replies.size(), 1);
+  const auto* replayed = std::get_if<Replayed>(&next.replies[0].verdict);
+  REQUIRE_NE(replayed, nullptr);
+  CHECK_EQ(replayed->answer.status, 201);
+}
+
+TEST_CASE("an order that could not be looked up says so") {
+  Fixture fixture;
+  Outbox next;
+  fixture.router.SetConfig(4, OrderConfig(), next);
+  fixture.Request(OrderRequest(1));
+  IntentCommitted away;
+  away.reservation = 1;
+  next = {};
+  fixture.router.OnTableReply(away, kNow, next);
+  CHECK_EQ(RefusalOf(next), ErrorKind::kStoreUnavailable);
+  CHECK(std::get<Refused>(next.replies[0].verdict).earlier_unknown);
+}
+
 TEST_CASE("the same key in progress is told so") {
   Fixture fixture;
   AdmissionRequest request = ModelRequest(1);
