--- a/hornbeamspool/budget_admin.cc
+++ b/hornbeamspool/budget_admin.cc
@@ -1,10 +1,10 @@
 #include "hornbeamspool/budget_admin.h"
 
-#include <boost/asio/use_awaitable.hpp>
 #include <map>
 #include <utility>
 
 #include "hornbeamspool/ledger_rows.h"
+#include "http/task.h"
 
 namespace hornbeamspool {
 namespace {
@@ -17,10 +17,10 @@
 constexpr int kMaxTries = 20;
 
 // Drawing nodes write the budget row too, so a conflict is tried again.
-net::awaitable<TableOutcome> TryAdd(platform::TableClient& table,
-                                    const std::string& budget,
-                                    std::int64_t tokens, const std::string& id,
-                                    const platform::Item* row) {
+http::Task<TableOutcome> TryAdd(platform::TableClient& table,
+                                const std::string& budget, std::int64_t tokens,
+                                const std::string& id,
+                                const platform::Item* row) {
   coordination::EscrowLedger ledger;
   std::int64_t version = 0;
   if (row != nullptr) {
@@ -45,10 +45,9 @@
 
 }  // namespace
 
-net::awaitable<AdminOutcome> AddToBudget(platform::TableClient& table,
-                                         std::string budget,
-                                         std::int64_t tokens, std::string id,
-                                         bool create) {
+http::Task<AdminOutcome> AddToBudget(platform::TableClient& table,
+                                     std::string budget, std::int64_t tokens,
+                                     std::string id, bool create) {
   for (int i = 0; i < kMaxTries; ++i) {
     const auto before = co_await table.Get(rows::TopUpKey(budget, id));
     if (before.outcome != TableOutcome::kOk) {
@@ -73,8 +72,8 @@
   co_return AdminOutcome::kConflict;
 }
 
-net::awaitable<BudgetReport> ShowBudget(platform::TableClient& table,
-                                        std::string budget) {
+http::Task<BudgetReport> ShowBudget(platform::TableClient& table,
+                                    std::string budget) {
   BudgetReport report;
   const auto query =
       co_await table.Query(rows::BudgetKey(budget).partition, "");
@@ -106,9 +105,8 @@
   co_return report;
 }
 
-net::awaitable<BillReport> ShowBills(platform::TableClient& table,
-                                     std::string organisation,
-                                     std::string key) {
+http::Task<BillReport> ShowBills(platform::TableClient& table,
+                                 std::string organisation, std::string key) {
   BillReport report;
   policy::Bill probe;
   probe.organisation = organisation;
--- a/hornbeamspool/budget_admin.h
+++ b/hornbeamspool/budget_admin.h
@@ -2,12 +2,12 @@
 // id of the operator's, so that repeating it changes nothing.
 #pragma once
 
-#include <boost/asio/awaitable.hpp>
 #include <cstdint>
 #include <string>
 #include <vector>
 
 #include "coordination/escrow.h"
+#include "http/task.h"
 #include "platform/table_client.h"
 
 namespace hornbeamspool {
@@ -51,17 +51,15 @@
 };
 
 // Adds `tokens` to a budget; creates it first when `create`.
-boost::asio::awaitable<AdminOutcome> AddToBudget(platform::TableClient& table,
-                                                 std::string budget,
-                                                 std::int64_t tokens,
-                                                 std::string id, bool create);
+http::Task<AdminOutcome> AddToBudget(platform::TableClient& table,
+                                     std::string budget, std::int64_t tokens,
+                                     std::string id, bool create);
 
-boost::asio::awaitable<BudgetReport> ShowBudget(platform::TableClient& table,
-                                                std::string budget);
+http::Task<BudgetReport> ShowBudget(platform::TableClient& table,
+                                    std::string budget);
 
 // Bills of an organisation whose request key starts with `key`.
-boost::asio::awaitable<BillReport> ShowBills(platform::TableClient& table,
-                                             std::string organisation,
-                                             std::string key);
+http::Task<BillReport> ShowBills(platform::TableClient& table,
+                                 std::string organisation, std::string key);
 
 }  // namespace hornbeamspool
--- a/hornbeamspool/caller_server.cc
+++ b/hornbeamspool/caller_server.cc
@@ -2,13 +2,12 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <utility>
 
 #include "hornbeamspool/error_response.h"
 #include "hornbeamspool/model_relay.h"
 #include "hornbeamspool/plain_relay.h"
+#include "http/task.h"
 
 namespace hornbeamspool {
 namespace {
@@ -88,16 +87,16 @@
 }
 
 // Publishes the number of connections for the thread that waits for the drain.
-net::awaitable<void> CallerServer::CountConnections() {
-  net::steady_timer timer(this->io);
+http::Task<void> CallerServer::CountConnections() {
+  http::Timer timer(this->io);
   while (true) {
     this->open_connections = this->server.OpenConnections();
     timer.expires_after(kCountInterval);
-    co_await timer.async_wait(net::use_awaitable);
+    co_await timer.async_wait(http::kAwait);
   }
 }
 
-net::awaitable<void> CallerServer::Handle(http::Exchange& exchange) {
+http::Task<void> CallerServer::Handle(http::Exchange& exchange) {
   const http::Request& request = exchange.GetRequest();
   const std::string_view path = request.Path();
   if (path == "/v1/chat/completions") {
--- a/hornbeamspool/caller_server.h
+++ b/hornbeamspool/caller_server.h
@@ -17,6 +17,7 @@
 #include "hornbeamspool/serve_context.h"
 #include "http/client.h"
 #include "http/server.h"
+#include "http/task.h"
 #include "policy/messages.h"
 #include "settings/node_settings.h"
 
@@ -49,8 +50,8 @@
   static std::size_t RingCapacity(const settings::CallerSettings& settings);
 
  private:
-  boost::asio::awaitable<void> Handle(http::Exchange& exchange);
-  boost::asio::awaitable<void> CountConnections();
+  http::Task<void> Handle(http::Exchange& exchange);
+  http::Task<void> CountConnections();
 
   settings::CallerSettings settings;
   const std::atomic<bool>* ready;
--- a/hornbeamspool/config_store.cc
+++ b/hornbeamspool/config_store.cc
@@ -1,10 +1,10 @@
 #include "hornbeamspool/config_store.h"
 
-#include <boost/asio/use_awaitable.hpp>
 #include <utility>
 #include <vector>
 
 #include "hornbeamspool/ledger_rows.h"
+#include "http/task.h"
 #include "transport/seal.h"
 
 namespace hornbeamspool {
@@ -15,7 +15,7 @@
 
 }  // namespace
 
-net::awaitable<std::optional<StoredConfig>> ReadStoredConfig(
+http::Task<std::optional<StoredConfig>> ReadStoredConfig(
     platform::TableClient& table, platform::ObjectStore& objects) {
   const auto row = co_await table.Get(rows::EpochKey());
   if (row.outcome != TableOutcome::kOk) co_return std::nullopt;
@@ -28,9 +28,9 @@
   co_return stored;
 }
 
-net::awaitable<PutOutcome> PutConfig(platform::TableClient& table,
-                                     platform::ObjectStore& objects,
-                                     std::string text, std::uint64_t base) {
+http::Task<PutOutcome> PutConfig(platform::TableClient& table,
+                                 platform::ObjectStore& objects,
+                                 std::string text, std::uint64_t base) {
   const std::string object = "config/" + transport::Sha256Hex(text);
   if (!co_await objects.Put(object, std::move(text))) {
     co_return PutOutcome::kUnavailable;
--- a/hornbeamspool/config_store.h
+++ b/hornbeamspool/config_store.h
@@ -2,11 +2,11 @@
 // its epoch in the table.
 #pragma once
 
-#include <boost/asio/awaitable.hpp>
 #include <cstdint>
 #include <optional>
 #include <string>
 
+#include "http/task.h"
 #include "platform/object_store.h"
 #include "platform/table_client.h"
 
@@ -18,7 +18,7 @@
 };
 
 // Empty when the platform did not answer.
-boost::asio::awaitable<std::optional<StoredConfig>> ReadStoredConfig(
+http::Task<std::optional<StoredConfig>> ReadStoredConfig(
     platform::TableClient& table, platform::ObjectStore& objects);
 
 enum class PutOutcome : std::uint8_t {
@@ -29,9 +29,8 @@
 };
 
 // Accepts `text` as the epoch after `base`.
-boost::asio::awaitable<PutOutcome> PutConfig(platform::TableClient& table,
-                                             platform::ObjectStore& objects,
-                                             std::string text,
-                                             std::uint64_t base);
+http::Task<PutOutcome> PutConfig(platform::TableClient& table,
+                                 platform::ObjectStore& objects,
+                                 std::string text, std::uint64_t base);
 
 }  // namespace hornbeamspool
--- a/hornbeamspool/decision_gate.cc
+++ b/hornbeamspool/decision_gate.cc
@@ -1,11 +1,10 @@
 #include "hornbeamspool/decision_gate.h"
 
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <utility>
 
 #include "hornbeamspool/clock.h"
+#include "http/task.h"
 
 namespace hornbeamspool {
 
@@ -13,8 +12,8 @@
 
 struct DecisionGate::Waiter {
   explicit Waiter(net::io_context& io)
-      : ready(io, net::steady_timer::time_point::max()) {}
-  net::steady_timer ready;
+      : ready(io, http::Timer::time_point::max()) {}
+  http::Timer ready;
   std::optional<policy::AdmissionReply> reply;
 };
 
@@ -23,7 +22,7 @@
                            std::size_t kept_room)
     : io(&io), to_decisions(&to_decisions), kept_room(kept_room) {}
 
-net::awaitable<policy::AdmissionReply> DecisionGate::Ask(
+http::Task<policy::AdmissionReply> DecisionGate::Ask(
     policy::AdmissionRequest request) {
   const std::uint64_t ticket = this->next_ticket++;
   request.ticket = ticket;
@@ -35,7 +34,7 @@
   co_return co_await this->WaitFor(ticket);
 }
 
-net::awaitable<policy::AdmissionReply> DecisionGate::Retry(
+http::Task<policy::AdmissionReply> DecisionGate::Retry(
     std::uint64_t reservation, bool reached) {
   const std::uint64_t ticket = this->next_ticket++;
   this->to_decisions->Push(policy::RetryRequest{ticket, reservation, reached});
@@ -47,14 +46,13 @@
   this->to_decisions->Push(std::move(completion));
 }
 
-net::awaitable<policy::AdmissionReply> DecisionGate::WaitFor(
-    std::uint64_t ticket) {
+http::Task<policy::AdmissionReply> DecisionGate::WaitFor(std::uint64_t ticket) {
   auto waiter = std::make_shared<Waiter>(*this->io);
   this->waiters.emplace(ticket, waiter);
   while (!waiter->reply) {
     boost::system::error_code ignored;
     co_await waiter->ready.async_wait(
-        net::redirect_error(net::use_awaitable, ignored));
+        net::redirect_error(http::kAwait, ignored));
   }
   co_return std::move(*waiter->reply);
 }
--- a/hornbeamspool/decision_gate.h
+++ b/hornbeamspool/decision_gate.h
@@ -2,7 +2,6 @@
 // thread.
 #pragma once
 
-#include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
 #include <memory>
@@ -10,6 +9,7 @@
 #include <unordered_map>
 
 #include "hornbeamspool/ring.h"
+#include "http/task.h"
 #include "policy/messages.h"
 
 namespace hornbeamspool {
@@ -23,11 +23,10 @@
                std::size_t kept_room);
 
   // Asks for admission. A full ring is answered with `overloaded`.
-  boost::asio::awaitable<policy::AdmissionReply> Ask(
-      policy::AdmissionRequest request);
+  http::Task<policy::AdmissionReply> Ask(policy::AdmissionRequest request);
   // Asks for another upstream.
-  boost::asio::awaitable<policy::AdmissionReply> Retry(
-      std::uint64_t reservation, bool reached);
+  http::Task<policy::AdmissionReply> Retry(std::uint64_t reservation,
+                                           bool reached);
   void Complete(policy::Completion completion);
 
   // Hands a reply to the coroutine that waits for it.
@@ -35,7 +34,7 @@
 
  private:
   struct Waiter;
-  boost::asio::awaitable<policy::AdmissionReply> WaitFor(std::uint64_t ticket);
+  http::Task<policy::AdmissionReply> WaitFor(std::uint64_t ticket);
 
   boost::asio::io_context* io;
   Ring<policy::ListenerMessage>* to_decisions;
--- a/hornbeamspool/model_relay.cc
+++ b/hornbeamspool/model_relay.cc
@@ -1,7 +1,6 @@
 #include "hornbeamspool/model_relay.h"
 
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <memory>
 #include <optional>
 #include <utility>
@@ -13,6 +12,7 @@
 #include "hornbeamspool/clock.h"
 #include "hornbeamspool/error_response.h"
 #include "http/event_stream.h"
+#include "http/task.h"
 
 namespace hornbeamspool {
 namespace {
@@ -79,7 +79,7 @@
               OpenReservation& reservation)
       : attempt(&attempt), stream(&stream), reservation(&reservation) {}
 
-  net::awaitable<TryResult> Run();
+  http::Task<TryResult> Run();
 
  private:
   // What one piece of the stream came to.
@@ -87,8 +87,8 @@
 
   Step TakePiece(std::string_view piece);
   Step TakeEvent(const http::StreamEvent& event);
-  net::awaitable<bool> Show();
-  net::awaitable<TryResult> Fail(ErrorKind kind);
+  http::Task<bool> Show();
+  http::Task<TryResult> Fail(ErrorKind kind);
   void NoteToken(TimePoint now);
 
   const Attempt* attempt;
@@ -103,7 +103,7 @@
   bool done = false;
 };
 
-net::awaitable<TryResult> StreamRelay::Run() {
+http::Task<TryResult> StreamRelay::Run() {
   std::vector<char> piece(kPieceBytes);
   while (true) {
     const http::ReadResult read = co_await this->stream->Read(piece);
@@ -178,7 +178,7 @@
   this->last_token = now;
 }
 
-net::awaitable<bool> StreamRelay::Show() {
+http::Task<bool> StreamRelay::Show() {
   if (this->due.empty()) co_return true;
   http::Exchange& exchange = *this->attempt->exchange;
   if (!this->begun) {
@@ -195,7 +195,7 @@
 
 // Nothing shown yet: another upstream may be tried. Otherwise the caller is
 // told that the answer is not whole.
-net::awaitable<TryResult> StreamRelay::Fail(ErrorKind kind) {
+http::Task<TryResult> StreamRelay::Fail(ErrorKind kind) {
   if (!this->begun) co_return TryResult{TryEnd::kFailed, true};
   http::Exchange& exchange = *this->attempt->exchange;
   const std::string body = ErrorBody(policy::Refused{kind, {}, {}});
@@ -206,8 +206,7 @@
 }
 
 // Reads a whole answer; empty when it broke off.
-net::awaitable<std::optional<std::string>> ReadAll(
-    http::ResponseStream& stream) {
+http::Task<std::optional<std::string>> ReadAll(http::ResponseStream& stream) {
   std::string body;
   std::vector<char> piece(kPieceBytes);
   while (true) {
@@ -219,9 +218,9 @@
 }
 
 // An answer that is not a stream: shown only when all of it is there.
-net::awaitable<TryResult> RelayWhole(const Attempt& attempt,
-                                     http::ResponseStream& stream,
-                                     OpenReservation& reservation) {
+http::Task<TryResult> RelayWhole(const Attempt& attempt,
+                                 http::ResponseStream& stream,
+                                 OpenReservation& reservation) {
   std::optional<std::string> body = co_await ReadAll(stream);
   if (!body) co_return TryResult{TryEnd::kFailed, true};
   const bool success = stream.Head().status < 300;
@@ -246,8 +245,8 @@
   co_return TryResult{TryEnd::kAnswered, true};
 }
 
-net::awaitable<TryResult> TryUpstream(const Attempt& attempt,
-                                      OpenReservation& reservation) {
+http::Task<TryResult> TryUpstream(const Attempt& attempt,
+                                  OpenReservation& reservation) {
   http::FetchOptions options;
   options.first_byte_timeout = attempt.admitted->first_byte_timeout;
   options.read_timeout = attempt.admitted->deadline;
@@ -269,8 +268,7 @@
 
 }  // namespace
 
-net::awaitable<void> RelayModel(ServeContext& context,
-                                http::Exchange& exchange) {
+http::Task<void> RelayModel(ServeContext& context, http::Exchange& exchange) {
   const TimePoint arrived = Now();
   // Step 1: read the request.
   auto parsed = ParseChatRequest(exchange.GetRequest().body);
--- a/hornbeamspool/operator_server.cc
+++ b/hornbeamspool/operator_server.cc
@@ -1,7 +1,6 @@
 #include "hornbeamspool/operator_server.h"
 
 #include <algorithm>
-#include <boost/asio/use_awaitable.hpp>
 #include <boost/json/array.hpp>
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
@@ -12,6 +11,7 @@
 #include "hornbeamspool/budget_admin.h"
 #include "hornbeamspool/config_store.h"
 #include "hornbeamspool/error_response.h"
+#include "http/task.h"
 #include "settings/check.h"
 #include "settings/fault.h"
 #include "transport/seal.h"
@@ -153,12 +153,12 @@
   return verbs;
 }
 
-net::awaitable<void> OperatorServer::Handle(http::Exchange& exchange) {
+http::Task<void> OperatorServer::Handle(http::Exchange& exchange) {
   http::Response response = co_await this->Answer(exchange.GetRequest());
   co_await exchange.Send(std::move(response));
 }
 
-net::awaitable<http::Response> OperatorServer::Answer(
+http::Task<http::Response> OperatorServer::Answer(
     const http::Request& request) {
   const std::string_view path = request.Path();
   bool path_known = false;
@@ -179,25 +179,24 @@
                                      : ErrorKind::kNotFound);
 }
 
-net::awaitable<http::Response> OperatorServer::Health(const http::Request&) {
+http::Task<http::Response> OperatorServer::Health(const http::Request&) {
   co_return http::JsonResponse(200, R"({"healthy":true})");
 }
 
-net::awaitable<http::Response> OperatorServer::Ready(const http::Request&) {
+http::Task<http::Response> OperatorServer::Ready(const http::Request&) {
   const auto status = this->sources.status->Read();
   if (!status->ready) co_return ErrorResponse(ErrorKind::kNotReady);
   co_return http::JsonResponse(200, R"({"ready":true})");
 }
 
-net::awaitable<http::Response> OperatorServer::MetricsText(
-    const http::Request&) {
+http::Task<http::Response> OperatorServer::MetricsText(const http::Request&) {
   http::Response response;
   response.headers = {{"Content-Type", "text/plain; version=0.0.4"}};
   response.body = this->sources.metrics->Text();
   co_return response;
 }
 
-net::awaitable<http::Response> OperatorServer::Nodes(const http::Request&) {
+http::Task<http::Response> OperatorServer::Nodes(const http::Request&) {
   const auto status = this->sources.status->Read();
   const auto members = this->sources.members->Read();
   std::uint64_t newest = status->config_epoch;
@@ -226,7 +225,7 @@
                         {"upstreams", std::move(upstreams)}});
 }
 
-net::awaitable<http::Response> OperatorServer::Timeline(
+http::Task<http::Response> OperatorServer::Timeline(
     const http::Request& request) {
   TimelineFilter filter;
   filter.request = request.QueryValue("request");
@@ -240,13 +239,13 @@
   co_return JsonAnswer({{"events", std::move(events)}});
 }
 
-net::awaitable<http::Response> OperatorServer::GetConfig(const http::Request&) {
+http::Task<http::Response> OperatorServer::GetConfig(const http::Request&) {
   const auto stored = co_await ReadStoredConfig(this->table, this->objects);
   if (!stored) co_return ErrorResponse(ErrorKind::kStoreUnavailable);
   co_return JsonAnswer({{"epoch", stored->epoch}, {"text", stored->text}});
 }
 
-net::awaitable<http::Response> OperatorServer::StoreConfig(
+http::Task<http::Response> OperatorServer::StoreConfig(
     const http::Request& request) {
   const settings::FaultList faults = settings::FaultsOfFleet(request.body);
   if (!faults.empty()) co_return FaultsAnswer(faults);
@@ -271,7 +270,7 @@
   co_return JsonAnswer({{"accepted", true}, {"epoch", base + 1}});
 }
 
-net::awaitable<http::Response> OperatorServer::GetBudget(
+http::Task<http::Response> OperatorServer::GetBudget(
     const http::Request& request) {
   const std::string name = request.QueryValue("name");
   const BudgetReport report = co_await ShowBudget(this->table, name);
@@ -291,17 +290,16 @@
                         {"holders", std::move(holders)}});
 }
 
-net::awaitable<http::Response> OperatorServer::CreateBudget(
+http::Task<http::Response> OperatorServer::CreateBudget(
     const http::Request& request) {
   co_return co_await this->ChangeBudget(request, true);
 }
 
-net::awaitable<http::Response> OperatorServer::TopUp(
-    const http::Request& request) {
+http::Task<http::Response> OperatorServer::TopUp(const http::Request& request) {
   co_return co_await this->ChangeBudget(request, false);
 }
 
-net::awaitable<http::Response> OperatorServer::ChangeBudget(
+http::Task<http::Response> OperatorServer::ChangeBudget(
     const http::Request& request, bool create) {
   const auto change = ReadChange(request.body);
   if (!change) {
@@ -325,8 +323,7 @@
                         {"repeated", outcome == AdminOutcome::kAlreadyDone}});
 }
 
-net::awaitable<http::Response> OperatorServer::Bills(
-    const http::Request& request) {
+http::Task<http::Response> OperatorServer::Bills(const http::Request& request) {
   const BillReport report =
       co_await ShowBills(this->table, request.QueryValue("organisation"),
                          request.QueryValue("key"));
@@ -345,7 +342,7 @@
   co_return JsonAnswer({{"bills", std::move(bills)}});
 }
 
-net::awaitable<http::Response> OperatorServer::Moves(const http::Request&) {
+http::Task<http::Response> OperatorServer::Moves(const http::Request&) {
   co_return ErrorResponse(ErrorKind::kNotAvailable,
                           "version moves are not available yet");
 }
--- a/hornbeamspool/operator_server.h
+++ b/hornbeamspool/operator_server.h
@@ -1,7 +1,6 @@
 // The operators' listener and its thread.
 #pragma once
 
-#include <boost/asio/awaitable.hpp>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/json/object.hpp>
@@ -18,6 +17,7 @@
 #include "http/client.h"
 #include "http/exchange.h"
 #include "http/server.h"
+#include "http/task.h"
 #include "platform/object_store.h"
 #include "platform/table_client.h"
 #include "settings/node_settings.h"
@@ -45,8 +45,8 @@
   void Stop();
 
  private:
-  using Method = boost::asio::awaitable<http::Response> (OperatorServer::*)(
-      const http::Request&);
+  using Method =
+      http::Task<http::Response> (OperatorServer::*)(const http::Request&);
   // One line of the table of verbs.
   struct Verb {
     std::string_view method;
@@ -56,28 +56,23 @@
   };
   static const std::vector<Verb>& Verbs();
 
-  boost::asio::awaitable<void> Handle(http::Exchange& exchange);
-  boost::asio::awaitable<http::Response> Answer(const http::Request& request);
+  http::Task<void> Handle(http::Exchange& exchange);
+  http::Task<http::Response> Answer(const http::Request& request);
 
-  boost::asio::awaitable<http::Response> Health(const http::Request& request);
-  boost::asio::awaitable<http::Response> Ready(const http::Request& request);
-  boost::asio::awaitable<http::Response> MetricsText(
-      const http::Request& request);
-  boost::asio::awaitable<http::Response> Nodes(const http::Request& request);
-  boost::asio::awaitable<http::Response> Timeline(const http::Request& request);
-  boost::asio::awaitable<http::Response> GetConfig(
-      const http::Request& request);
-  boost::asio::awaitable<http::Response> StoreConfig(
-      const http::Request& request);
-  boost::asio::awaitable<http::Response> GetBudget(
-      const http::Request& request);
-  boost::asio::awaitable<http::Response> CreateBudget(
-      const http::Request& request);
-  boost::asio::awaitable<http::Response> TopUp(const http::Request& request);
-  boost::asio::awaitable<http::Response> Bills(const http::Request& request);
-  boost::asio::awaitable<http::Response> Moves(const http::Request& request);
-  boost::asio::awaitable<http::Response> ChangeBudget(
-      const http::Request& request, bool create);
+  http::Task<http::Response> Health(const http::Request& request);
+  http::Task<http::Response> Ready(const http::Request& request);
+  http::Task<http::Response> MetricsText(const http::Request& request);
+  http::Task<http::Response> Nodes(const http::Request& request);
+  http::Task<http::Response> Timeline(const http::Request& request);
+  http::Task<http::Response> GetConfig(const http::Request& request);
+  http::Task<http::Response> StoreConfig(const http::Request& request);
+  http::Task<http::Response> GetBudget(const http::Request& request);
+  http::Task<http::Response> CreateBudget(const http::Request& request);
+  http::Task<http::Response> TopUp(const http::Request& request);
+  http::Task<http::Response> Bills(const http::Request& request);
+  http::Task<http::Response> Moves(const http::Request& request);
+  http::Task<http::Response> ChangeBudget(const http::Request& request,
+                                          bool create);
 
   settings::NodeSettings settings;
   OperatorSources sources;
--- a/hornbeamspool/peer_thread.cc
+++ b/hornbeamspool/peer_thread.cc
@@ -4,12 +4,11 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <utility>
 
 #include "hornbeamspool/clock.h"
 #include "http/address.h"
+#include "http/task.h"
 #include "transport/seal.h"
 
 namespace hornbeamspool {
@@ -69,14 +68,13 @@
   if (this->thread.joinable()) this->thread.join();
 }
 
-net::awaitable<void> PeerThread::Receive() {
+http::Task<void> PeerThread::Receive() {
   std::array<char, 2 * transport::kMaxDatagramBytes> buffer{};
   while (true) {
     net::ip::udp::endpoint sender;
     boost::system::error_code error;
     const std::size_t count = co_await this->socket.async_receive_from(
-        net::buffer(buffer), sender,
-        net::redirect_error(net::use_awaitable, error));
+        net::buffer(buffer), sender, net::redirect_error(http::kAwait, error));
     if (error == net::error::operation_aborted) co_return;
     if (!error) this->Take({buffer.data(), count});
   }
@@ -102,8 +100,8 @@
   this->platform->NoteEpoch(heartbeat->sender.config_epoch);
 }
 
-net::awaitable<void> PeerThread::Beat() {
-  net::steady_timer timer(this->io);
+http::Task<void> PeerThread::Beat() {
+  http::Timer timer(this->io);
   while (true) {
     const transport::Heartbeat heartbeat = this->NextHeartbeat();
     const std::string sealed = transport::Seal(
@@ -113,7 +111,7 @@
     }
     this->PublishView();
     timer.expires_after(this->settings.peers.heartbeat);
-    co_await timer.async_wait(net::use_awaitable);
+    co_await timer.async_wait(http::kAwait);
   }
 }
 
--- a/hornbeamspool/peer_thread.h
+++ b/hornbeamspool/peer_thread.h
@@ -3,7 +3,6 @@
 
 #include <array>
 #include <atomic>
-#include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
 #include <cstdint>
@@ -19,6 +18,7 @@
 #include "hornbeamspool/recorder.h"
 #include "hornbeamspool/ring.h"
 #include "hornbeamspool/snapshot.h"
+#include "http/task.h"
 #include "settings/node_settings.h"
 #include "transport/heartbeat.h"
 
@@ -45,8 +45,8 @@
   }
 
  private:
-  boost::asio::awaitable<void> Receive();
-  boost::asio::awaitable<void> Beat();
+  http::Task<void> Receive();
+  http::Task<void> Beat();
   void Take(std::string_view datagram);
   void SendTo(const std::string& address, std::string_view sealed);
   std::vector<std::string> Targets();
@@ -61,7 +61,7 @@
   PlatformThread* platform;
   const std::atomic<std::uint64_t>* config_epoch;
   boost::asio::io_context io{1};
-  boost::asio::ip::udp::socket socket;
+  http::UdpSocket socket;
   coordination::MemberView view;
   std::minstd_rand random;
   std::uint64_t beat = 0;
--- a/hornbeamspool/plain_relay.cc
+++ b/hornbeamspool/plain_relay.cc
@@ -8,6 +8,7 @@
 
 #include "hornbeamspool/clock.h"
 #include "hornbeamspool/error_response.h"
+#include "http/task.h"
 
 namespace hornbeamspool {
 namespace {
@@ -83,9 +84,9 @@
   return repeatable && status >= 502 && status <= 504;
 }
 
-net::awaitable<http::FetchResult> TryUpstream(
-    ServeContext& context, const http::Request& request,
-    const policy::Admitted& admitted) {
+http::Task<http::FetchResult> TryUpstream(ServeContext& context,
+                                          const http::Request& request,
+                                          const policy::Admitted& admitted) {
   http::FetchOptions options;
   options.first_byte_timeout = admitted.deadline;
   options.read_timeout = admitted.deadline;
@@ -96,8 +97,7 @@
 
 }  // namespace
 
-net::awaitable<void> RelayPlain(ServeContext& context,
-                                http::Exchange& exchange) {
+http::Task<void> RelayPlain(ServeContext& context, http::Exchange& exchange) {
   const coordination::TimePoint arrived = Now();
   // Step 1: ask for admission. For an order the intent is committed when the
   // answer comes.
--- a/hornbeamspool/plain_relay.h
+++ b/hornbeamspool/plain_relay.h
@@ -2,15 +2,13 @@
 // most once, after its intent is committed.
 #pragma once
 
-#include <boost/asio/awaitable.hpp>
-
 #include "hornbeamspool/serve_context.h"
 #include "http/exchange.h"
+#include "http/task.h"
 
 namespace hornbeamspool {
 
 // Answers every path that is not the system's own.
-boost::asio::awaitable<void> RelayPlain(ServeContext& context,
-                                        http::Exchange& exchange);
+http::Task<void> RelayPlain(ServeContext& context, http::Exchange& exchange);
 
 }  // namespace hornbeamspool
--- a/hornbeamspool/platform_thread.cc
+++ b/hornbeamspool/platform_thread.cc
@@ -3,12 +3,12 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <boost/leaf/handle_errors.hpp>
 #include <optional>
 #include <utility>
 
 #include "hornbeamspool/ledger_rows.h"
+#include "http/task.h"
 #include "platform/upstream_load.h"
 #include "settings/fault.h"
 #include "settings/fleet_settings.h"
@@ -73,33 +73,32 @@
   this->epoch_wakeup.Notify();
 }
 
-net::awaitable<void> PlatformThread::CarryCommand(
-    policy::TableCommand command) {
+http::Task<void> PlatformThread::CarryCommand(policy::TableCommand command) {
   PlatformMessage message = co_await this->worker.Carry(std::move(command));
   co_await this->Deliver(std::move(message));
 }
 
 // A full ring delays what the platform said; nothing is dropped.
-net::awaitable<void> PlatformThread::Deliver(PlatformMessage message) {
-  net::steady_timer timer(this->io);
+http::Task<void> PlatformThread::Deliver(PlatformMessage message) {
+  http::Timer timer(this->io);
   while (this->to_decisions->Room() == 0) {
     timer.expires_after(kRingRetry);
-    co_await timer.async_wait(net::use_awaitable);
+    co_await timer.async_wait(http::kAwait);
   }
   this->to_decisions->Push(std::move(message));
 }
 
-net::awaitable<void> PlatformThread::PollConfig() {
+http::Task<void> PlatformThread::PollConfig() {
   while (true) {
     co_await this->ReadConfig();
     this->config_timer.expires_after(this->settings.poll);
     boost::system::error_code ignored;
     co_await this->config_timer.async_wait(
-        net::redirect_error(net::use_awaitable, ignored));
+        net::redirect_error(http::kAwait, ignored));
   }
 }
 
-net::awaitable<void> PlatformThread::ReadConfig() {
+http::Task<void> PlatformThread::ReadConfig() {
   const auto row = co_await this->table.Get(rows::EpochKey());
   if (!row.item) co_return;
   const auto epoch = static_cast<std::uint64_t>(row.item->Number("epoch"));
@@ -129,8 +128,8 @@
   co_await this->Deliver(std::move(message));
 }
 
-net::awaitable<void> PlatformThread::PollVms() {
-  net::steady_timer timer(this->io);
+http::Task<void> PlatformThread::PollVms() {
+  http::Timer timer(this->io);
   while (true) {
     auto list = co_await platform::FetchVmList(this->client, this->settings.vms,
                                                this->settings.timeout);
@@ -151,22 +150,22 @@
       co_await this->Deliver(std::move(message));
     }
     timer.expires_after(this->settings.poll);
-    co_await timer.async_wait(net::use_awaitable);
+    co_await timer.async_wait(http::kAwait);
   }
 }
 
-net::awaitable<void> PlatformThread::PollLoads() {
-  net::steady_timer timer(this->io);
+http::Task<void> PlatformThread::PollLoads() {
+  http::Timer timer(this->io);
   while (true) {
     for (const platform::ListedVm& vm : this->upstreams) {
       net::co_spawn(this->io, this->ReadLoad(vm), net::detached);
     }
     timer.expires_after(this->settings.poll);
-    co_await timer.async_wait(net::use_awaitable);
+    co_await timer.async_wait(http::kAwait);
   }
 }
 
-net::awaitable<void> PlatformThread::ReadLoad(platform::ListedVm vm) {
+http::Task<void> PlatformThread::ReadLoad(platform::ListedVm vm) {
   const auto load = co_await platform::FetchUpstreamLoad(
       this->client, vm.address, this->settings.timeout);
   if (!load) co_return;
--- a/hornbeamspool/platform_thread.h
+++ b/hornbeamspool/platform_thread.h
@@ -3,10 +3,8 @@
 #pragma once
 
 #include <atomic>
-#include <boost/asio/awaitable.hpp>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <cstdint>
 #include <string>
 #include <thread>
@@ -20,6 +18,7 @@
 #include "hornbeamspool/snapshot.h"
 #include "hornbeamspool/table_worker.h"
 #include "http/client.h"
+#include "http/task.h"
 #include "platform/object_store.h"
 #include "platform/table_client.h"
 #include "platform/vm_list.h"
@@ -49,19 +48,19 @@
   }
 
  private:
-  boost::asio::awaitable<void> CarryCommand(policy::TableCommand command);
-  boost::asio::awaitable<void> PollConfig();
-  boost::asio::awaitable<void> PollVms();
-  boost::asio::awaitable<void> PollLoads();
-  boost::asio::awaitable<void> ReadLoad(platform::ListedVm vm);
-  boost::asio::awaitable<void> ReadConfig();
-  boost::asio::awaitable<void> Deliver(PlatformMessage message);
+  http::Task<void> CarryCommand(policy::TableCommand command);
+  http::Task<void> PollConfig();
+  http::Task<void> PollVms();
+  http::Task<void> PollLoads();
+  http::Task<void> ReadLoad(platform::ListedVm vm);
+  http::Task<void> ReadConfig();
+  http::Task<void> Deliver(PlatformMessage message);
 
   settings::PlatformSettings settings;
   EventSink* sink;
   boost::asio::io_context io{1};
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work;
-  boost::asio::steady_timer config_timer;
+  http::Timer config_timer;
   IoWakeup command_wakeup;
   IoWakeup epoch_wakeup;
   Ring<policy::TableCommand> commands;
--- a/hornbeamspool/table_worker.cc
+++ b/hornbeamspool/table_worker.cc
@@ -1,12 +1,12 @@
 #include "hornbeamspool/table_worker.h"
 
 #include <array>
-#include <boost/asio/use_awaitable.hpp>
 #include <utility>
 #include <variant>
 
 #include "hornbeamspool/clock.h"
 #include "hornbeamspool/ledger_rows.h"
+#include "http/task.h"
 
 namespace hornbeamspool {
 namespace {
@@ -45,7 +45,7 @@
                          Metrics& metrics)
     : table(&table), holder(std::move(holder)), metrics(&metrics) {}
 
-net::awaitable<policy::TableReply> TableWorker::Carry(
+http::Task<policy::TableReply> TableWorker::Carry(
     policy::TableCommand command) {
   const coordination::TimePoint started = Now();
   policy::TableReply reply;
@@ -67,7 +67,7 @@
   return this->holder + '#' + std::to_string(number);
 }
 
-net::awaitable<platform::TransactOutcome> TableWorker::Transact(
+http::Task<platform::TransactOutcome> TableWorker::Transact(
     std::vector<WriteAction> actions, std::string token) {
   platform::TransactOutcome outcome;
   for (int i = 0; i <= kLostAnswerTries; ++i) {
@@ -78,7 +78,7 @@
   co_return outcome;
 }
 
-net::awaitable<policy::TableReply> TableWorker::Read(policy::ReadBudget read) {
+http::Task<policy::TableReply> TableWorker::Read(policy::ReadBudget read) {
   policy::BudgetRead reply;
   reply.budget = read.budget;
   // This node's grant is read before the budget row: a grant that was written
@@ -102,8 +102,7 @@
   co_return reply;
 }
 
-net::awaitable<policy::TableReply> TableWorker::Write(
-    policy::WriteGrant write) {
+http::Task<policy::TableReply> TableWorker::Write(policy::WriteGrant write) {
   policy::GrantWritten reply;
   reply.budget = write.budget;
   reply.operation = write.operation;
@@ -132,7 +131,7 @@
   co_return reply;
 }
 
-net::awaitable<policy::TableReply> TableWorker::Commit(
+http::Task<policy::TableReply> TableWorker::Commit(
     policy::CommitIntent commit) {
   policy::IntentCommitted reply;
   reply.reservation = commit.reservation;
@@ -189,8 +188,7 @@
   return Put(key, std::move(item), rows::Equal(rows::kOperation, operation));
 }
 
-net::awaitable<policy::TableReply> TableWorker::Settle(
-    policy::WriteBatch batch) {
+http::Task<policy::TableReply> TableWorker::Settle(policy::WriteBatch batch) {
   std::vector<WriteAction> actions;
   std::vector<const policy::Settlement*> owners;  // of bills; null otherwise
   for (const policy::Settlement& entry : batch.settlements) {
--- a/hornbeamspool/table_worker.h
+++ b/hornbeamspool/table_worker.h
@@ -3,11 +3,11 @@
 // writing something new.
 #pragma once
 
-#include <boost/asio/awaitable.hpp>
 #include <string>
 #include <vector>
 
 #include "hornbeamspool/metrics.h"
+#include "http/task.h"
 #include "platform/table_client.h"
 #include "policy/table_messages.h"
 
@@ -19,16 +19,14 @@
   TableWorker(platform::TableClient& table, std::string holder,
               Metrics& metrics);
 
-  boost::asio::awaitable<policy::TableReply> Carry(
-      policy::TableCommand command);
+  http::Task<policy::TableReply> Carry(policy::TableCommand command);
 
  private:
-  boost::asio::awaitable<policy::TableReply> Read(policy::ReadBudget read);
-  boost::asio::awaitable<policy::TableReply> Write(policy::WriteGrant write);
-  boost::asio::awaitable<policy::TableReply> Commit(
-      policy::CommitIntent commit);
-  boost::asio::awaitable<policy::TableReply> Settle(policy::WriteBatch batch);
-  boost::asio::awaitable<platform::TransactOutcome> Transact(
+  http::Task<policy::TableReply> Read(policy::ReadBudget read);
+  http::Task<policy::TableReply> Write(policy::WriteGrant write);
+  http::Task<policy::TableReply> Commit(policy::CommitIntent commit);
+  http::Task<policy::TableReply> Settle(policy::WriteBatch batch);
+  http::Task<platform::TransactOutcome> Transact(
       std::vector<platform::WriteAction> actions, std::string token);
 
   std::string OperationOf(std::uint64_t number) const;
--- a/http/client.cc
+++ b/http/client.cc
@@ -2,9 +2,8 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/basic_stream.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 #include <map>
 #include <optional>
@@ -13,6 +12,7 @@
 #include <vector>
 
 #include "http/address.h"
+#include "http/task.h"
 #include "http/watchdog.h"
 
 namespace hornbeamspool::http {
@@ -50,7 +50,8 @@
 struct Client::Pool {
   explicit Pool(net::io_context& io) : io(&io), watchdog(io) {}
 
-  std::unique_ptr<beast::tcp_stream> Take(std::string_view address) {
+  std::unique_ptr<beast::basic_stream<tcp, Executor>> Take(
+      std::string_view address) {
     auto found = this->idle.find(address);
     if (found == this->idle.end() || found->second.empty()) return nullptr;
     auto stream = std::move(found->second.back());
@@ -59,7 +60,7 @@
   }
 
   void Give(std::string_view address,
-            std::unique_ptr<beast::tcp_stream> stream) {
+            std::unique_ptr<beast::basic_stream<tcp, Executor>> stream) {
     auto& streams = this->idle[std::string(address)];
     if (streams.size() >= kMaxIdle) return;
     streams.push_back(std::move(stream));
@@ -67,7 +68,8 @@
 
   net::io_context* io;
   Watchdog watchdog;
-  std::map<std::string, std::vector<std::unique_ptr<beast::tcp_stream>>,
+  std::map<std::string,
+           std::vector<std::unique_ptr<beast::basic_stream<tcp, Executor>>>,
            std::less<>>
       idle;
 };
@@ -75,7 +77,7 @@
 struct ResponseStream::State {
   std::shared_ptr<Client::Pool> pool;
   std::string address;
-  std::unique_ptr<beast::tcp_stream> stream;
+  std::unique_ptr<beast::basic_stream<tcp, Executor>> stream;
   beast::flat_buffer buffer;
   bhttp::response_parser<bhttp::buffer_body> parser;
   FetchOptions options;
@@ -127,7 +129,7 @@
 
 }  // namespace
 
-net::awaitable<ReadResult> ResponseStream::Read(std::span<char> into) {
+Task<ReadResult> ResponseStream::Read(std::span<char> into) {
   State& state = *this->state;
   while (true) {
     error_code error;
@@ -140,7 +142,7 @@
     const std::size_t received =
         co_await state.stream->socket().async_read_some(
             state.buffer.prepare(kReadBytes),
-            net::redirect_error(net::use_awaitable, error));
+            net::redirect_error(kAwait, error));
     state.guard->Disarm();
     state.buffer.commit(received);
     if (error == net::error::eof) {
@@ -158,16 +160,15 @@
 
 namespace {
 
-net::awaitable<std::unique_ptr<beast::tcp_stream>> Connect(
+Task<std::unique_ptr<beast::basic_stream<tcp, Executor>>> Connect(
     net::io_context& io, std::string_view address,
     const FetchOptions& options) {
   const auto endpoint = ParseTcp(address);
   if (!endpoint) co_return nullptr;
-  auto stream = std::make_unique<beast::tcp_stream>(io);
+  auto stream = std::make_unique<beast::basic_stream<tcp, Executor>>(io);
   stream->expires_after(options.connect_timeout);
   error_code error;
-  co_await stream->async_connect(
-      *endpoint, net::redirect_error(net::use_awaitable, error));
+  co_await stream->async_connect(*endpoint, net::redirect_error(kAwait, error));
   if (error) co_return nullptr;
   stream->expires_never();
   stream->socket().set_option(tcp::no_delay(true), error);
@@ -175,18 +176,17 @@
 }
 
 // Sends the request and reads the head of the answer.
-net::awaitable<FetchStatus> SendAndReadHead(
+Task<FetchStatus> SendAndReadHead(
     ResponseStream::State& state,
     const bhttp::request<bhttp::string_body>& message) {
   error_code error;
   auto& socket = state.stream->socket();
   state.guard->Arm(state.options.first_byte_timeout);
   co_await bhttp::async_write(socket, message,
-                              net::redirect_error(net::use_awaitable, error));
+                              net::redirect_error(kAwait, error));
   if (error) co_return state.Failure();
-  co_await bhttp::async_read_header(
-      socket, state.buffer, state.parser,
-      net::redirect_error(net::use_awaitable, error));
+  co_await bhttp::async_read_header(socket, state.buffer, state.parser,
+                                    net::redirect_error(kAwait, error));
   if (error) co_return state.Failure();
   state.guard->Disarm();
   state.parser.eager(true);
@@ -201,9 +201,8 @@
 
 }  // namespace
 
-net::awaitable<OpenResult> Client::Open(std::string_view address,
-                                        const Request& request,
-                                        const FetchOptions& options) {
+Task<OpenResult> Client::Open(std::string_view address, const Request& request,
+                              const FetchOptions& options) {
   const auto message = ToBeast(address, request);
   // A pooled connection may be dead already; then a fresh one is tried.
   bool pooled = !options.fresh_connection;
@@ -232,9 +231,9 @@
   }
 }
 
-net::awaitable<FetchResult> Client::Fetch(std::string_view address,
-                                          const Request& request,
-                                          const FetchOptions& options) {
+Task<FetchResult> Client::Fetch(std::string_view address,
+                                const Request& request,
+                                const FetchOptions& options) {
   OpenResult opened = co_await this->Open(address, request, options);
   FetchResult result;
   result.status = opened.status;
--- a/http/client.h
+++ b/http/client.h
@@ -2,7 +2,6 @@
 // thread. Every call ends by its deadline.
 #pragma once
 
-#include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <cstddef>
 #include <cstdint>
@@ -12,6 +11,7 @@
 
 #include "coordination/time.h"
 #include "http/message.h"
+#include "http/task.h"
 
 namespace hornbeamspool::http {
 
@@ -54,7 +54,7 @@
   ~ResponseStream();
 
   const Response& Head() const;
-  boost::asio::awaitable<ReadResult> Read(std::span<char> into);
+  Task<ReadResult> Read(std::span<char> into);
 
  private:
   std::unique_ptr<State> state;
@@ -73,14 +73,12 @@
   ~Client();
 
   // Sends a request to `ip:port` and reads the head of the answer.
-  boost::asio::awaitable<OpenResult> Open(std::string_view address,
-                                          const Request& request,
-                                          const FetchOptions& options);
+  Task<OpenResult> Open(std::string_view address, const Request& request,
+                        const FetchOptions& options);
 
   // Sends a request and reads the whole answer.
-  boost::asio::awaitable<FetchResult> Fetch(std::string_view address,
-                                            const Request& request,
-                                            const FetchOptions& options);
+  Task<FetchResult> Fetch(std::string_view address, const Request& request,
+                          const FetchOptions& options);
 
   struct Pool;
 
--- a/http/exchange.h
+++ b/http/exchange.h
@@ -1,10 +1,10 @@
 // One request and the answer to it, on a connection of a server.
 #pragma once
 
-#include <boost/asio/awaitable.hpp>
 #include <string_view>
 
 #include "http/message.h"
+#include "http/task.h"
 
 namespace hornbeamspool::http {
 
@@ -18,13 +18,13 @@
   virtual const Request& GetRequest() const = 0;
 
   // Sends a whole answer. Returns false when the caller is gone.
-  virtual boost::asio::awaitable<bool> Send(Response response) = 0;
+  virtual Task<bool> Send(Response response) = 0;
 
   // Sends the head of a chunked answer; `head.body` is not used.
-  virtual boost::asio::awaitable<bool> BeginStream(Response head) = 0;
+  virtual Task<bool> BeginStream(Response head) = 0;
   // Sends one chunk. Waits while the caller reads slowly.
-  virtual boost::asio::awaitable<bool> Write(std::string_view bytes) = 0;
-  virtual boost::asio::awaitable<bool> EndStream() = 0;
+  virtual Task<bool> Write(std::string_view bytes) = 0;
+  virtual Task<bool> EndStream() = 0;
 
   // Closes the connection without ending the answer, so that a caller sees
   // that it is not whole.
--- a/http/server.cc
+++ b/http/server.cc
@@ -4,7 +4,6 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
@@ -15,6 +14,7 @@
 #include <utility>
 
 #include "http/address.h"
+#include "http/task.h"
 #include "http/watchdog.h"
 
 namespace hornbeamspool::http {
@@ -62,8 +62,8 @@
   ServerLimits limits;
   Handler handler;
   RejectAnswer reject_answer;
-  std::optional<tcp::acceptor> acceptor;
-  std::set<tcp::socket*> idle;
+  std::optional<TcpAcceptor> acceptor;
+  std::set<TcpSocket*> idle;
   std::size_t connections = 0;
   std::size_t requests = 0;
   bool draining = false;
@@ -75,28 +75,28 @@
 // when they are pipelined.
 class Connection : public Exchange {
  public:
-  Connection(tcp::socket socket, std::shared_ptr<Server::State> state);
+  Connection(TcpSocket socket, std::shared_ptr<Server::State> state);
   ~Connection() override { --this->state->connections; }
 
-  net::awaitable<void> Run();
+  Task<void> Run();
 
   const Request& GetRequest() const override { return this->request; }
-  net::awaitable<bool> Send(Response response) override;
-  net::awaitable<bool> BeginStream(Response head) override;
-  net::awaitable<bool> Write(std::string_view bytes) override;
-  net::awaitable<bool> EndStream() override;
+  Task<bool> Send(Response response) override;
+  Task<bool> BeginStream(Response head) override;
+  Task<bool> Write(std::string_view bytes) override;
+  Task<bool> EndStream() override;
   void Abort() override;
 
  private:
-  net::awaitable<bool> WaitForBytes();
-  net::awaitable<std::optional<Reject>> ReadRequest();
+  Task<bool> WaitForBytes();
+  Task<std::optional<Reject>> ReadRequest();
   std::optional<Reject> RejectOf(const error_code& error);
-  net::awaitable<void> Handle();
+  Task<void> Handle();
   bool KeepAlive() const {
     return this->wants_keep_alive && !this->state->draining;
   }
 
-  tcp::socket socket;
+  TcpSocket socket;
   std::shared_ptr<Server::State> state;
   Watchdog::Guard guard;
   beast::flat_buffer buffer;
@@ -106,7 +106,7 @@
   bool answered = false;  // an answer to the present request has begun
 };
 
-Connection::Connection(tcp::socket socket, std::shared_ptr<Server::State> state)
+Connection::Connection(TcpSocket socket, std::shared_ptr<Server::State> state)
     : socket(std::move(socket)),
       state(std::move(state)),
       guard(this->state->watchdog, [this] {
@@ -116,7 +116,7 @@
   ++this->state->connections;
 }
 
-net::awaitable<void> Connection::Run() {
+Task<void> Connection::Run() {
   if (this->state->connections > this->state->limits.connections) {
     this->wants_keep_alive = false;
     co_await this->Send(
@@ -136,11 +136,11 @@
     --this->state->requests;
   }
   error_code ignored;
-  this->socket.shutdown(tcp::socket::shutdown_send, ignored);
+  this->socket.shutdown(net::socket_base::shutdown_send, ignored);
 }
 
 // Waits for the first bytes of the next request. False when none come.
-net::awaitable<bool> Connection::WaitForBytes() {
+Task<bool> Connection::WaitForBytes() {
   if (this->buffer.size() > 0) co_return true;
   this->buffer = beast::flat_buffer();
   this->state->idle.insert(&this->socket);
@@ -148,13 +148,13 @@
   error_code error;
   const std::size_t count = co_await this->socket.async_read_some(
       this->buffer.prepare(kFirstReadBytes),
-      net::redirect_error(net::use_awaitable, error));
+      net::redirect_error(kAwait, error));
   this->state->idle.erase(&this->socket);
   this->buffer.commit(count);
   co_return !error;
 }
 
-net::awaitable<std::optional<Reject>> Connection::ReadRequest() {
+Task<std::optional<Reject>> Connection::ReadRequest() {
   bhttp::request_parser<bhttp::string_body> parser;
   parser.header_limit(this->state->limits.header_bytes);
   parser.body_limit(this->state->limits.body_bytes);
@@ -163,20 +163,19 @@
   bool late = false;
   {
     this->guard.Arm(this->state->limits.header_timeout);
-    co_await bhttp::async_read_header(
-        this->socket, this->buffer, parser,
-        net::redirect_error(net::use_awaitable, error));
+    co_await bhttp::async_read_header(this->socket, this->buffer, parser,
+                                      net::redirect_error(kAwait, error));
     late = this->guard.Fired();
   }
   if (!error) {
     this->guard.Arm(this->state->limits.body_timeout);
     if (beast::iequals(parser.get()[bhttp::field::expect], "100-continue")) {
       bhttp::response<bhttp::empty_body> go_on(bhttp::status::continue_, 11);
-      co_await bhttp::async_write(
-          this->socket, go_on, net::redirect_error(net::use_awaitable, error));
+      co_await bhttp::async_write(this->socket, go_on,
+                                  net::redirect_error(kAwait, error));
     }
     co_await bhttp::async_read(this->socket, this->buffer, parser,
-                               net::redirect_error(net::use_awaitable, error));
+                               net::redirect_error(kAwait, error));
     late = this->guard.Fired();
   }
   if (!error) {
@@ -202,7 +201,7 @@
   return std::nullopt;
 }
 
-net::awaitable<void> Connection::Handle() {
+Task<void> Connection::Handle() {
   bool failed = false;
   try {
     co_await this->state->handler(*this);
@@ -217,7 +216,7 @@
   co_await this->Send(this->state->reject_answer(Reject::kHandlerFailed));
 }
 
-net::awaitable<bool> Connection::Send(Response response) {
+Task<bool> Connection::Send(Response response) {
   if (this->gone) co_return false;
   this->answered = true;
   bhttp::response<bhttp::string_body> message;
@@ -227,12 +226,12 @@
   error_code error;
   this->guard.Arm(this->state->limits.write_timeout);
   co_await bhttp::async_write(this->socket, message,
-                              net::redirect_error(net::use_awaitable, error));
+                              net::redirect_error(kAwait, error));
   this->gone = this->gone || static_cast<bool>(error);
   co_return !error;
 }
 
-net::awaitable<bool> Connection::BeginStream(Response head) {
+Task<bool> Connection::BeginStream(Response head) {
   if (this->gone) co_return false;
   this->answered = true;
   bhttp::response<bhttp::empty_body> message;
@@ -241,30 +240,30 @@
   bhttp::response_serializer<bhttp::empty_body> serializer(message);
   error_code error;
   this->guard.Arm(this->state->limits.write_timeout);
-  co_await bhttp::async_write_header(
-      this->socket, serializer, net::redirect_error(net::use_awaitable, error));
+  co_await bhttp::async_write_header(this->socket, serializer,
+                                     net::redirect_error(kAwait, error));
   this->gone = this->gone || static_cast<bool>(error);
   co_return !error;
 }
 
-net::awaitable<bool> Connection::Write(std::string_view bytes) {
+Task<bool> Connection::Write(std::string_view bytes) {
   if (this->gone) co_return false;
   if (bytes.empty()) co_return true;
   error_code error;
   this->guard.Arm(this->state->limits.write_timeout);
   co_await net::async_write(
       this->socket, bhttp::make_chunk(net::buffer(bytes.data(), bytes.size())),
-      net::redirect_error(net::use_awaitable, error));
+      net::redirect_error(kAwait, error));
   this->gone = this->gone || static_cast<bool>(error);
   co_return !error;
 }
 
-net::awaitable<bool> Connection::EndStream() {
+Task<bool> Connection::EndStream() {
   if (this->gone) co_return false;
   error_code error;
   this->guard.Arm(this->state->limits.write_timeout);
   co_await net::async_write(this->socket, bhttp::make_chunk_last(),
-                            net::redirect_error(net::use_awaitable, error));
+                            net::redirect_error(kAwait, error));
   this->gone = this->gone || static_cast<bool>(error);
   co_return !error;
 }
@@ -275,18 +274,18 @@
   this->socket.close(ignored);
 }
 
-net::awaitable<void> Accept(std::shared_ptr<Server::State> state) {
+Task<void> Accept(std::shared_ptr<Server::State> state) {
   while (!state->draining) {
     error_code error;
-    tcp::socket socket = co_await state->acceptor->async_accept(
-        net::redirect_error(net::use_awaitable, error));
+    TcpSocket socket = co_await state->acceptor->async_accept(
+        net::redirect_error(kAwait, error));
     if (error == net::error::operation_aborted) co_return;
     if (error) continue;
     socket.set_option(tcp::no_delay(true), error);
     auto connection = std::make_shared<Connection>(std::move(socket), state);
     net::co_spawn(
         *state->io,
-        [connection]() -> net::awaitable<void> { co_await connection->Run(); },
+        [connection]() -> Task<void> { co_await connection->Run(); },
         net::detached);
   }
 }
@@ -321,7 +320,7 @@
   this->state->draining = true;
   error_code ignored;
   if (this->state->acceptor) this->state->acceptor->close(ignored);
-  for (tcp::socket* socket : this->state->idle) socket->cancel(ignored);
+  for (TcpSocket* socket : this->state->idle) socket->cancel(ignored);
 }
 
 std::size_t Server::OpenConnections() const { return this->state->connections; }
--- a/http/server.h
+++ b/http/server.h
@@ -2,7 +2,6 @@
 // one thread.
 #pragma once
 
-#include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <cstddef>
 #include <cstdint>
@@ -13,6 +12,7 @@
 #include "coordination/time.h"
 #include "http/exchange.h"
 #include "http/message.h"
+#include "http/task.h"
 
 namespace hornbeamspool::http {
 
@@ -37,7 +37,7 @@
   kCount
 };
 
-using Handler = std::function<boost::asio::awaitable<void>(Exchange&)>;
+using Handler = std::function<Task<void>(Exchange&)>;
 using RejectAnswer = std::function<Response(Reject)>;
 
 class Server {
--- a/http/watchdog.cc
+++ b/http/watchdog.cc
@@ -2,11 +2,11 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <chrono>
 #include <utility>
 
+#include "http/task.h"
+
 namespace hornbeamspool::http {
 namespace {
 
@@ -32,11 +32,11 @@
 Watchdog::Watchdog(net::io_context& io) : state(std::make_shared<State>(io)) {}
 
 // Ends by itself when nothing is watched, so that an io_context can run dry.
-net::awaitable<void> Watchdog::Sweep(std::shared_ptr<State> state) {
-  net::steady_timer timer(*state->io);
+Task<void> Watchdog::Sweep(std::shared_ptr<State> state) {
+  Timer timer(*state->io);
   while (!state->guards.empty()) {
     timer.expires_after(kSweepInterval);
-    co_await timer.async_wait(net::use_awaitable);
+    co_await timer.async_wait(kAwait);
     const coordination::TimePoint now = Now();
     for (Guard* guard : state->guards) {
       if (guard->deadline > now) continue;
--- a/http/watchdog.h
+++ b/http/watchdog.h
@@ -3,13 +3,13 @@
 // for each piece of a stream.
 #pragma once
 
-#include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <functional>
 #include <list>
 #include <memory>
 
 #include "coordination/time.h"
+#include "http/task.h"
 
 namespace hornbeamspool::http {
 
@@ -47,7 +47,7 @@
   Watchdog& operator=(const Watchdog&) = delete;
 
  private:
-  static boost::asio::awaitable<void> Sweep(std::shared_ptr<State> state);
+  static Task<void> Sweep(std::shared_ptr<State> state);
 
   std::shared_ptr<State> state;
 };
--- a/standin/engine_standin.cc
+++ b/standin/engine_standin.cc
@@ -5,7 +5,6 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/parse.hpp>
@@ -14,6 +13,7 @@
 #include <utility>
 
 #include "coordination/rendezvous.h"
+#include "http/task.h"
 
 namespace hornbeamspool::standin {
 namespace {
@@ -105,7 +105,7 @@
   return port;
 }
 
-net::awaitable<void> EngineStandin::Handle(http::Exchange& exchange) {
+http::Task<void> EngineStandin::Handle(http::Exchange& exchange) {
   const http::Request& request = exchange.GetRequest();
   const std::string_view path = request.Path();
   if (path == "/faults") {
@@ -135,7 +135,7 @@
   }
 }
 
-net::awaitable<void> EngineStandin::Complete(http::Exchange& exchange) {
+http::Task<void> EngineStandin::Complete(http::Exchange& exchange) {
   const http::Request& request = exchange.GetRequest();
   json::error_code error;
   const json::value document = json::parse(request.body, error);
@@ -175,19 +175,19 @@
 }
 
 // Waits until more than `produced` tokens stand, or the end. False on failure.
-net::awaitable<bool> EngineStandin::WaitPast(Sequence& sequence,
-                                             std::int64_t produced) {
+http::Task<bool> EngineStandin::WaitPast(Sequence& sequence,
+                                         std::int64_t produced) {
   while (!sequence.done && !sequence.failed && sequence.produced <= produced) {
     boost::system::error_code ignored;
     co_await sequence.progress.async_wait(
-        net::redirect_error(net::use_awaitable, ignored));
+        net::redirect_error(http::kAwait, ignored));
   }
   co_return !sequence.failed;
 }
 
-net::awaitable<void> EngineStandin::Stream(http::Exchange& exchange,
-                                           SequencePtr sequence,
-                                           std::int64_t offset) {
+http::Task<void> EngineStandin::Stream(http::Exchange& exchange,
+                                       SequencePtr sequence,
+                                       std::int64_t offset) {
   http::Response head;
   head.headers = {{"Content-Type", "text/event-stream"}};
   if (!co_await exchange.BeginStream(std::move(head))) co_return;
@@ -215,8 +215,8 @@
   co_await exchange.EndStream();
 }
 
-net::awaitable<void> EngineStandin::Whole(http::Exchange& exchange,
-                                          SequencePtr sequence) {
+http::Task<void> EngineStandin::Whole(http::Exchange& exchange,
+                                      SequencePtr sequence) {
   while (!sequence->done) {
     if (!co_await this->WaitPast(*sequence, sequence->produced)) {
       exchange.Abort();
@@ -245,7 +245,7 @@
   return found == this->streams.end() ? nullptr : found->second;
 }
 
-net::awaitable<void> EngineStandin::Resume(http::Exchange& exchange) {
+http::Task<void> EngineStandin::Resume(http::Exchange& exchange) {
   const http::Request& request = exchange.GetRequest();
   SequencePtr sequence = this->FindStream(request.Path());
   if (sequence == nullptr || sequence->failed) {
@@ -268,14 +268,14 @@
   return http::JsonResponse(200, "{}");
 }
 
-net::awaitable<void> EngineStandin::Run() {
-  net::steady_timer timer(*this->io);
+http::Task<void> EngineStandin::Run() {
+  http::Timer timer(*this->io);
   timer.expires_after(this->options.step);
   while (true) {
-    co_await timer.async_wait(net::use_awaitable);
+    co_await timer.async_wait(http::kAwait);
     // Steps are counted from the last expiry, so that a late one is made up.
     timer.expires_at(std::max(timer.expiry() + this->options.step,
-                              net::steady_timer::clock_type::now()));
+                              http::Timer::clock_type::now()));
     if (!this->gate.Get().frozen) this->Step();
   }
 }
--- a/standin/engine_standin.h
+++ b/standin/engine_standin.h
@@ -4,9 +4,7 @@
 // events late and with gaps.
 #pragma once
 
-#include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <cstdint>
 #include <deque>
 #include <list>
@@ -19,6 +17,7 @@
 #include "coordination/time.h"
 #include "http/exchange.h"
 #include "http/server.h"
+#include "http/task.h"
 #include "standin/fault_gate.h"
 
 namespace hornbeamspool::standin {
@@ -46,7 +45,7 @@
   // One request that the engine holds.
   struct Sequence {
     explicit Sequence(boost::asio::io_context& io)
-        : progress(io, boost::asio::steady_timer::time_point::max()) {}
+        : progress(io, http::Timer::time_point::max()) {}
     std::string id;
     std::string model;
     std::string prompt;
@@ -57,7 +56,7 @@
     std::int64_t prefill_steps = 0;  // before the first token
     bool done = false;
     bool failed = false;
-    boost::asio::steady_timer progress;  // cancelled when something changed
+    http::Timer progress;  // cancelled when something changed
   };
   using SequencePtr = std::shared_ptr<Sequence>;
 
@@ -67,17 +66,14 @@
     std::int64_t waiting = 0;
   };
 
-  boost::asio::awaitable<void> Handle(http::Exchange& exchange);
-  boost::asio::awaitable<void> Complete(http::Exchange& exchange);
-  boost::asio::awaitable<void> Stream(http::Exchange& exchange,
-                                      SequencePtr sequence,
-                                      std::int64_t offset);
-  boost::asio::awaitable<void> Whole(http::Exchange& exchange,
-                                     SequencePtr sequence);
-  boost::asio::awaitable<bool> WaitPast(Sequence& sequence,
-                                        std::int64_t produced);
-  boost::asio::awaitable<void> Resume(http::Exchange& exchange);
-  boost::asio::awaitable<void> Run();
+  http::Task<void> Handle(http::Exchange& exchange);
+  http::Task<void> Complete(http::Exchange& exchange);
+  http::Task<void> Stream(http::Exchange& exchange, SequencePtr sequence,
+                          std::int64_t offset);
+  http::Task<void> Whole(http::Exchange& exchange, SequencePtr sequence);
+  http::Task<bool> WaitPast(Sequence& sequence, std::int64_t produced);
+  http::Task<void> Resume(http::Exchange& exchange);
+  http::Task<void> Run();
   void Step();
   void StartWaiting();
   void FallOver();
--- a/standin/fault_gate.cc
+++ b/standin/fault_gate.cc
@@ -1,11 +1,11 @@
 #include "standin/fault_gate.h"
 
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/parse.hpp>
 #include <utility>
 
+#include "http/task.h"
+
 namespace hornbeamspool::standin {
 namespace {
 
@@ -42,12 +42,12 @@
   return true;
 }
 
-boost::asio::awaitable<void> FaultGate::Sleep(coordination::Duration duration) {
-  boost::asio::steady_timer timer(*this->io, duration);
-  co_await timer.async_wait(boost::asio::use_awaitable);
+http::Task<void> FaultGate::Sleep(coordination::Duration duration) {
+  http::Timer timer(*this->io, duration);
+  co_await timer.async_wait(http::kAwait);
 }
 
-boost::asio::awaitable<bool> FaultGate::Enter(http::Exchange& exchange) {
+http::Task<bool> FaultGate::Enter(http::Exchange& exchange) {
   while (this->faults.frozen) {
     co_await this->Sleep(kFrozenPoll);
   }
@@ -59,8 +59,8 @@
   co_return false;
 }
 
-boost::asio::awaitable<void> FaultGate::Leave(http::Exchange& exchange,
-                                              http::Response response) {
+http::Task<void> FaultGate::Leave(http::Exchange& exchange,
+                                  http::Response response) {
   if (this->faults.lose_answers > 0) {
     --this->faults.lose_answers;
     exchange.Abort();
--- a/standin/fault_gate.h
+++ b/standin/fault_gate.h
@@ -1,7 +1,6 @@
 // Faults of a stand-in, switched on and off by PUT /faults.
 #pragma once
 
-#include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
 #include <string_view>
@@ -9,6 +8,7 @@
 #include "coordination/time.h"
 #include "http/exchange.h"
 #include "http/message.h"
+#include "http/task.h"
 
 namespace hornbeamspool::standin {
 
@@ -33,13 +33,12 @@
   const Faults& Get() const { return this->faults; }
 
   // Before a request is carried out. False: it was cut.
-  boost::asio::awaitable<bool> Enter(http::Exchange& exchange);
+  http::Task<bool> Enter(http::Exchange& exchange);
   // Sends the answer, or loses it.
-  boost::asio::awaitable<void> Leave(http::Exchange& exchange,
-                                     http::Response response);
+  http::Task<void> Leave(http::Exchange& exchange, http::Response response);
 
  private:
-  boost::asio::awaitable<void> Sleep(coordination::Duration duration);
+  http::Task<void> Sleep(coordination::Duration duration);
 
   boost::asio::io_context* io;
   Faults faults;
--- a/standin/load.cc
+++ b/standin/load.cc
@@ -3,8 +3,6 @@
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
@@ -13,6 +11,7 @@
 #include <utility>
 
 #include "http/event_stream.h"
+#include "http/task.h"
 
 namespace hornbeamspool::standin {
 namespace {
@@ -33,22 +32,22 @@
 Load::Load(net::io_context& io, LoadOptions options)
     : io(&io), options(std::move(options)), client(io) {}
 
-net::awaitable<LoadResult> Load::Run() {
+http::Task<LoadResult> Load::Run() {
   const Clock::time_point started = Clock::now();
   for (std::int64_t i = 0; i < this->options.concurrency; ++i) {
     ++this->callers;
     net::co_spawn(*this->io, this->Caller(), net::detached);
   }
-  net::steady_timer timer(*this->io);
+  http::Timer timer(*this->io);
   while (this->callers > 0) {
     timer.expires_after(kPoll);
-    co_await timer.async_wait(net::use_awaitable);
+    co_await timer.async_wait(http::kAwait);
   }
   this->result.seconds = Milliseconds(Clock::now() - started) / 1000;
   co_return std::move(this->result);
 }
 
-net::awaitable<void> Load::Caller() {
+http::Task<void> Load::Caller() {
   while (this->next < this->options.requests) {
     co_await this->One(this->next++);
   }
@@ -82,7 +81,7 @@
   return request;
 }
 
-net::awaitable<void> Load::One(std::int64_t number) {
+http::Task<void> Load::One(std::int64_t number) {
   const Clock::time_point started = Clock::now();
   http::FetchOptions fetch;
   fetch.first_byte_timeout = std::chrono::seconds(60);
@@ -126,8 +125,8 @@
       last = now;
     }
     if (this->options.read_delay.count() > 0) {
-      net::steady_timer timer(*this->io, this->options.read_delay);
-      co_await timer.async_wait(net::use_awaitable);
+      http::Timer timer(*this->io, this->options.read_delay);
+      co_await timer.async_wait(http::kAwait);
     }
   }
   if (status >= 300) {
--- a/standin/load.h
+++ b/standin/load.h
@@ -1,7 +1,6 @@
 // Callers: a bounded load on one address, and what was measured of it.
 #pragma once
 
-#include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
 #include <string>
@@ -9,6 +8,7 @@
 
 #include "coordination/time.h"
 #include "http/client.h"
+#include "http/task.h"
 
 namespace hornbeamspool::standin {
 
@@ -42,11 +42,11 @@
   Load(boost::asio::io_context& io, LoadOptions options);
 
   // Sends every request; ends by itself.
-  boost::asio::awaitable<LoadResult> Run();
+  http::Task<LoadResult> Run();
 
  private:
-  boost::asio::awaitable<void> Caller();
-  boost::asio::awaitable<void> One(std::int64_t number);
+  http::Task<void> Caller();
+  http::Task<void> One(std::int64_t number);
   http::Request RequestOf(std::int64_t number) const;
 
   boost::asio::io_context* io;
--- a/standin/platform_standin.cc
+++ b/standin/platform_standin.cc
@@ -1,10 +1,11 @@
 #include "standin/platform_standin.h"
 
-#include <boost/asio/use_awaitable.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 #include <utility>
 
+#include "http/task.h"
+
 namespace hornbeamspool::standin {
 namespace {
 
@@ -46,7 +47,7 @@
   return this->object_gate;
 }
 
-boost::asio::awaitable<void> PlatformStandin::Handle(http::Exchange& exchange) {
+http::Task<void> PlatformStandin::Handle(http::Exchange& exchange) {
   const http::Request& request = exchange.GetRequest();
   const std::string_view path = request.Path();
   const bool control = path.starts_with(kFaultPrefix) || path == "/stats" ||
--- a/standin/platform_standin.h
+++ b/standin/platform_standin.h
@@ -2,7 +2,6 @@
 // list of VMs behind one address, each with its own faults.
 #pragma once
 
-#include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
 #include <deque>
@@ -13,6 +12,7 @@
 #include "coordination/time.h"
 #include "http/exchange.h"
 #include "http/server.h"
+#include "http/task.h"
 #include "standin/fault_gate.h"
 #include "standin/table_standin.h"
 
@@ -33,7 +33,7 @@
     std::string vms;
   };
 
-  boost::asio::awaitable<void> Handle(http::Exchange& exchange);
+  http::Task<void> Handle(http::Exchange& exchange);
   http::Response Objects(const http::Request& request);
   http::Response Weights(const http::Request& request);
   http::Response Vms(const http::Request& request);
--- a/standin/service_standin.cc
+++ b/standin/service_standin.cc
@@ -1,10 +1,11 @@
 #include "standin/service_standin.h"
 
-#include <boost/asio/use_awaitable.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 #include <utility>
 
+#include "http/task.h"
+
 namespace hornbeamspool::standin {
 
 namespace json = boost::json;
@@ -21,7 +22,7 @@
   return this->server.Listen(address);
 }
 
-boost::asio::awaitable<void> ServiceStandin::Handle(http::Exchange& exchange) {
+http::Task<void> ServiceStandin::Handle(http::Exchange& exchange) {
   const http::Request& request = exchange.GetRequest();
   if (request.Path() == "/faults") {
     const bool taken = this->gate.Set(request.body);
--- a/standin/service_standin.h
+++ b/standin/service_standin.h
@@ -2,7 +2,6 @@
 // key was carried out, so that a test can see a doubled order.
 #pragma once
 
-#include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
 #include <map>
@@ -11,6 +10,7 @@
 
 #include "http/exchange.h"
 #include "http/server.h"
+#include "http/task.h"
 #include "standin/fault_gate.h"
 
 namespace hornbeamspool::standin {
@@ -23,7 +23,7 @@
   std::uint16_t Listen(std::string_view address);
 
  private:
-  boost::asio::awaitable<void> Handle(http::Exchange& exchange);
+  http::Task<void> Handle(http::Exchange& exchange);
   http::Response Carry(const http::Request& request);
   http::Response Executions() const;
 
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -13,13 +13,14 @@
 
 #include "http/event_stream.h"
 #include "http/server.h"
+#include "http/task.h"
 
 namespace hornbeamspool::http {
 namespace {
 
 namespace net = boost::asio;
 
-net::awaitable<void> Echo(Exchange& exchange) {
+http::Task<void> Echo(Exchange& exchange) {
   Response response;
   response.body = exchange.GetRequest().method + ' ' +
                   exchange.GetRequest().target + ' ' +
