--- a/policy/router.cc
+++ b/policy/router.cc
@@ -151,8 +151,9 @@
   // aside.
   const std::uint64_t id = this->next_reservation++;
   const bool order = !work.tries.repeatable;
-  if (order)
+  if (order) {
     out.commands.emplace_back(IntentOf(id, work.organisation, work.request));
+  }
   this->reservations.emplace(id, std::move(work));
   if (!order) this->SetAside(id, now, out);
 }
