--- /dev/null
+++ b/gateway/budget_keeper.cc
@@ -0,0 +1,179 @@
+#include "gateway/budget_keeper.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <cereal/archives/portable_binary.hpp>
+#include <chrono>
+#include <map>
+#include <sstream>
+#include <utility>
+
+#include "gateway/event_log.h"
+#include "hornbeamspool/clock.h"
+#include "policy/event.h"
+#include "policy/gateway_core.h"
+
+namespace hornbeamspool::policy {
+
+template <typename Archive>
+void serialize(Archive& archive, BudgetTotal& total) {
+  archive(total.committed, total.known_spent);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, BudgetShare& share) {
+  archive(share.incarnation, share.limit, share.spent);
+}
+
+}  // namespace hornbeamspool::policy
+
+namespace hornbeamspool::gateway {
+namespace {
+
+using platform::StoreRow;
+using platform::StoreStatus;
+using policy::BudgetRows;
+
+constexpr std::string_view kTotals = "budget_totals";  // by tenant
+constexpr std::string_view kShares = "budget_shares";  // by VM and tenant
+
+// How often a look is taken whether a write is due.
+constexpr coordination::Duration kLook = std::chrono::milliseconds(250);
+
+template <typename Value>
+std::string Encode(const Value& value) {
+  std::ostringstream bytes;
+  cereal::PortableBinaryOutputArchive archive(bytes);
+  archive(value);
+  return bytes.str();
+}
+
+template <typename Value>
+Value Decode(const std::string& bytes) {
+  std::istringstream stream(bytes);
+  cereal::PortableBinaryInputArchive archive(stream);
+  Value value;
+  archive(value);
+  return value;
+}
+
+}  // namespace
+
+BudgetKeeper::BudgetKeeper(const Context& context, platform::StoreClient& store,
+                           std::string vm)
+    : context(context), store(&store), vm(std::move(vm)), timer(*context.io) {}
+
+void BudgetKeeper::Start() {
+  boost::asio::co_spawn(*this->context.io, this->Run(), boost::asio::detached);
+}
+
+std::string BudgetKeeper::ShareKey(std::string_view tenant) const {
+  return this->vm + '/' + std::string(tenant);
+}
+
+http::Task<void> BudgetKeeper::Run() {
+  policy::BudgetDesk& desk = this->context.core->Budgets();
+  while (true) {
+    bool settled = true;
+    if (desk.NeedsRead()) settled = co_await this->ReadRows();
+    std::vector<BudgetRows> rows = desk.PlanWrite(Now());
+    if (!rows.empty()) {
+      settled = co_await this->WriteRows(std::move(rows));
+      if (settled) continue;
+    }
+    this->timer.expires_after(kLook);
+    boost::system::error_code kicked;
+    co_await this->timer.async_wait(
+        boost::asio::redirect_error(http::kAwait, kicked));
+    if (settled) continue;
+    // The store did not answer: a kick doesn't shorten the pause.
+    this->timer.expires_after(kLook);
+    co_await this->timer.async_wait(
+        boost::asio::redirect_error(http::kAwait, kicked));
+  }
+}
+
+// The rows of each tenant among `rows`; absent ones have version 0.
+std::vector<BudgetRows> BudgetKeeper::Collect(
+    std::span<const StoreRow> rows,
+    std::span<const std::string> tenants) const {
+  std::map<std::string_view, const StoreRow*> totals;
+  std::map<std::string_view, const StoreRow*> shares;
+  for (const StoreRow& row : rows) {
+    (row.table == kTotals ? totals : shares)[row.key] = &row;
+  }
+  std::vector<BudgetRows> collected;
+  for (const std::string& tenant : tenants) {
+    BudgetRows entry;
+    entry.tenant = tenant;
+    if (const auto found = totals.find(tenant); found != totals.end()) {
+      entry.total = Decode<policy::BudgetTotal>(found->second->value);
+      entry.total_version = found->second->version;
+    }
+    const std::string share_key = this->ShareKey(tenant);
+    if (const auto found = shares.find(share_key); found != shares.end()) {
+      entry.share = Decode<policy::BudgetShare>(found->second->value);
+      entry.share_version = found->second->version;
+    }
+    collected.push_back(std::move(entry));
+  }
+  return collected;
+}
+
+http::Task<bool> BudgetKeeper::ReadRows() {
+  policy::BudgetDesk& desk = this->context.core->Budgets();
+  std::vector<std::string> tenants = desk.Tenants();
+  if (tenants.empty()) co_return true;
+  platform::StoreAnswer totals =
+      co_await this->store->Read(std::string(kTotals), {});
+  if (totals.status != StoreStatus::kOk) co_return false;
+  // '0' is the character after '/'.
+  platform::StoreAnswer shares = co_await this->store->Read(
+      std::string(kShares), {this->vm + '/', this->vm + '0'});
+  if (shares.status != StoreStatus::kOk) co_return false;
+  std::vector<StoreRow> rows = std::move(totals.rows);
+  for (StoreRow& row : shares.rows) rows.push_back(std::move(row));
+  desk.OnRead(this->Collect(rows, tenants));
+  co_return true;
+}
+
+http::Task<bool> BudgetKeeper::WriteRows(std::vector<BudgetRows> rows) {
+  policy::BudgetDesk& desk = this->context.core->Budgets();
+  std::vector<StoreRow> puts;
+  std::vector<std::string> tenants;
+  for (const BudgetRows& row : rows) {
+    tenants.push_back(row.tenant);
+    puts.push_back({std::string(kTotals), row.tenant, Encode(row.total),
+                    row.total_version});
+    puts.push_back({std::string(kShares), this->ShareKey(row.tenant),
+                    Encode(row.share), row.share_version});
+  }
+  platform::StoreAnswer answer = co_await this->store->Write(puts);
+  switch (answer.status) {
+    case StoreStatus::kOk:
+      desk.OnWritten(answer.version);
+      co_return true;
+    case StoreStatus::kConflict:
+      desk.OnNotWritten();
+      desk.OnRead(this->Collect(answer.rows, tenants));
+      co_return true;
+    case StoreStatus::kUnknown:
+      desk.OnUnknown();
+      break;
+    default:
+      desk.OnNotWritten();
+      break;
+  }
+  this->context.log->Write(
+      LogKind::kBudget,
+      policy::KeyValue("outcome", answer.status == StoreStatus::kUnknown
+                                      ? "write_unknown"
+                                      : "write_refused") +
+          ' ' +
+          policy::KeyValue("tenants", static_cast<std::int64_t>(rows.size())),
+      Now());
+  co_return false;
+}
+
+}  // namespace hornbeamspool::gateway
--- /dev/null
+++ b/gateway/context.h
@@ -0,0 +1,26 @@
+// What the parts of a gateway share. All of it lives on one thread.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+
+namespace hornbeamspool::http {
+class Client;
+}
+namespace hornbeamspool::policy {
+class GatewayCore;
+}
+
+namespace hornbeamspool::gateway {
+
+class EventLog;
+class BudgetKeeper;
+
+struct Context {
+  boost::asio::io_context* io = nullptr;
+  policy::GatewayCore* core = nullptr;
+  http::Client* client = nullptr;
+  BudgetKeeper* budget_keeper = nullptr;
+  EventLog* log = nullptr;
+};
+
+}  // namespace hornbeamspool::gateway
--- /dev/null
+++ b/gateway/event_log.cc
@@ -0,0 +1,91 @@
+#include "gateway/event_log.h"
+
+#include <log4cplus/consoleappender.h>
+#include <log4cplus/layout.h>
+#include <log4cplus/logger.h>
+#include <log4cplus/loggingmacros.h>
+
+#include <chrono>
+#include <memory>
+#include <utility>
+
+#include "policy/event.h"
+
+namespace hornbeamspool::gateway {
+namespace {
+
+struct KindTraits {
+  std::string_view name;
+  std::int64_t lines_per_second;
+  log4cplus::LogLevel level;
+};
+
+constexpr std::size_t kKinds = static_cast<std::size_t>(LogKind::kCount);
+
+// Indexed by LogKind. A line costs about 20 us of a VM's quarter core; all
+// kinds together stay under 3% of it.
+constexpr std::array<KindTraits, kKinds> kTraits{{
+    {"started", 10, log4cplus::INFO_LOG_LEVEL},
+    {"reloaded", 10, log4cplus::INFO_LOG_LEVEL},
+    {"stopping", 10, log4cplus::INFO_LOG_LEVEL},
+    {"stopped", 10, log4cplus::INFO_LOG_LEVEL},
+    {"config", 20, log4cplus::INFO_LOG_LEVEL},
+    {"server", 50, log4cplus::INFO_LOG_LEVEL},
+    {"dependency", 20, log4cplus::WARN_LOG_LEVEL},
+    {"budget", 20, log4cplus::INFO_LOG_LEVEL},
+    {"refused", 50, log4cplus::WARN_LOG_LEVEL},
+    {"send_failed", 50, log4cplus::WARN_LOG_LEVEL},
+    {"broken", 50, log4cplus::WARN_LOG_LEVEL},
+    {"served", 50, log4cplus::DEBUG_LOG_LEVEL},
+}};
+
+log4cplus::LogLevel LevelOf(std::string_view name) {
+  if (name == "debug") return log4cplus::DEBUG_LOG_LEVEL;
+  if (name == "warn") return log4cplus::WARN_LOG_LEVEL;
+  if (name == "error") return log4cplus::ERROR_LOG_LEVEL;
+  return log4cplus::INFO_LOG_LEVEL;
+}
+
+}  // namespace
+
+EventLog::EventLog(std::string vm, std::string_view level) : vm(std::move(vm)) {
+  log4cplus::SharedAppenderPtr console(
+      new log4cplus::ConsoleAppender(false, true));
+  console->setLayout(std::make_unique<log4cplus::PatternLayout>(
+      LOG4CPLUS_TEXT("%D{%Y-%m-%dT%H:%M:%S.%qZ} level=%p %m%n")));
+  log4cplus::Logger root = log4cplus::Logger::getRoot();
+  root.removeAllAppenders();
+  root.addAppender(console);
+  root.setLogLevel(LevelOf(level));
+}
+
+void EventLog::Emit(LogKind kind, std::string_view pairs) {
+  const KindTraits& traits = kTraits.at(static_cast<std::size_t>(kind));
+  log4cplus::Logger logger = log4cplus::Logger::getRoot();
+  if (!logger.isEnabledFor(traits.level)) return;
+  std::string line = policy::KeyValue("event", traits.name);
+  line += ' ' + policy::KeyValue("vm", this->vm);
+  line += ' ';
+  line += pairs;
+  logger.forcedLog(traits.level, line);
+}
+
+void EventLog::Write(LogKind kind, std::string_view pairs,
+                     coordination::TimePoint now) {
+  const auto index = static_cast<std::size_t>(kind);
+  Budget& budget = this->budgets.at(index);
+  if (now - budget.second >= std::chrono::seconds(1)) {
+    if (budget.left_out > 0) {
+      this->Emit(kind, policy::KeyValue("left_out", budget.left_out));
+    }
+    budget = Budget{now, 0, 0};
+  }
+  if (budget.written >= kTraits.at(index).lines_per_second) {
+    ++budget.left_out;
+    return;
+  }
+  ++budget.written;
+  this->Emit(kind, pairs);
+}
+
+}  // namespace hornbeamspool::gateway
--- /dev/null
+++ b/gateway/gateway.cc
@@ -0,0 +1,333 @@
+#include "gateway/gateway.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <chrono>
+#include <functional>
+#include <optional>
+#include <random>
+#include <utility>
+
+#include "gateway/budget_keeper.h"
+#include "gateway/context.h"
+#include "gateway/event_log.h"
+#include "gateway/request_relay.h"
+#include "gateway/table_follower.h"
+#include "hornbeamspool/clock.h"
+#include "hornbeamspool/error_response.h"
+#include "http/client.h"
+#include "http/server.h"
+#include "platform/documents.h"
+#include "platform/store_client.h"
+#include "policy/event.h"
+#include "policy/gateway_core.h"
+
+namespace hornbeamspool::gateway {
+namespace {
+
+using coordination::Duration;
+using coordination::TimePoint;
+using policy::KeyValue;
+
+// The balancer asks once a second and leaves a VM out after two misses.
+constexpr Duration kLeftOutAfter = std::chrono::milliseconds(2500);
+
+// Of the time for a stop: kept for handing budgets back and for leaving.
+constexpr Duration kStopMargin = std::chrono::milliseconds(600);
+
+constexpr Duration kLook = std::chrono::milliseconds(100);
+
+// Servers whose doubt has passed are forgotten this often.
+constexpr Duration kExpireEvery = std::chrono::milliseconds(500);
+
+// Descriptors for files, the store and the balancer.
+constexpr std::int64_t kOwnDescriptors = 200;
+
+std::uint64_t RandomIncarnation() {
+  std::random_device random;
+  return (std::uint64_t{random()} << 32U) | random();
+}
+
+policy::GatewayOptions OptionsOf(const settings::GatewaySettings& settings) {
+  policy::GatewayOptions options;
+  options.availability_zone = settings.availability_zone;
+  options.retries.share = settings.retry_share;
+  options.retries.window = settings.retry_window;
+  options.budgets.bridged_outage = settings.bridged_outage;
+  return options;
+}
+
+}  // namespace
+
+struct Gateway::State {
+  State(settings::GatewaySettings given, Reload reload);
+
+  std::string Listen();
+  void FollowSignals();
+  void OnOperatorRows(const std::vector<platform::StoreRow>& rows);
+  void OnServerRows(const std::vector<platform::StoreRow>& rows);
+  void OnAllServers(const std::vector<platform::StoreRow>& rows);
+  void OnStore(std::string_view table, bool reachable);
+  bool Ready() const;
+  http::Task<void> AnswerReadiness(http::Exchange& exchange);
+  http::Task<void> ExpireServers();
+  http::Task<void> Stop();
+  http::ServerLimits LimitsOf(const policy::CallerLimits& limits) const;
+
+  settings::GatewaySettings settings;
+  Reload reload;
+  boost::asio::io_context io{1};
+  EventLog log;
+  http::Client client;
+  http::Client store_http;
+  platform::StoreClient store;
+  policy::GatewayCore core;
+  Context context;
+  BudgetKeeper keeper;
+  http::Server callers;
+  http::Server readiness;
+  TableFollower operator_table;
+  TableFollower server_table;
+  boost::asio::signal_set signals;
+  bool stopping = false;
+  bool servers_known = false;
+};
+
+Gateway::State::State(settings::GatewaySettings given, Reload reload)
+    : settings(std::move(given)),
+      reload(std::move(reload)),
+      log(this->settings.vm, this->settings.log_level),
+      client(this->io),
+      store_http(this->io),
+      store(this->store_http, this->settings.store_address),
+      core(OptionsOf(this->settings), RandomIncarnation()),
+      context{&this->io, &this->core, &this->client, &this->keeper, &this->log},
+      keeper(this->context, this->store, this->settings.vm),
+      callers(
+          this->io, this->LimitsOf({}),
+          [this](http::Exchange& exchange) {
+            return ServeRequest(this->context, exchange);
+          },
+          &RejectResponse),
+      readiness(
+          this->io, http::ServerLimits{},
+          [this](http::Exchange& exchange) {
+            return this->AnswerReadiness(exchange);
+          },
+          &RejectResponse),
+      operator_table(this->io, this->store,
+                     std::string(platform::kOperatorTable),
+                     {[this](const auto& rows) { this->OnOperatorRows(rows); },
+                      [this](const auto& rows) { this->OnOperatorRows(rows); },
+                      [this](bool reachable) {
+                        this->core.SetConfigConfirmed(reachable);
+                        this->OnStore(platform::kOperatorTable, reachable);
+                      }}),
+      server_table(this->io, this->store, std::string(platform::kServerTable),
+                   {[this](const auto& rows) { this->OnAllServers(rows); },
+                    [this](const auto& rows) { this->OnServerRows(rows); },
+                    [this](bool reachable) {
+                      this->core.Servers().SetReachable(reachable, Now());
+                      this->OnStore(platform::kServerTable, reachable);
+                    }}),
+      signals(this->io, SIGTERM, SIGINT, SIGHUP) {}
+
+http::ServerLimits Gateway::State::LimitsOf(
+    const policy::CallerLimits& limits) const {
+  http::ServerLimits server;
+  server.header_timeout = limits.header_timeout;
+  server.idle_timeout = limits.idle_timeout;
+  server.header_bytes = static_cast<std::uint32_t>(limits.header_bytes);
+  server.body_bytes = static_cast<std::uint64_t>(limits.body_bytes);
+  // A request may need a connection to a server besides its caller's.
+  server.connections = static_cast<std::size_t>(std::max<std::int64_t>(
+      16, (this->settings.descriptors - kOwnDescriptors) / 2));
+  return server;
+}
+
+void Gateway::State::OnOperatorRows(
+    const std::vector<platform::StoreRow>& rows) {
+  for (const platform::StoreRow& row : rows) {
+    if (row.key != platform::kConfigKey || row.removed) continue;
+    std::string fault;
+    std::optional<policy::GatewayConfig> config =
+        platform::DecodeConfig(row.value, fault);
+    if (!config) {
+      this->log.Write(
+          LogKind::kConfig,
+          KeyValue("outcome", "unreadable") + ' ' + KeyValue("fault", fault),
+          Now());
+      continue;
+    }
+    const auto version = static_cast<std::int64_t>(config->version);
+    const auto routes = static_cast<std::int64_t>(config->routes.size());
+    if (!this->core.SetConfig(std::move(*config))) continue;
+    this->callers.SetLimits(
+        this->LimitsOf(this->core.Table()->Config().limits));
+    this->keeper.Kick();
+    this->log.Write(LogKind::kConfig,
+                    KeyValue("outcome", "in_force") + ' ' +
+                        KeyValue("version", version) + ' ' +
+                        KeyValue("routes", routes),
+                    Now());
+  }
+}
+
+void Gateway::State::OnServerRows(const std::vector<platform::StoreRow>& rows) {
+  const TimePoint now = Now();
+  for (const platform::StoreRow& row : rows) {
+    std::optional<policy::ServerEntry> entry;
+    if (!row.removed) entry = platform::DecodeServer(row.key, row.value);
+    std::string pairs = KeyValue("server", row.key);
+    if (!entry) {
+      this->core.Servers().Remove(row.key, now);
+      pairs += ' ' + KeyValue("state", row.removed ? "removed" : "unreadable");
+    } else {
+      const policy::ServerEntry* before = this->core.Servers().Find(row.key);
+      const bool reborn = before && before->born_ms != entry->born_ms;
+      if (reborn) this->core.Board().Forget(row.key);
+      pairs += ' ' + KeyValue("service", entry->service);
+      pairs += ' ' + KeyValue("state", entry->draining ? "draining" : "ready");
+      pairs += ' ' + KeyValue("version", entry->version);
+      this->core.Servers().Put(std::move(*entry));
+    }
+    this->log.Write(LogKind::kServer, pairs, now);
+  }
+}
+
+void Gateway::State::OnAllServers(const std::vector<platform::StoreRow>& rows) {
+  std::vector<policy::ServerEntry> entries;
+  for (const platform::StoreRow& row : rows) {
+    if (auto entry = platform::DecodeServer(row.key, row.value)) {
+      entries.push_back(std::move(*entry));
+    }
+  }
+  this->log.Write(
+      LogKind::kServer,
+      KeyValue("listed", static_cast<std::int64_t>(rows.size())) + ' ' +
+          KeyValue("usable", static_cast<std::int64_t>(entries.size())),
+      Now());
+  this->core.Servers().Replace(std::move(entries), Now());
+  this->servers_known = true;
+}
+
+void Gateway::State::OnStore(std::string_view table, bool reachable) {
+  this->log.Write(LogKind::kDependency,
+                  KeyValue("store", reachable ? "regained" : "lost") + ' ' +
+                      KeyValue("table", table),
+                  Now());
+}
+
+bool Gateway::State::Ready() const {
+  return !this->stopping && this->core.Table() != nullptr &&
+         this->servers_known;
+}
+
+http::Task<void> Gateway::State::AnswerReadiness(http::Exchange& exchange) {
+  http::Response response;
+  response.status = 404;
+  if (exchange.GetRequest().Path() == this->settings.readiness_path) {
+    response.status = this->Ready() ? 200 : 503;
+  }
+  co_await exchange.Send(std::move(response));
+}
+
+http::Task<void> Gateway::State::ExpireServers() {
+  http::Timer timer(this->io);
+  while (true) {
+    timer.expires_after(kExpireEvery);
+    co_await timer.async_wait(http::kAwait);
+    for (const std::string& id : this->core.Servers().Expire(Now())) {
+      this->core.Board().Forget(id);
+      this->log.Write(
+          LogKind::kServer,
+          KeyValue("server", id) + ' ' + KeyValue("state", "not_back"), Now());
+    }
+  }
+}
+
+std::string Gateway::State::Listen() {
+  if (this->readiness.Listen(this->settings.readiness_address) == 0) {
+    return "cannot listen on " + this->settings.readiness_address;
+  }
+  if (this->callers.Listen(this->settings.listen_address) == 0) {
+    return "cannot listen on " + this->settings.listen_address;
+  }
+  return {};
+}
+
+void Gateway::State::FollowSignals() {
+  this->signals.async_wait(
+      [this](const boost::system::error_code& error, int signal) {
+        if (error) return;
+        if (signal == SIGHUP) {
+          const auto fresh = this->reload();
+          this->log.Write(LogKind::kReloaded,
+                          KeyValue("outcome", fresh ? "read" : "unreadable"),
+                          Now());
+          if (fresh) this->settings.stop_time = fresh->stop_time;
+          this->FollowSignals();
+          return;
+        }
+        boost::asio::co_spawn(this->io, this->Stop(), boost::asio::detached);
+      });
+}
+
+// Step 1: not ready, and every answer ends its connection. Step 2: once the
+// balancer has noticed, no new connections. Step 3: what runs is finished.
+// Step 4: unspent limits are handed back.
+http::Task<void> Gateway::State::Stop() {
+  const TimePoint begin = Now();
+  const TimePoint end = begin + this->settings.stop_time - kStopMargin;
+  this->stopping = true;
+  this->log.Write(
+      LogKind::kStopping,
+      KeyValue("in_flight", static_cast<std::int64_t>(this->core.InFlight())),
+      begin);
+  this->callers.CloseAfterAnswers();
+  http::Timer timer(this->io);
+  timer.expires_after(kLeftOutAfter);
+  co_await timer.async_wait(http::kAwait);
+  this->callers.Drain();
+  while (this->core.InFlight() > 0 && Now() < end) {
+    timer.expires_after(kLook);
+    co_await timer.async_wait(http::kAwait);
+  }
+  this->core.Budgets().BeginStop();
+  while (!this->core.Budgets().AllReturned() && Now() < end + kStopMargin / 2) {
+    this->keeper.Kick();
+    timer.expires_after(kLook / 5);
+    co_await timer.async_wait(http::kAwait);
+  }
+  this->log.Write(
+      LogKind::kStopped,
+      KeyValue("in_flight", static_cast<std::int64_t>(this->core.InFlight())),
+      Now());
+  this->io.stop();
+}
+
+Gateway::Gateway(settings::GatewaySettings settings, Reload reload)
+    : state(std::make_unique<State>(std::move(settings), std::move(reload))) {}
+
+Gateway::~Gateway() = default;
+
+std::string Gateway::Run() {
+  State& state = *this->state;
+  std::string fault = state.Listen();
+  if (!fault.empty()) return fault;
+  state.log.Write(LogKind::kStarted,
+                  KeyValue("listen", state.settings.listen_address) + ' ' +
+                      KeyValue("store", state.settings.store_address),
+                  Now());
+  state.FollowSignals();
+  state.operator_table.Start();
+  state.server_table.Start();
+  state.keeper.Start();
+  boost::asio::co_spawn(state.io, state.ExpireServers(), boost::asio::detached);
+  state.io.run();
+  return {};
+}
+
+}  // namespace hornbeamspool::gateway
--- /dev/null
+++ b/gateway/request_relay.cc
@@ -0,0 +1,318 @@
+#include "gateway/request_relay.h"
+
+#include <array>
+#include <boost/asio/redirect_error.hpp>
+#include <chrono>
+#include <optional>
+#include <string>
+#include <utility>
+#include <variant>
+
+#include "gateway/budget_keeper.h"
+#include "gateway/event_log.h"
+#include "gateway/stream_relay.h"
+#include "hornbeamspool/clock.h"
+#include "hornbeamspool/error_response.h"
+#include "http/client.h"
+#include "platform/request_headers.h"
+#include "policy/event.h"
+#include "policy/gateway_core.h"
+
+namespace hornbeamspool::gateway {
+namespace {
+
+using coordination::Duration;
+using policy::BudgetVerdict;
+using policy::ErrorKind;
+using policy::KeyValue;
+using policy::Refusal;
+using policy::SendOrder;
+using policy::SendOutcome;
+using policy::Ticket;
+
+// A request waits this long for tokens: a write to the store takes 5 ms, and a
+// second one, after a conflict, as long again.
+constexpr Duration kBudgetWait = std::chrono::milliseconds(250);
+constexpr Duration kBudgetLook = std::chrono::milliseconds(10);
+
+// A handshake takes 2 ms within a region; a lost packet is sent again after
+// 200 ms.
+constexpr Duration kConnectTimeout = std::chrono::milliseconds(500);
+
+// A pooled connection that has been idle longer may be closed by its server
+// without notice; a request that runs at most once is not risked on it.
+constexpr Duration kLongestIdleForOrders = std::chrono::seconds(1);
+
+constexpr std::size_t kPieceBytes = 8 * 1024;
+
+std::string_view NameOf(SendOutcome outcome) {
+  static constexpr std::array<std::string_view,
+                              static_cast<std::size_t>(SendOutcome::kCount)>
+      kNames{"answered", "server_error", "rejected", "unreachable",
+             "broken",   "silent",       "abandoned"};
+  return kNames.at(static_cast<std::size_t>(outcome));
+}
+
+std::int64_t Milliseconds(Duration duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
+      .count();
+}
+
+class RequestRelay {
+ public:
+  RequestRelay(const Context& context, http::Exchange& exchange)
+      : context(&context), exchange(&exchange), arrived(Now()) {}
+
+  http::Task<void> Run();
+
+ private:
+  http::Task<std::optional<Refusal>> Pay();
+  http::Task<void> SendUntilAnswered();
+  http::Task<SendOutcome> Send(SendOrder& order);
+  http::Task<SendOutcome> RelayWhole(http::ResponseStream& stream,
+                                     const platform::AnswerFacts& facts);
+  http::Task<std::optional<std::string>> ReadBody(http::ResponseStream& stream);
+  http::Task<void> Refuse(const Refusal& refusal);
+  void LogSend(const SendOrder& order, SendOutcome outcome);
+
+  const Context* context;
+  http::Exchange* exchange;
+  coordination::TimePoint arrived;
+  http::Canceller canceller;
+  std::optional<Ticket> ticket;
+  std::string request_id;
+  std::optional<http::Response> server_error;  // shown when no other try helps
+};
+
+http::Task<void> RequestRelay::Run() {
+  // Step 1: read what decisions need.
+  std::string fault;
+  std::optional<policy::GatewayRequest> request =
+      platform::DecodeRequest(this->exchange->GetRequest(), fault);
+  if (!request) {
+    co_await this->exchange->Send(
+        ErrorResponse(ErrorKind::kMalformedRequest, fault));
+    co_return;
+  }
+  this->request_id = request->id;
+
+  // Step 2: route, key and budget.
+  auto admission =
+      this->context->core->Admit(std::move(*request), this->arrived);
+  if (const auto* refusal = std::get_if<Refusal>(&admission)) {
+    co_await this->Refuse(*refusal);
+    co_return;
+  }
+  this->ticket = std::get<Ticket>(std::move(admission));
+  this->exchange->OnGone([this] { this->canceller.Cancel(); });
+  if (const std::optional<Refusal> refusal = co_await this->Pay()) {
+    co_await this->Refuse(*refusal);
+  } else {
+    // Step 3: servers, one after the other.
+    co_await this->SendUntilAnswered();
+  }
+  this->exchange->OnGone(nullptr);
+  this->context->core->Finish(*this->ticket);
+}
+
+http::Task<std::optional<Refusal>> RequestRelay::Pay() {
+  policy::GatewayCore& core = *this->context->core;
+  const coordination::TimePoint give_up =
+      std::min(this->arrived + kBudgetWait, this->ticket->deadline);
+  http::Timer timer(*this->context->io);
+  while (true) {
+    const BudgetVerdict verdict = core.Pay(*this->ticket);
+    if (verdict == BudgetVerdict::kReserved) co_return std::nullopt;
+    if (verdict == BudgetVerdict::kExhausted) {
+      co_return Refusal{ErrorKind::kBudgetExhausted, {}};
+    }
+    const bool waits = Now() < give_up && !this->canceller.Cancelled();
+    if (!waits) {
+      co_return Refusal{ErrorKind::kBudgetUnavailable, std::chrono::seconds(1)};
+    }
+    if (!core.Budgets().WriteOutstanding()) {
+      core.NoteLacking(*this->ticket);
+      this->context->budget_keeper->Kick();
+    }
+    timer.expires_after(kBudgetLook);
+    co_await timer.async_wait(http::kAwait);
+  }
+}
+
+http::Task<void> RequestRelay::SendUntilAnswered() {
+  policy::GatewayCore& core = *this->context->core;
+  std::optional<Refusal> last;
+  while (true) {
+    auto next = core.NextSend(*this->ticket, Now());
+    if (const auto* refusal = std::get_if<Refusal>(&next)) {
+      if (!last) last = *refusal;
+      break;
+    }
+    auto& order = std::get<SendOrder>(next);
+    const SendOutcome outcome = co_await this->Send(order);
+    const bool again = core.OnSendEnded(*this->ticket, order, outcome, Now());
+    this->LogSend(order, outcome);
+    if (outcome == SendOutcome::kAnswered) co_return;
+    const bool gone =
+        outcome == SendOutcome::kAbandoned || this->canceller.Cancelled();
+    if (gone) {
+      this->exchange->Abort();
+      co_return;
+    }
+    last = core.FinalRefusal(*this->ticket, outcome);
+    if (!again) break;
+  }
+  if (this->ticket->started) {
+    // The caller sees a chunked body without its end.
+    this->exchange->Abort();
+    co_return;
+  }
+  if (this->server_error) {
+    co_await this->exchange->Send(std::move(*this->server_error));
+    co_return;
+  }
+  co_await this->Refuse(*last);
+}
+
+http::Task<SendOutcome> RequestRelay::Send(SendOrder& order) {
+  const Ticket& ticket = *this->ticket;
+  platform::SendHeaders headers;
+  headers.server = order.server.id;
+  if (ticket.tenant) headers.tenant = ticket.tenant->name;
+  headers.left = order.left;
+  headers.urgency = order.urgency;
+  headers.resume_after = ticket.last_event_id;
+
+  http::FetchOptions options;
+  options.connect_timeout = kConnectTimeout;
+  options.first_byte_timeout = order.left;
+  options.read_timeout = order.left;
+  options.deadline = ticket.deadline;
+  options.resend_when_stale = ticket.route->MayRepeat();
+  if (!ticket.route->MayRepeat()) options.longest_idle = kLongestIdleForOrders;
+  options.max_connections = order.max_connections;
+  options.canceller = &this->canceller;
+  const http::OpenResult opened = co_await this->context->client->Open(
+      order.server.address,
+      platform::BuildServerRequest(this->exchange->GetRequest(), headers),
+      options);
+  if (opened.status == http::FetchStatus::kUnreachable) {
+    co_return this->canceller.Cancelled() ? SendOutcome::kAbandoned
+                                          : SendOutcome::kUnreachable;
+  }
+  if (opened.status == http::FetchStatus::kTimeout) {
+    co_return SendOutcome::kSilent;
+  }
+  if (opened.status != http::FetchStatus::kOk) co_return SendOutcome::kBroken;
+
+  http::ResponseStream& stream = *opened.stream;
+  const platform::AnswerFacts facts = platform::DecodeAnswer(stream.Head());
+  // An answer to another request may arrive late on a kept connection.
+  const bool mine = facts.request_id == this->request_id ||
+                    (facts.not_run && facts.request_id.empty());
+  const bool success = stream.Head().status < 300;
+  if (!mine || (success && !facts.stamped)) {
+    opened.stream->Discard();
+    co_return SendOutcome::kBroken;
+  }
+  if (facts.load) {
+    this->context->core->Board().OnLoad(order.server.id, *facts.load, Now());
+  }
+  if (facts.not_run) {
+    const bool whole = (co_await this->ReadBody(stream)).has_value();
+    if (!whole) opened.stream->Discard();
+    co_return SendOutcome::kRejected;
+  }
+  if (ticket.route->kind == policy::RouteKind::kStream && success) {
+    StreamRelay relay(*this->context->core, *this->ticket, order,
+                      *this->exchange, stream);
+    co_return co_await relay.Run();
+  }
+  this->context->core->Board().OnStarted(order.record);
+  co_return co_await this->RelayWhole(stream, facts);
+}
+
+http::Task<std::optional<std::string>> RequestRelay::ReadBody(
+    http::ResponseStream& stream) {
+  std::string body;
+  std::array<char, kPieceBytes> piece{};
+  while (true) {
+    const http::ReadResult read = co_await stream.Read(piece);
+    if (read.status != http::FetchStatus::kOk) co_return std::nullopt;
+    if (read.count == 0) co_return body;
+    body.append(piece.data(), read.count);
+  }
+}
+
+// Shows an answer only when all of it is there.
+http::Task<SendOutcome> RequestRelay::RelayWhole(
+    http::ResponseStream& stream, const platform::AnswerFacts& facts) {
+  (void)facts;
+  std::optional<std::string> body = co_await this->ReadBody(stream);
+  if (!body) {
+    co_return Now() >= this->ticket->deadline ? SendOutcome::kSilent
+                                              : SendOutcome::kBroken;
+  }
+  http::Response answer = platform::BuildCallerAnswer(stream.Head());
+  answer.body = std::move(*body);
+  const bool may_try_again =
+      answer.status >= 500 && this->ticket->route->MayRepeat();
+  if (may_try_again && !this->ticket->started) {
+    this->server_error = std::move(answer);
+    co_return SendOutcome::kServerError;
+  }
+  // A resumed stream can't show a failure any more.
+  if (this->ticket->started) co_return SendOutcome::kBroken;
+  const bool sent = co_await this->exchange->Send(std::move(answer));
+  co_return sent ? SendOutcome::kAnswered : SendOutcome::kAbandoned;
+}
+
+http::Task<void> RequestRelay::Refuse(const Refusal& refusal) {
+  const policy::ErrorAnswer& answer = policy::AnswerFor(refusal.kind);
+  std::string pairs = KeyValue("request", this->request_id);
+  pairs += ' ' + KeyValue("reason", answer.name);
+  pairs += ' ' + KeyValue("status", std::int64_t{answer.status});
+  pairs += ' ' + KeyValue("after_ms", Milliseconds(Now() - this->arrived));
+  if (this->ticket) {
+    pairs += ' ' + KeyValue("route", this->ticket->route->name);
+    pairs += ' ' + KeyValue("sends", this->ticket->sends);
+    if (this->ticket->tenant) {
+      pairs += ' ' + KeyValue("tenant", this->ticket->tenant->name);
+    }
+  }
+  this->context->log->Write(LogKind::kRefused, pairs, Now());
+  policy::Refused refused;
+  refused.kind = refusal.kind;
+  refused.retry_after_s = 0;
+  http::Response response = ErrorResponse(refused);
+  if (refusal.retry_after > Duration(0)) {
+    platform::SetRetryAfter(response, refusal.retry_after);
+  }
+  co_await this->exchange->Send(std::move(response));
+}
+
+void RequestRelay::LogSend(const SendOrder& order, SendOutcome outcome) {
+  LogKind kind = LogKind::kSendFailed;
+  if (outcome == SendOutcome::kAnswered) kind = LogKind::kServed;
+  if (this->ticket->started && kind == LogKind::kSendFailed) {
+    kind = LogKind::kBroken;
+  }
+  std::string pairs = KeyValue("request", this->request_id);
+  pairs += ' ' + KeyValue("route", this->ticket->route->name);
+  pairs += ' ' + KeyValue("server", order.server.id);
+  pairs += ' ' + KeyValue("outcome", NameOf(outcome));
+  pairs += ' ' + KeyValue("send", this->ticket->sends);
+  pairs += ' ' + KeyValue("events", this->ticket->events_delivered);
+  pairs += ' ' + KeyValue("after_ms", Milliseconds(Now() - this->arrived));
+  this->context->log->Write(kind, pairs, Now());
+}
+
+}  // namespace
+
+http::Task<void> ServeRequest(const Context& context,
+                              http::Exchange& exchange) {
+  RequestRelay relay(context, exchange);
+  co_await relay.Run();
+}
+
+}  // namespace hornbeamspool::gateway
--- /dev/null
+++ b/gateway/stream_relay.cc
@@ -0,0 +1,87 @@
+#include "gateway/stream_relay.h"
+
+#include <array>
+#include <charconv>
+#include <cstdint>
+#include <optional>
+#include <utility>
+
+#include "platform/request_headers.h"
+
+namespace hornbeamspool::gateway {
+namespace {
+
+using policy::SendOutcome;
+
+// An event of an engine is under 1 KB; a piece holds a few.
+constexpr std::size_t kPieceBytes = 4096;
+
+constexpr std::string_view kIdField = "id:";
+
+// The event's id; empty when it has none, or one that is no number.
+std::optional<std::int64_t> IdOf(std::string_view raw) {
+  while (!raw.empty()) {
+    std::string_view line = raw.substr(0, raw.find('\n'));
+    raw.remove_prefix(std::min(raw.size(), line.size() + 1));
+    if (!line.starts_with(kIdField)) continue;
+    line.remove_prefix(kIdField.size());
+    while (line.starts_with(' ')) line.remove_prefix(1);
+    std::int64_t id = 0;
+    const auto result =
+        std::from_chars(line.data(), line.data() + line.size(), id);
+    if (result.ec == std::errc{}) return id;
+    return std::nullopt;
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
+http::Task<SendOutcome> StreamRelay::Run() {
+  std::array<char, kPieceBytes> piece{};
+  while (true) {
+    const http::ReadResult read = co_await this->stream->Read(piece);
+    if (read.status == http::FetchStatus::kTimeout) {
+      co_return SendOutcome::kSilent;
+    }
+    if (read.status != http::FetchStatus::kOk) co_return SendOutcome::kBroken;
+    if (read.count == 0) break;
+    if (!this->events.Feed({piece.data(), read.count})) {
+      co_return SendOutcome::kBroken;
+    }
+    while (const auto event = this->events.Next()) this->TakeEvent(event->raw);
+    if (!co_await this->Show()) co_return SendOutcome::kAbandoned;
+  }
+  // A stream that ends inside an event was cut off.
+  if (this->events.Partial()) co_return SendOutcome::kBroken;
+  if (!this->ticket->started) co_return SendOutcome::kBroken;
+  const bool ended = co_await this->exchange->EndStream();
+  co_return ended ? SendOutcome::kAnswered : SendOutcome::kAbandoned;
+}
+
+void StreamRelay::TakeEvent(std::string_view raw) {
+  this->core->Board().OnStarted(this->order->record);
+  const std::optional<std::int64_t> id = IdOf(raw);
+  std::optional<std::int64_t>& last = this->ticket->last_event_id;
+  // A resumed stream may begin with events that were delivered before.
+  if (id && last && *id <= *last) return;
+  if (id) last = id;
+  this->due.append(raw);
+  ++this->due_events;
+}
+
+http::Task<bool> StreamRelay::Show() {
+  if (this->due.empty()) co_return true;
+  if (!this->ticket->started) {
+    this->ticket->started = true;
+    const bool begun = co_await this->exchange->BeginStream(
+        platform::BuildCallerAnswer(this->stream->Head()));
+    if (!begun) co_return false;
+  }
+  this->ticket->events_delivered += std::exchange(this->due_events, 0);
+  const bool sent = co_await this->exchange->Write(this->due);
+  this->due.clear();
+  co_return sent;
+}
+
+}  // namespace hornbeamspool::gateway
--- /dev/null
+++ b/gateway/stream_relay.h
@@ -0,0 +1,47 @@
+// Relays an event stream from a server to a caller, whole events only, as they
+// arrive. Holds one piece of the stream: a slow caller stops the reading.
+#pragma once
+
+#include <string>
+#include <string_view>
+
+#include "coordination/time.h"
+#include "http/client.h"
+#include "http/event_stream.h"
+#include "http/exchange.h"
+#include "http/task.h"
+#include "policy/gateway_core.h"
+
+namespace hornbeamspool::gateway {
+
+class StreamRelay {
+ public:
+  // `order` is the send whose answer `stream` is.
+  StreamRelay(policy::GatewayCore& core, policy::Ticket& ticket,
+              policy::SendOrder& order, http::Exchange& exchange,
+              http::ResponseStream& stream)
+      : core(&core),
+        ticket(&ticket),
+        order(&order),
+        exchange(&exchange),
+        stream(&stream) {}
+
+  // kAnswered: the stream was relayed to its end. kAbandoned: the caller is
+  // gone. Otherwise the server broke off or fell silent.
+  http::Task<policy::SendOutcome> Run();
+
+ private:
+  void TakeEvent(std::string_view raw);
+  http::Task<bool> Show();
+
+  policy::GatewayCore* core;
+  policy::Ticket* ticket;
+  policy::SendOrder* order;
+  http::Exchange* exchange;
+  http::ResponseStream* stream;
+  http::EventReader events;
+  std::string due;  // whole events that the caller has not been sent
+  std::int64_t due_events = 0;
+};
+
+}  // namespace hornbeamspool::gateway
--- /dev/null
+++ b/gateway/table_follower.cc
@@ -0,0 +1,81 @@
+#include "gateway/table_follower.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <chrono>
+#include <random>
+#include <utility>
+
+namespace hornbeamspool::gateway {
+namespace {
+
+// The store holds a call this long when nothing changes. Shorter finds a silent
+// connection sooner; each call is priced.
+constexpr coordination::Duration kFeedWait = std::chrono::milliseconds(1200);
+
+// Pause after a failed call, and as much again at random.
+constexpr coordination::Duration kRetryPause = std::chrono::milliseconds(150);
+
+coordination::Duration RetryPause() {
+  thread_local std::minstd_rand random{std::random_device{}()};
+  std::uniform_int_distribution<std::int64_t> extra(0, kRetryPause.count());
+  return kRetryPause + coordination::Duration(extra(random));
+}
+
+}  // namespace
+
+TableFollower::TableFollower(boost::asio::io_context& io,
+                             platform::StoreClient& store, std::string table,
+                             TableListener listener)
+    : io(&io),
+      store(&store),
+      table(std::move(table)),
+      listener(std::move(listener)) {}
+
+void TableFollower::Start() {
+  boost::asio::co_spawn(*this->io, this->Run(), boost::asio::detached);
+}
+
+http::Task<void> TableFollower::Run() {
+  http::Timer timer(*this->io);
+  while (true) {
+    const bool answered = co_await this->Step();
+    this->SetReachable(answered);
+    if (answered) continue;
+    timer.expires_after(RetryPause());
+    co_await timer.async_wait(http::kAwait);
+  }
+}
+
+// One call. False when the store did not answer it.
+http::Task<bool> TableFollower::Step() {
+  if (!this->whole) {
+    const platform::StoreAnswer read =
+        co_await this->store->Read(this->table, {});
+    if (read.status != platform::StoreStatus::kOk) co_return false;
+    this->SetReachable(true);
+    this->listener.on_whole(read.rows);
+    this->version = read.version;
+    this->whole = true;
+    co_return true;
+  }
+  const platform::StoreAnswer feed =
+      co_await this->store->Feed(this->table, this->version, kFeedWait);
+  if (feed.status == platform::StoreStatus::kGone) {
+    this->whole = false;
+    co_return true;
+  }
+  if (feed.status != platform::StoreStatus::kOk) co_return false;
+  this->SetReachable(true);
+  this->version = std::max(this->version, feed.version);
+  if (!feed.rows.empty()) this->listener.on_change(feed.rows);
+  co_return true;
+}
+
+void TableFollower::SetReachable(bool reachable) {
+  if (this->reachable == reachable) return;
+  this->reachable = reachable;
+  this->listener.on_reachable(reachable);
+}
+
+}  // namespace hornbeamspool::gateway
--- /dev/null
+++ b/gateway/table_follower.h
@@ -0,0 +1,50 @@
+// Follows one table of the platform's store: reads it whole, then its feed;
+// whole again when the feed's history is gone.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "http/task.h"
+#include "platform/store_client.h"
+
+namespace hornbeamspool::gateway {
+
+// What a follower tells. All calls come from the io_context's thread.
+struct TableListener {
+  // All rows that there are.
+  std::function<void(const std::vector<platform::StoreRow>&)> on_whole;
+  // Rows that changed, in order.
+  std::function<void(const std::vector<platform::StoreRow>&)> on_change;
+  // The store began or stopped to answer.
+  std::function<void(bool)> on_reachable;
+};
+
+class TableFollower {
+ public:
+  TableFollower(boost::asio::io_context& io, platform::StoreClient& store,
+                std::string table, TableListener listener);
+  TableFollower(const TableFollower&) = delete;
+  TableFollower& operator=(const TableFollower&) = delete;
+
+  // Runs until the io_context stops.
+  void Start();
+
+ private:
+  http::Task<void> Run();
+  http::Task<bool> Step();
+  void SetReachable(bool reachable);
+
+  boost::asio::io_context* io;
+  platform::StoreClient* store;
+  std::string table;
+  TableListener listener;
+  std::uint64_t version = 0;
+  bool whole = false;  // `version` continues what was read
+  bool reachable = false;
+};
+
+}  // namespace hornbeamspool::gateway
--- a/hornbeamspool/main.cc
+++ b/hornbeamspool/main.cc
@@ -13,12 +13,16 @@
 #include <sstream>
 #include <string>
 
+#include "gateway/gateway.h"
 #include "hornbeamspool/daemon.h"
 #include "hornbeamspool/embedded.h"
 #include "settings/fault.h"
+#include "settings/gateway_settings.h"
 #include "settings/node_settings.h"
 
 ABSL_FLAG(std::string, settings, "", "file with the settings of this node");
+ABSL_FLAG(std::string, gateway, "",
+          "run as a gateway, with the settings in this file");
 ABSL_FLAG(bool, embedded, false,
           "host small stand-ins for the platform and the upstreams");
 
@@ -32,7 +36,11 @@
 constexpr int kUsage = 2;
 constexpr int kNotClean = 3;
 
-std::optional<settings::NodeSettings> ReadSettings(const std::string& path) {
+// Reads and checks a file of settings; says what is wrong with it.
+template <typename Settings>
+std::optional<Settings> ReadSettings(
+    const std::string& path,
+    boost::leaf::result<Settings> (*parse)(std::string_view)) {
   std::ifstream file(path);
   if (!file) {
     std::cerr << "cannot read " << path << '\n';
@@ -40,10 +48,10 @@
   }
   std::ostringstream text;
   text << file.rdbuf();
-  std::optional<settings::NodeSettings> node;
+  std::optional<Settings> read;
   boost::leaf::try_handle_all(
       [&]() -> boost::leaf::result<void> {
-        BOOST_LEAF_ASSIGN(node, settings::ParseNodeSettings(text.str()));
+        BOOST_LEAF_ASSIGN(read, parse(text.str()));
         return {};
       },
       [&](const settings::FaultList& faults) {
@@ -53,7 +61,20 @@
         }
       },
       [&] { std::cerr << path << ": unknown fault\n"; });
-  return node;
+  return read;
+}
+
+int RunGateway(const std::string& path) {
+  const auto read = [path] {
+    return ReadSettings(path, &settings::ParseGatewaySettings);
+  };
+  std::optional<settings::GatewaySettings> found = read();
+  if (!found) return kUsage;
+  gateway::Gateway gateway(std::move(*found), read);
+  const std::string fault = gateway.Run();
+  if (fault.empty()) return kOk;
+  std::cerr << fault << '\n';
+  return kFailed;
 }
 
 void WaitForSignal() {
@@ -68,14 +89,18 @@
 int main(int argc, char** argv) {
   absl::SetProgramUsageMessage(
       "hornbeamspool --settings=FILE [--embedded]\n"
+      "hornbeamspool --gateway=FILE\n"
       "Runs one router until SIGTERM; then finishes what is in progress.");
   absl::ParseCommandLine(argc, argv);
+  const std::string gateway_path = absl::GetFlag(FLAGS_gateway);
+  if (!gateway_path.empty()) return RunGateway(gateway_path);
   const std::string path = absl::GetFlag(FLAGS_settings);
   if (path.empty()) {
-    std::cerr << "--settings=FILE is needed; see --help\n";
+    std::cerr << "--settings=FILE or --gateway=FILE is needed; see --help\n";
     return kUsage;
   }
-  std::optional<settings::NodeSettings> node = ReadSettings(path);
+  std::optional<settings::NodeSettings> node =
+      ReadSettings(path, &settings::ParseNodeSettings);
   if (!node) return kUsage;
   Embedded embedded;
   if (absl::GetFlag(FLAGS_embedded)) {
--- a/http/client.cc
+++ b/http/client.cc
@@ -1,10 +1,14 @@
 #include "http/client.h"
 
+#include <netinet/tcp.h>
+
+#include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/beast/core/basic_stream.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
+#include <charconv>
 #include <map>
 #include <optional>
 #include <string>
@@ -29,18 +33,35 @@
 // Idle connections kept for each address.
 constexpr std::size_t kMaxIdle = 64;
 
+// An idle connection whose server names no time is kept this long: half of
+// the shortest time that servers in common use keep theirs (5 s).
+constexpr coordination::Duration kLongestIdle = std::chrono::milliseconds(2500);
+
+// Taken off a server's own idle time, for the request's way to it.
+constexpr coordination::Duration kIdleMargin = std::chrono::milliseconds(500);
+
+// Sent bytes that nobody acknowledges end their connection after this time.
+constexpr unsigned kUnacknowledgedMs = 3000;
+
 // Bytes asked of the socket at once.
 constexpr std::size_t kReadBytes = 8 * 1024;
 
+coordination::TimePoint Now() {
+  return std::chrono::time_point_cast<coordination::Duration>(
+      std::chrono::steady_clock::now());
+}
+
 bhttp::request<bhttp::string_body> ToBeast(std::string_view address,
                                            const Request& request) {
   bhttp::request<bhttp::string_body> message;
   message.version(11);
   message.method_string(request.method);
   message.target(request.target);
-  message.set(bhttp::field::host, address);
+  if (request.HeaderValue("Host").empty()) {
+    message.set(bhttp::field::host, address);
+  }
   for (const Header& header : request.headers) {
-    message.set(header.name, header.value);
+    message.insert(header.name, header.value);
   }
   message.body() = request.body;
   message.prepare_payload();
@@ -49,29 +70,91 @@
 
 }  // namespace
 
+void Canceller::Cancel() {
+  this->cancelled = true;
+  const std::function<void()> close = std::exchange(this->hook, nullptr);
+  if (close) close();
+}
+
+void Canceller::SetHook(std::function<void()> close) {
+  this->hook = std::move(close);
+}
+
+namespace {
+
+// True when nothing has arrived on an idle connection and it is still open.
+// Bytes that nobody asked for belong to no answer.
+bool IsQuiet(Stream& stream) {
+  char byte = 0;
+  error_code error;
+  stream.socket().non_blocking(true, error);
+  stream.socket().receive(net::buffer(&byte, 1), net::socket_base::message_peek,
+                          error);
+  return error == net::error::would_block;
+}
+
+}  // namespace
+
 struct Client::Pool {
+  // An idle connection and the time until which its server keeps it.
+  struct Idle {
+    std::unique_ptr<Stream> stream;
+    coordination::TimePoint since;
+    coordination::TimePoint usable_until;
+  };
+
   explicit Pool(net::io_context& io) : io(&io), watchdog(io) {}
 
-  std::unique_ptr<Stream> Take(std::string_view address) {
+  std::unique_ptr<Stream> Take(std::string_view address,
+                               const FetchOptions& options,
+                               coordination::TimePoint now) {
     auto found = this->idle.find(address);
-    if (found == this->idle.end() || found->second.empty()) return nullptr;
-    auto stream = std::move(found->second.back());
-    found->second.pop_back();
-    return stream;
+    if (found == this->idle.end()) return nullptr;
+    auto& streams = found->second;
+    while (!streams.empty()) {
+      Idle last = std::move(streams.back());
+      streams.pop_back();
+      const bool fresh =
+          now < last.usable_until && now - last.since <= options.longest_idle;
+      if (fresh && IsQuiet(*last.stream)) return std::move(last.stream);
+      this->Closed(address);
+    }
+    return nullptr;
   }
 
-  void Give(std::string_view address, std::unique_ptr<Stream> stream) {
+  void Give(std::string_view address, std::unique_ptr<Stream> stream,
+            coordination::Duration kept, coordination::TimePoint now) {
     auto& streams = this->idle[std::string(address)];
-    if (streams.size() >= kMaxIdle) return;
-    streams.push_back(std::move(stream));
+    if (streams.size() >= kMaxIdle) {
+      this->Closed(address);
+      return;
+    }
+    streams.push_back({std::move(stream), now, now + kept});
+  }
+
+  std::size_t OpenCount(std::string_view address) const {
+    const auto found = this->open.find(address);
+    return found == this->open.end() ? 0 : found->second;
+  }
+
+  void Closed(std::string_view address) {
+    const auto found = this->open.find(address);
+    if (found == this->open.end()) return;
+    if (--found->second == 0) this->open.erase(found);
   }
 
   net::io_context* io;
   Watchdog watchdog;
-  std::map<std::string, std::vector<std::unique_ptr<Stream>>, std::less<>> idle;
+  std::map<std::string, std::vector<Idle>, std::less<>> idle;
+  std::map<std::string, std::size_t, std::less<>> open;  // idle ones included
 };
 
 struct ResponseStream::State {
+  ~State() {
+    if (this->options.canceller) this->options.canceller->SetHook(nullptr);
+    if (this->stream) this->pool->Closed(this->address);
+  }
+
   std::shared_ptr<Client::Pool> pool;
   std::string address;
   std::unique_ptr<Stream> stream;
@@ -82,14 +165,39 @@
   std::optional<Watchdog::Guard> guard;
 
   void Watch() {
-    this->guard.emplace(this->pool->watchdog,
-                        [this] { this->stream->socket().cancel(); });
+    const auto close = [this] {
+      error_code ignored;
+      this->stream->socket().close(ignored);
+    };
+    this->guard.emplace(this->pool->watchdog, close);
+    if (this->options.canceller) this->options.canceller->SetHook(close);
+  }
+  // Arms the guard for one operation, within the deadline of the call.
+  void Arm(coordination::Duration longest, coordination::TimePoint now) {
+    this->guard->Arm(std::min(longest, this->options.deadline - now));
   }
   FetchStatus Failure() const {
     return this->guard->Fired() ? FetchStatus::kTimeout : FetchStatus::kBroken;
   }
 };
 
+namespace {
+
+// How long the server keeps the connection idle by its own word, less a part
+// for the way there.
+coordination::Duration KeptIdle(const Response& head) {
+  constexpr std::string_view kTimeout = "timeout=";
+  const std::string_view value = head.HeaderValue("Keep-Alive");
+  const std::size_t at = value.find(kTimeout);
+  std::int64_t seconds = 0;
+  if (at == std::string_view::npos) return kLongestIdle;
+  const std::string_view digits = value.substr(at + kTimeout.size());
+  std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+  return std::chrono::seconds(seconds) - kIdleMargin;
+}
+
+}  // namespace
+
 ResponseStream::ResponseStream(std::unique_ptr<State> state)
     : state(std::move(state)) {}
 
@@ -98,8 +206,16 @@
   if (!state.stream) return;
   state.guard.reset();
   const bool reusable = state.parser.is_done() && state.parser.keep_alive() &&
-                        state.buffer.size() == 0;
-  if (reusable) state.pool->Give(state.address, std::move(state.stream));
+                        state.buffer.size() == 0 &&
+                        state.stream->socket().is_open();
+  if (!reusable) return;
+  state.pool->Give(state.address, std::move(state.stream), KeptIdle(state.head),
+                   Now());
+}
+
+void ResponseStream::Discard() {
+  error_code ignored;
+  this->state->stream->socket().close(ignored);
 }
 
 const Response& ResponseStream::Head() const { return this->state->head; }
@@ -135,7 +251,7 @@
     if (count > 0 || state.parser.is_done()) {
       co_return ReadResult{FetchStatus::kOk, count};
     }
-    state.guard->Arm(state.options.read_timeout);
+    state.Arm(state.options.read_timeout, Now());
     const std::size_t received =
         co_await state.stream->socket().async_read_some(
             state.buffer.prepare(kReadBytes),
@@ -163,12 +279,20 @@
   const auto endpoint = ParseTcp(address);
   if (!endpoint) co_return nullptr;
   auto stream = std::make_unique<Stream>(io);
-  stream->expires_after(options.connect_timeout);
+  if (options.canceller) {
+    options.canceller->SetHook([&stream] { stream->cancel(); });
+  }
+  stream->expires_after(
+      std::min(options.connect_timeout, options.deadline - Now()));
   error_code error;
   co_await stream->async_connect(*endpoint, net::redirect_error(kAwait, error));
+  if (options.canceller) options.canceller->SetHook(nullptr);
   if (error) co_return nullptr;
+  if (options.canceller && options.canceller->Cancelled()) co_return nullptr;
   stream->expires_never();
   stream->socket().set_option(tcp::no_delay(true), error);
+  ::setsockopt(stream->socket().native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT,
+               &kUnacknowledgedMs, sizeof(kUnacknowledgedMs));
   co_return stream;
 }
 
@@ -178,7 +302,7 @@
     const bhttp::request<bhttp::string_body>& message) {
   error_code error;
   auto& socket = state.stream->socket();
-  state.guard->Arm(state.options.first_byte_timeout);
+  state.Arm(state.options.first_byte_timeout, Now());
   co_await bhttp::async_write(socket, message,
                               net::redirect_error(kAwait, error));
   if (error) co_return state.Failure();
@@ -209,10 +333,15 @@
     state->address = std::string(address);
     state->options = options;
     state->parser.body_limit(options.body_bytes);
-    if (pooled) state->stream = this->pool->Take(address);
+    if (pooled) state->stream = this->pool->Take(address, options, Now());
     pooled = state->stream != nullptr;
     if (!pooled) {
+      if (this->pool->OpenCount(address) >= options.max_connections) {
+        co_return OpenResult{};
+      }
+      ++this->pool->open[state->address];
       state->stream = co_await Connect(*this->pool->io, address, options);
+      if (!state->stream) this->pool->Closed(address);
     }
     if (!state->stream) co_return OpenResult{};
     state->Watch();
@@ -221,7 +350,9 @@
       co_return OpenResult{status,
                            std::make_unique<ResponseStream>(std::move(state))};
     }
-    if (!pooled || status == FetchStatus::kTimeout) {
+    const bool cancelled = options.canceller && options.canceller->Cancelled();
+    const bool resend = pooled && options.resend_when_stale && !cancelled;
+    if (!resend || status == FetchStatus::kTimeout) {
       co_return OpenResult{status, nullptr};
     }
     pooled = false;
--- a/http/client.h
+++ b/http/client.h
@@ -5,6 +5,7 @@
 #include <boost/asio/io_context.hpp>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <span>
 #include <string_view>
@@ -23,6 +24,20 @@
   kCount
 };
 
+// Ends a call from outside: its connection is closed, and the call returns
+// kBroken, or kUnreachable when nothing was sent yet.
+class Canceller {
+ public:
+  void Cancel();
+  bool Cancelled() const { return this->cancelled; }
+  // Set by the client while a call is under way.
+  void SetHook(std::function<void()> close);
+
+ private:
+  std::function<void()> hook;
+  bool cancelled = false;
+};
+
 struct FetchOptions {
   coordination::Duration connect_timeout = std::chrono::seconds(1);
   coordination::Duration first_byte_timeout = std::chrono::seconds(5);
@@ -31,6 +46,16 @@
   // Never uses a pooled connection, whose peer may have closed it already:
   // needed where it matters whether a byte was sent.
   bool fresh_connection = false;
+  // A pooled connection that has been idle longer is closed unused.
+  coordination::Duration longest_idle = std::chrono::seconds(60);
+  // The whole call ends by then, whatever the other limits say.
+  coordination::TimePoint deadline = coordination::TimePoint::max();
+  // A request that fails on a pooled connection is sent once more on a fresh
+  // one: only for requests that may run twice.
+  bool resend_when_stale = true;
+  // Open connections to one address, of all calls together.
+  std::size_t max_connections = SIZE_MAX;
+  Canceller* canceller = nullptr;  // outlives the call and its answer
 };
 
 struct FetchResult {
@@ -55,6 +80,8 @@
 
   const Response& Head() const;
   Task<ReadResult> Read(std::span<char> into);
+  // The connection is not used again, whatever has been read of the answer.
+  void Discard();
 
  private:
   std::unique_ptr<State> state;
--- a/http/exchange.h
+++ b/http/exchange.h
@@ -1,6 +1,7 @@
 // One request and the answer to it, on a connection of a server.
 #pragma once
 
+#include <functional>
 #include <string_view>
 
 #include "http/message.h"
@@ -26,6 +27,10 @@
   virtual Task<bool> Write(std::string_view bytes) = 0;
   virtual Task<bool> EndStream() = 0;
 
+  // Calls `notify` once when the caller closes its side before the answer has
+  // ended. A pipelined request ends the watch; so does an empty `notify`.
+  virtual void OnGone(std::function<void()> notify) = 0;
+
   // Closes the connection without ending the answer, so that a caller sees
   // that it is not whole.
   virtual void Abort() = 0;
--- a/http/server.cc
+++ b/http/server.cc
@@ -1,5 +1,6 @@
 #include "http/server.h"
 
+#include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -29,6 +30,20 @@
 // Room for the first bytes of a request on an idle connection.
 constexpr std::size_t kFirstReadBytes = 1024;
 
+// How long a connection that is about to close still reads, so that unread
+// bytes do not reset it before the caller has its answer.
+constexpr coordination::Duration kLingerTime = std::chrono::seconds(1);
+
+// True for heads whose framing or host is ambiguous (RFC 9112, 3.2 and 6.1).
+bool IsAmbiguous(const bhttp::request<bhttp::string_body>& head) {
+  const std::size_t hosts = head.count(bhttp::field::host);
+  if (hosts > 1 || (head.version() == 11 && hosts == 0)) return true;
+  const std::size_t codings = head.count(bhttp::field::transfer_encoding);
+  if (codings == 0) return false;
+  return codings > 1 || head.version() != 11 ||
+         !beast::iequals(head[bhttp::field::transfer_encoding], "chunked");
+}
+
 Request FromBeast(bhttp::request<bhttp::string_body>&& message) {
   Request request;
   request.method = std::string(message.method_string());
@@ -47,7 +62,7 @@
   message.version(11);
   message.result(response.status);
   for (const Header& header : response.headers) {
-    message.set(header.name, header.value);
+    message.insert(header.name, header.value);
   }
   message.keep_alive(keep_alive);
 }
@@ -67,13 +82,15 @@
   std::size_t connections = 0;
   std::size_t requests = 0;
   bool draining = false;
+  bool closing_after_answers = false;
 };
 
 namespace {
 
 // One connection. Answers its requests in the order of their arrival, also
 // when they are pipelined.
-class Connection : public Exchange {
+class Connection : public Exchange,
+                   public std::enable_shared_from_this<Connection> {
  public:
   Connection(TcpSocket socket, std::shared_ptr<Server::State> state);
   ~Connection() override { --this->state->connections; }
@@ -85,15 +102,20 @@
   Task<bool> BeginStream(Response head) override;
   Task<bool> Write(std::string_view bytes) override;
   Task<bool> EndStream() override;
+  void OnGone(std::function<void()> notify) override;
   void Abort() override;
 
  private:
+  void WatchCaller();
+  bool CallerClosed();
+  Task<void> Linger();
   Task<bool> WaitForBytes();
   Task<std::optional<Reject>> ReadRequest();
   std::optional<Reject> RejectOf(const error_code& error);
   Task<void> Handle();
   bool KeepAlive() const {
-    return this->wants_keep_alive && !this->state->draining;
+    return this->wants_keep_alive && !this->state->draining &&
+           !this->state->closing_after_answers;
   }
 
   TcpSocket socket;
@@ -104,6 +126,8 @@
   bool wants_keep_alive = true;
   bool gone = false;      // nothing more can be read or written
   bool answered = false;  // an answer to the present request has begun
+  bool watched = false;   // a wait for readable bytes is pending
+  std::function<void()> notify_gone;
 };
 
 Connection::Connection(TcpSocket socket, std::shared_ptr<Server::State> state)
@@ -121,22 +145,74 @@
     this->wants_keep_alive = false;
     co_await this->Send(
         this->state->reject_answer(Reject::kTooManyConnections));
+    co_await this->Linger();
     co_return;
   }
-  while (!this->gone && (this->wants_keep_alive && !this->state->draining)) {
-    if (!co_await this->WaitForBytes()) co_return;
+  bool kept = true;
+  while (!this->gone && kept) {
+    if (!co_await this->WaitForBytes()) break;
     ++this->state->requests;
     const std::optional<Reject> reject = co_await this->ReadRequest();
+    this->guard.Disarm();
     if (reject) {
       this->wants_keep_alive = false;
       co_await this->Send(this->state->reject_answer(*reject));
     } else if (!this->gone) {
       co_await this->Handle();
     }
+    this->notify_gone = nullptr;
     --this->state->requests;
+    kept = this->KeepAlive();
   }
+  co_await this->Linger();
   error_code ignored;
-  this->socket.shutdown(net::socket_base::shutdown_send, ignored);
+  this->socket.close(ignored);
+}
+
+// Ends the sending side and reads until the caller closes.
+Task<void> Connection::Linger() {
+  error_code error;
+  this->socket.shutdown(net::socket_base::shutdown_send, error);
+  if (error || this->gone) co_return;
+  this->guard.Arm(kLingerTime);
+  std::array<char, kFirstReadBytes> scratch{};
+  while (!error && !this->guard.Fired()) {
+    co_await this->socket.async_read_some(net::buffer(scratch),
+                                          net::redirect_error(kAwait, error));
+  }
+}
+
+void Connection::OnGone(std::function<void()> notify) {
+  this->notify_gone = std::move(notify);
+  if (!this->notify_gone) return;
+  if (this->buffer.size() > 0) return;  // a pipelined request
+  this->WatchCaller();
+}
+
+// One wait serves a connection: it stays pending over requests until bytes or
+// the end of the stream arrive.
+void Connection::WatchCaller() {
+  if (this->watched) return;
+  this->watched = true;
+  this->socket.async_wait(
+      net::socket_base::wait_read,
+      [self = this->shared_from_this()](const error_code& error) {
+        self->watched = false;
+        if (error || !self->notify_gone || !self->CallerClosed()) return;
+        self->gone = true;
+        const std::function<void()> notify =
+            std::exchange(self->notify_gone, nullptr);
+        notify();
+      });
+}
+
+bool Connection::CallerClosed() {
+  char byte = 0;
+  error_code error;
+  this->socket.non_blocking(true, error);
+  const std::size_t count = this->socket.receive(
+      net::buffer(&byte, 1), net::socket_base::message_peek, error);
+  return count == 0 && error != net::error::would_block;
 }
 
 // Waits for the first bytes of the next request. False when none come.
@@ -163,6 +239,7 @@
   this->guard.Arm(this->state->limits.header_timeout);
   co_await bhttp::async_read_header(this->socket, this->buffer, parser,
                                     net::redirect_error(kAwait, error));
+  if (!error && IsAmbiguous(parser.get())) co_return Reject::kMalformed;
   if (!error) {
     this->guard.Arm(this->state->limits.body_timeout);
     if (beast::iequals(parser.get()[bhttp::field::expect], "100-continue")) {
@@ -311,6 +388,12 @@
   return this->state->acceptor->local_endpoint().port();
 }
 
+void Server::SetLimits(const ServerLimits& limits) {
+  this->state->limits = limits;
+}
+
+void Server::CloseAfterAnswers() { this->state->closing_after_answers = true; }
+
 void Server::Drain() {
   this->state->draining = true;
   error_code ignored;
--- a/http/server.h
+++ b/http/server.h
@@ -51,6 +51,13 @@
   // Starts to accept on `ip:port`. Returns the port, 0 on failure.
   std::uint16_t Listen(std::string_view address);
 
+  // Limits of the requests that are read from now on.
+  void SetLimits(const ServerLimits& limits);
+
+  // Answers from now on end their connections; the listener stays open, so
+  // that callers who are still sent here are served.
+  void CloseAfterAnswers();
+
   // Stops accepting and closes idle connections. Requests in progress go on,
   // and their connections close after the answer.
   void Drain();
--- /dev/null
+++ b/policy/budget_desk.h
@@ -0,0 +1,112 @@
+// The budgets of all tenants at one VM: reservations by requests, and the
+// writes that keep the VM's limits in the store.
+//
+// At most one write is outstanding. A limit that a write lowers is in force
+// before the write is sent, a limit that it raises only once it is
+// acknowledged, so that a lost answer strands tokens and never creates them.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "coordination/time.h"
+#include "policy/tenant_budget.h"
+
+namespace hornbeamspool::policy {
+
+// The rows of one tenant's budget, and their versions in the store (0: absent).
+struct BudgetRows {
+  std::string tenant;
+  BudgetTotal total;
+  std::uint64_t total_version = 0;
+  BudgetShare share;
+  std::uint64_t share_version = 0;
+};
+
+enum class BudgetVerdict : std::uint8_t {
+  kReserved,
+  kLacking,    // this VM's limit is too low; a write may raise it
+  kExhausted,  // the prepaid tokens can't cover the request
+  kCount
+};
+
+struct BudgetDeskOptions {
+  // Spending that a limit covers without the store. The store's outages that
+  // the platform announces last up to 9 s, and the way back takes a second.
+  coordination::Duration bridged_outage = std::chrono::seconds(10);
+  // Least time between two writes without a waiting request.
+  coordination::Duration write_interval = std::chrono::milliseconds(1000);
+};
+
+class BudgetDesk {
+ public:
+  BudgetDesk(std::uint64_t incarnation, BudgetDeskOptions options)
+      : incarnation(incarnation), options(options) {}
+
+  // The prepaid tokens of a tenant, by the configuration in force.
+  void SetPrepaid(std::string_view tenant, std::int64_t prepaid);
+
+  BudgetVerdict Reserve(std::string_view tenant, std::int64_t amount);
+  void Settle(std::string_view tenant, std::int64_t amount, std::int64_t used);
+
+  // A request waits for tokens: a write is due at once.
+  void NoteLacking(std::string_view tenant, std::int64_t amount);
+
+  // The rows to write now, all in one transaction; empty when none is due, a
+  // write is outstanding, or the rows must be read first.
+  std::vector<BudgetRows> PlanWrite(coordination::TimePoint now);
+  // The write was acknowledged; its rows have this version.
+  void OnWritten(std::uint64_t version);
+  // The write was certainly not done.
+  void OnNotWritten();
+  // Nobody knows whether the write was done: the rows must be read again.
+  void OnUnknown();
+  // Rows as they are in the store; tenants without rows have none.
+  void OnRead(std::span<const BudgetRows> rows);
+  std::vector<std::string> Tenants() const;
+  bool NeedsRead() const { return this->needs_read; }
+  bool WriteOutstanding() const { return !this->pending.empty(); }
+
+  // From here on writes give every unspent token back.
+  void BeginStop() { this->stopping = true; }
+  // True when nothing unspent is held any more.
+  bool AllReturned() const;
+
+  struct Figures {
+    std::string tenant;
+    std::int64_t prepaid, limit, spent, reserved, committed, known_spent;
+  };
+  std::vector<Figures> AllFigures() const;
+
+ private:
+  struct Entry {
+    std::int64_t prepaid = 0;
+    TenantAccount account;
+    BudgetRows rows;           // as last known in the store
+    std::int64_t lacking = 0;  // tokens that waiting requests need
+    bool unresolved = false;   // a write's outcome is not known
+    bool fresh = false;        // rows read since the last doubt
+  };
+
+  std::int64_t WantedLimit(const Entry& entry) const;
+  bool IsDue(const Entry& entry, std::int64_t next_limit) const;
+  BudgetRows NextRows(const Entry& entry, std::int64_t limit) const;
+  void Adopt(Entry& entry, const BudgetRows& rows);
+
+  std::map<std::string, Entry, std::less<>> entries;
+  std::vector<BudgetRows> pending;  // rows of the outstanding write
+  coordination::TimePoint last_sample{};
+  coordination::TimePoint next_write{};
+  std::uint64_t incarnation;
+  BudgetDeskOptions options;
+  bool urgent = false;
+  bool needs_read = true;
+  bool stopping = false;
+};
+
+}  // namespace hornbeamspool::policy
--- /dev/null
+++ b/policy/gateway_core.cc
@@ -0,0 +1,220 @@
+#include "policy/gateway_core.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "coordination/rendezvous.h"
+
+namespace hornbeamspool::policy {
+namespace {
+
+using coordination::Duration;
+using coordination::TimePoint;
+
+// When callers may come back: after the configuration is read, after a limit
+// is raised, after a server is free.
+constexpr Duration kRetryNotReady = std::chrono::milliseconds(500);
+constexpr Duration kRetryBudget = std::chrono::milliseconds(1000);
+constexpr Duration kRetryServer = std::chrono::milliseconds(700);
+
+// A send with less time than this is not worth the server's work.
+constexpr Duration kLeastTime = std::chrono::milliseconds(20);
+
+// Sends that servers reject don't run; still, each costs the caller time.
+constexpr std::int64_t kMostRejectedSends = 3;
+
+constexpr std::int64_t kLeastUrgent = 9;
+
+// Spreads the callers' return over half of the time more.
+Duration Spread(Duration after, std::string_view request_id) {
+  const std::uint64_t hash = coordination::StableHash(request_id);
+  constexpr std::uint64_t kSteps = 64;
+  return after + after / 2 * static_cast<std::int64_t>(hash % kSteps) /
+                     static_cast<std::int64_t>(kSteps);
+}
+
+}  // namespace
+
+GatewayCore::GatewayCore(GatewayOptions options, std::uint64_t incarnation)
+    : options(std::move(options)),
+      board(this->options.availability_zone),
+      budgets(incarnation, this->options.budgets) {}
+
+bool GatewayCore::SetConfig(GatewayConfig config) {
+  if (this->table && config.version <= this->table->Config().version) {
+    return false;
+  }
+  this->table = std::make_shared<const RouteTable>(std::move(config));
+  for (const Tenant& tenant : this->table->Config().tenants) {
+    if (!tenant.prepaid) continue;
+    this->budgets.SetPrepaid(tenant.name, *tenant.prepaid);
+  }
+  return true;
+}
+
+std::variant<Refusal, Ticket> GatewayCore::Admit(GatewayRequest request,
+                                                 TimePoint now) {
+  if (!this->table) {
+    return Refusal{ErrorKind::kNotReady, Spread(kRetryNotReady, request.id)};
+  }
+  Ticket ticket;
+  ticket.table = this->table;
+  ticket.arrived = now;
+
+  // Step 1: the route. One that isn't known may be newer than what is known
+  // here, unless the store has just confirmed the configuration.
+  ticket.route = ticket.table->FindRoute(request.host, request.path);
+  if (ticket.route == nullptr) {
+    if (this->confirmed) return Refusal{ErrorKind::kNotFound, {}};
+    return Refusal{ErrorKind::kNotReady, Spread(kRetryNotReady, request.id)};
+  }
+
+  // Step 2: the key.
+  if (ticket.table->NeedsKeys() && !ticket.route->open) {
+    ticket.tenant = ticket.table->FindTenant(request.key);
+    if (ticket.tenant == nullptr) {
+      const bool final = this->confirmed || request.key.empty();
+      if (final) return Refusal{ErrorKind::kUnauthenticated, {}};
+      return Refusal{ErrorKind::kNotReady, Spread(kRetryNotReady, request.id)};
+    }
+  }
+
+  // Step 3: the service, and the time that is left.
+  ticket.service = this->ChooseService(*ticket.table, *ticket.route, request);
+  if (ticket.service == nullptr) {
+    return Refusal{ErrorKind::kNoUpstream, Spread(kRetryServer, request.id)};
+  }
+  ticket.deadline = now + std::min(request.patience, ticket.route->timeout);
+  ticket.request = std::move(request);
+  this->AllowanceOf(ticket.service->name).NoteRequest(now);
+  ++this->in_flight;
+  return ticket;
+}
+
+const Service* GatewayCore::ChooseService(const RouteTable& table,
+                                          const Route& route,
+                                          const GatewayRequest& request) const {
+  std::int64_t total = 0;
+  for (const ServiceShare& share : route.shares) total += share.weight;
+  if (total <= 0) return nullptr;
+  const auto point = static_cast<std::int64_t>(
+      coordination::StableHash(request.id) % static_cast<std::uint64_t>(total));
+  std::int64_t passed = 0;
+  for (const ServiceShare& share : route.shares) {
+    passed += share.weight;
+    if (point < passed) return table.FindService(share.service);
+  }
+  return nullptr;
+}
+
+BudgetVerdict GatewayCore::Pay(Ticket& ticket) {
+  const bool free = ticket.tenant == nullptr || !ticket.tenant->prepaid ||
+                    !ticket.request.demand;
+  if (free) return BudgetVerdict::kReserved;
+  const std::int64_t amount = ticket.request.demand->WorstCase();
+  const BudgetVerdict verdict =
+      this->budgets.Reserve(ticket.tenant->name, amount);
+  if (verdict == BudgetVerdict::kReserved) ticket.reserved = amount;
+  return verdict;
+}
+
+void GatewayCore::NoteLacking(const Ticket& ticket) {
+  this->budgets.NoteLacking(ticket.tenant->name,
+                            ticket.request.demand->WorstCase());
+}
+
+RetryAllowance& GatewayCore::AllowanceOf(const std::string& service) {
+  return this->allowances.try_emplace(service, this->options.retries)
+      .first->second;
+}
+
+std::variant<Refusal, SendOrder> GatewayCore::NextSend(Ticket& ticket,
+                                                       TimePoint now) {
+  const Duration left = ticket.deadline - now;
+  if (left < kLeastTime) {
+    const ErrorKind kind =
+        ticket.runs > 0 ? ErrorKind::kUpstreamTimeout : ErrorKind::kNoUpstream;
+    return Refusal{kind, Spread(kRetryServer, ticket.request.id)};
+  }
+  const std::vector<const ServerEntry*> servers =
+      this->servers.Usable(ticket.service->name);
+  const ModelDemand* demand =
+      ticket.request.demand ? &*ticket.request.demand : nullptr;
+  const EngineTraits* engine =
+      ticket.service->engine ? &*ticket.service->engine : nullptr;
+  const ServerEntry* server =
+      this->board.Choose(servers, demand, engine, ticket.failed_servers, now);
+  if (server == nullptr) {
+    const ErrorKind kind =
+        ticket.runs > 0 ? ErrorKind::kUpstreamFailed : ErrorKind::kNoUpstream;
+    return Refusal{kind, Spread(kRetryServer, ticket.request.id)};
+  }
+  if (ticket.sends > 0 && !this->AllowanceOf(ticket.service->name).Take(now)) {
+    const ErrorKind kind =
+        ticket.runs > 0 ? ErrorKind::kUpstreamFailed : ErrorKind::kNoUpstream;
+    return Refusal{kind, Spread(kRetryServer, ticket.request.id)};
+  }
+  ++ticket.sends;
+  SendOrder order;
+  order.server = *server;
+  order.left = left;
+  const std::int64_t priority = ticket.tenant && ticket.tenant->priority
+                                    ? *ticket.tenant->priority
+                                    : ticket.route->priority;
+  order.urgency = std::clamp<std::int64_t>(priority, 0, kLeastUrgent);
+  order.max_connections = ticket.service->max_connections <= 0
+                              ? SIZE_MAX
+                              : static_cast<std::size_t>(std::max<std::int64_t>(
+                                    1, ticket.service->max_connections /
+                                           this->options.connection_sharers));
+  order.record = this->board.OnSent(*server, demand, now);
+  return order;
+}
+
+bool GatewayCore::OnSendEnded(Ticket& ticket, const SendOrder& order,
+                              SendOutcome outcome, TimePoint now) {
+  this->board.OnEnded(order.record, outcome, now);
+  const bool not_run =
+      outcome == SendOutcome::kRejected || outcome == SendOutcome::kUnreachable;
+  if (!not_run) {
+    ++ticket.runs;
+    ticket.prompt_read = true;
+  }
+  const bool final = outcome == SendOutcome::kAnswered ||
+                     outcome == SendOutcome::kAbandoned ||
+                     outcome == SendOutcome::kSilent;
+  if (final) return false;
+  ticket.failed_servers.push_back(order.server.id);
+  if (!not_run && !ticket.route->MayRepeat()) return false;
+  if (ticket.runs >= ticket.route->attempts) return false;
+  return ticket.sends - ticket.runs < kMostRejectedSends;
+}
+
+Refusal GatewayCore::FinalRefusal(const Ticket& ticket,
+                                  SendOutcome outcome) const {
+  if (ticket.runs == 0) {
+    return {ErrorKind::kNoUpstream, Spread(kRetryServer, ticket.request.id)};
+  }
+  if (outcome == SendOutcome::kSilent) return {ErrorKind::kUpstreamTimeout, {}};
+  return {ErrorKind::kUpstreamFailed, {}};
+}
+
+// The prompt counts once, as soon as a server may have read it; output counts
+// as delivered, each event with the most tokens that it may hold.
+std::int64_t GatewayCore::TokensUsed(const Ticket& ticket) const {
+  if (!ticket.prompt_read || !ticket.request.demand) return 0;
+  const std::int64_t per_event =
+      ticket.service->engine ? ticket.service->engine->tokens_per_event : 1;
+  return ticket.request.demand->prompt_tokens +
+         ticket.events_delivered * per_event;
+}
+
+void GatewayCore::Finish(Ticket& ticket) {
+  --this->in_flight;
+  if (ticket.reserved == 0) return;
+  this->budgets.Settle(ticket.tenant->name, ticket.reserved,
+                       this->TokensUsed(ticket));
+  ticket.reserved = 0;
+}
+
+}  // namespace hornbeamspool::policy
--- /dev/null
+++ b/policy/gateway_core.h
@@ -0,0 +1,117 @@
+// The decisions of a gateway: routes, keys, budgets, the choice of servers and
+// what follows when a send fails. No I/O; each call takes the present time.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "coordination/time.h"
+#include "policy/budget_desk.h"
+#include "policy/error_kind.h"
+#include "policy/gateway_request.h"
+#include "policy/retry_allowance.h"
+#include "policy/route_table.h"
+#include "policy/server_board.h"
+#include "policy/server_directory.h"
+
+namespace hornbeamspool::policy {
+
+// A request that is answered by the gateway itself.
+struct Refusal {
+  ErrorKind kind = ErrorKind::kInternal;
+  coordination::Duration retry_after{};  // 0: coming back won't help
+};
+
+// A request that was let in, until its end.
+struct Ticket {
+  std::shared_ptr<const RouteTable> table;  // keeps what is pointed to
+  const Route* route = nullptr;
+  const Tenant* tenant = nullptr;    // null on open routes
+  const Service* service = nullptr;  // chosen once for all sends
+  GatewayRequest request;
+  coordination::TimePoint arrived{};
+  coordination::TimePoint deadline{};  // the answer has ended by then
+  std::int64_t reserved = 0;           // tokens set aside
+  bool prompt_read = false;            // a server may have read the prompt
+  std::int64_t events_delivered = 0;
+  std::int64_t sends = 0;
+  std::int64_t runs = 0;  // sends that a server may have run
+  bool started = false;   // the caller has been sent the answer's head
+  std::optional<std::int64_t> last_event_id;  // the last one delivered
+  std::vector<std::string> failed_servers;
+};
+
+// Where to send a request now.
+struct SendOrder {
+  ServerEntry server;
+  coordination::Duration left{};  // until the deadline
+  std::int64_t urgency = 0;
+  std::size_t max_connections = 0;  // of this VM to this server
+  SendRecord record;
+};
+
+struct GatewayOptions {
+  std::string availability_zone;
+  RetryBounds retries;
+  BudgetDeskOptions budgets;
+  // VMs that share a server's connections.
+  std::int64_t connection_sharers = 10;
+};
+
+class GatewayCore {
+ public:
+  GatewayCore(GatewayOptions options, std::uint64_t incarnation);
+
+  // Takes a configuration that is newer than the one in force; false otherwise.
+  bool SetConfig(GatewayConfig config);
+  const RouteTable* Table() const { return this->table.get(); }
+  // Whether the store has confirmed lately that the configuration is the
+  // newest. While it has not, an unknown key or route may be a new one.
+  void SetConfigConfirmed(bool confirmed) { this->confirmed = confirmed; }
+
+  std::variant<Refusal, Ticket> Admit(GatewayRequest request,
+                                      coordination::TimePoint now);
+  // Sets the request's worst case aside.
+  BudgetVerdict Pay(Ticket& ticket);
+  // Notes that the request waits for tokens.
+  void NoteLacking(const Ticket& ticket);
+
+  std::variant<Refusal, SendOrder> NextSend(Ticket& ticket,
+                                            coordination::TimePoint now);
+  // Notes how a send ended. True when the request may be sent once more; then
+  // NextSend says whether and where.
+  bool OnSendEnded(Ticket& ticket, const SendOrder& order, SendOutcome outcome,
+                   coordination::TimePoint now);
+  // The refusal after the last send failed with this outcome.
+  Refusal FinalRefusal(const Ticket& ticket, SendOutcome outcome) const;
+  // Ends the request and settles its budget.
+  void Finish(Ticket& ticket);
+
+  ServerDirectory& Servers() { return this->servers; }
+  ServerBoard& Board() { return this->board; }
+  BudgetDesk& Budgets() { return this->budgets; }
+  std::size_t InFlight() const { return this->in_flight; }
+
+ private:
+  const Service* ChooseService(const RouteTable& table, const Route& route,
+                               const GatewayRequest& request) const;
+  RetryAllowance& AllowanceOf(const std::string& service);
+  std::int64_t TokensUsed(const Ticket& ticket) const;
+
+  GatewayOptions options;
+  std::shared_ptr<const RouteTable> table;
+  ServerDirectory servers;
+  ServerBoard board;
+  BudgetDesk budgets;
+  std::map<std::string, RetryAllowance, std::less<>> allowances;  // by service
+  std::size_t in_flight = 0;
+  bool confirmed = false;
+};
+
+}  // namespace hornbeamspool::policy
--- /dev/null
+++ b/policy/server_board.h
@@ -0,0 +1,108 @@
+// What one VM knows of each server's load, cached prompt parts and failures,
+// and the choice of the server for a request.
+#pragma once
+
+#include <cstdint>
+#include <list>
+#include <map>
+#include <memory>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+#include "coordination/time.h"
+#include "policy/gateway_request.h"
+#include "policy/server_directory.h"
+
+namespace hornbeamspool::policy {
+
+struct EngineTraits;
+
+// A server's own word of its load.
+struct ServerLoad {
+  std::int64_t running = 0;
+  std::int64_t waiting = 0;
+  std::int64_t slots = 0;
+};
+
+// How a send ended.
+enum class SendOutcome : std::uint8_t {
+  kAnswered,     // the server's whole answer
+  kServerError,  // the server's whole answer, which tells of its own failure
+  kRejected,     // the server said that it did not run the request
+  kUnreachable,  // no byte was sent
+  kBroken,       // sent; the answer failed or belongs to another request
+  kSilent,       // sent; no answer came in time
+  kAbandoned,    // the caller left
+  kCount
+};
+
+// One request at one server.
+struct SendRecord {
+  std::string server;
+  std::int64_t unread_tokens = 0;  // of the prompt, until the first event
+  std::int64_t held_tokens = 0;    // of the engine's memory
+  bool started = false;            // the first event has come
+};
+
+class ServerBoard {
+ public:
+  explicit ServerBoard(std::string availability_zone)
+      : availability_zone(std::move(availability_zone)) {}
+
+  // The server to send to among `servers`, leaving out the ids in `avoid`; null
+  // when none can take the request now.
+  const ServerEntry* Choose(std::span<const ServerEntry* const> servers,
+                            const ModelDemand* demand,
+                            const EngineTraits* engine,
+                            std::span<const std::string> avoid,
+                            coordination::TimePoint now);
+
+  SendRecord OnSent(const ServerEntry& server, const ModelDemand* demand,
+                    coordination::TimePoint now);
+  // The answer's head, or a stream's first event, has come.
+  void OnStarted(SendRecord& record);
+  void OnLoad(std::string_view server, const ServerLoad& load,
+              coordination::TimePoint now);
+  // Ends the record.
+  void OnEnded(const SendRecord& record, SendOutcome outcome,
+               coordination::TimePoint now);
+  void Forget(std::string_view server);
+
+  struct Figures {
+    std::int64_t in_flight = 0;
+    double failure_rate = 0;
+  };
+  Figures FiguresOf(std::string_view server) const;
+
+ private:
+  // The prompt parts that a server has read lately, the latest first.
+  class PartCache;
+
+  struct State {
+    std::int64_t in_flight = 0;
+    std::int64_t unread_tokens = 0;
+    std::int64_t held_tokens = 0;
+    ServerLoad load;  // as last reported
+    coordination::TimePoint load_at{};
+    std::int64_t sent_since_load = 0;
+    double failure_rate = 0;  // 0 to 1, recent
+    std::int64_t failures_in_a_row = 0;
+    coordination::TimePoint suspended_until{};
+    std::shared_ptr<PartCache> cache;
+  };
+
+  State& StateOf(std::string_view server);
+  std::int64_t UnreadTokens(const State& state, const ServerEntry& server,
+                            const ModelDemand& demand, bool home) const;
+  double Cost(const State& state, const ServerEntry& server,
+              const ModelDemand* demand, const EngineTraits* engine, bool home,
+              coordination::TimePoint now) const;
+
+  std::string availability_zone;
+  std::unordered_map<std::string, State> states;
+};
+
+}  // namespace hornbeamspool::policy
--- /dev/null
+++ b/policy/server_directory.cc
@@ -0,0 +1,80 @@
+#include "policy/server_directory.h"
+
+#include <set>
+#include <utility>
+
+namespace hornbeamspool::policy {
+
+void ServerDirectory::Put(ServerEntry entry) {
+  std::string id = entry.id;
+  this->entries[std::move(id)] = Kept{std::move(entry), false};
+}
+
+bool ServerDirectory::InDoubt(coordination::TimePoint now) const {
+  return !this->reachable ||
+         (this->returned_at && now - *this->returned_at < kReturnGrace);
+}
+
+void ServerDirectory::Drop(
+    std::map<std::string, Kept, std::less<>>::iterator found,
+    coordination::TimePoint now) {
+  // A server that had said it leaves is not expected back.
+  if (this->InDoubt(now) && !found->second.entry.draining) {
+    found->second.missing = true;
+    return;
+  }
+  this->entries.erase(found);
+}
+
+void ServerDirectory::Remove(std::string_view id, coordination::TimePoint now) {
+  const auto found = this->entries.find(id);
+  if (found != this->entries.end()) this->Drop(found, now);
+}
+
+void ServerDirectory::Replace(std::vector<ServerEntry> entries,
+                              coordination::TimePoint now) {
+  std::set<std::string, std::less<>> present;
+  for (ServerEntry& entry : entries) {
+    present.insert(entry.id);
+    this->Put(std::move(entry));
+  }
+  for (auto it = this->entries.begin(); it != this->entries.end();) {
+    const auto here = it++;
+    if (!present.contains(here->first)) this->Drop(here, now);
+  }
+}
+
+void ServerDirectory::SetReachable(bool reachable,
+                                   coordination::TimePoint now) {
+  if (reachable && !this->reachable) this->returned_at = now;
+  this->reachable = reachable;
+}
+
+std::vector<std::string> ServerDirectory::Expire(coordination::TimePoint now) {
+  std::vector<std::string> gone;
+  if (this->InDoubt(now)) return gone;
+  for (auto it = this->entries.begin(); it != this->entries.end();) {
+    const auto here = it++;
+    if (!here->second.missing) continue;
+    gone.push_back(here->first);
+    this->entries.erase(here);
+  }
+  return gone;
+}
+
+std::vector<const ServerEntry*> ServerDirectory::Usable(
+    std::string_view service) const {
+  std::vector<const ServerEntry*> usable;
+  for (const auto& [id, kept] : this->entries) {
+    if (kept.entry.service != service || kept.entry.draining) continue;
+    usable.push_back(&kept.entry);
+  }
+  return usable;
+}
+
+const ServerEntry* ServerDirectory::Find(std::string_view id) const {
+  const auto found = this->entries.find(id);
+  return found == this->entries.end() ? nullptr : &found->second.entry;
+}
+
+}  // namespace hornbeamspool::policy
--- /dev/null
+++ b/policy/server_directory.h
@@ -0,0 +1,70 @@
+// The servers of every service, as their registry tells. Entries that lapse
+// while the registry's store is away are kept for a while after its return:
+// their servers live, and register again.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "coordination/time.h"
+
+namespace hornbeamspool::policy {
+
+struct ServerEntry {
+  std::string id;  // one start of the server; mostly new at each start
+  std::string service;
+  std::string address;  // ip:port
+  std::string availability_zone;
+  std::string version;  // of its software
+  std::int64_t slots = 1;
+  std::int64_t born_ms = 0;  // Unix time of its start; 0 when not told
+  bool draining = false;
+};
+
+class ServerDirectory {
+ public:
+  // How long a missing entry is kept after the store's return: entries of live
+  // servers are back within about 2 s.
+  static constexpr coordination::Duration kReturnGrace =
+      std::chrono::milliseconds(2300);
+
+  // An entry was written. Ends any doubt about it.
+  void Put(ServerEntry entry);
+
+  // An entry was removed, or can't be read any more.
+  void Remove(std::string_view id, coordination::TimePoint now);
+
+  // All entries that there are, read at one moment: what is missing is removed.
+  void Replace(std::vector<ServerEntry> entries, coordination::TimePoint now);
+
+  // The registry stopped or began to answer.
+  void SetReachable(bool reachable, coordination::TimePoint now);
+
+  // Forgets entries whose grace has passed. Returns their ids.
+  std::vector<std::string> Expire(coordination::TimePoint now);
+
+  // Servers of a service that may get new work.
+  std::vector<const ServerEntry*> Usable(std::string_view service) const;
+  const ServerEntry* Find(std::string_view id) const;
+  std::size_t Size() const { return this->entries.size(); }
+
+ private:
+  struct Kept {
+    ServerEntry entry;
+    bool missing = false;  // lapsed while the store was away
+  };
+
+  bool InDoubt(coordination::TimePoint now) const;
+  void Drop(std::map<std::string, Kept, std::less<>>::iterator found,
+            coordination::TimePoint now);
+
+  std::map<std::string, Kept, std::less<>> entries;
+  bool reachable = false;
+  std::optional<coordination::TimePoint> returned_at;
+};
+
+}  // namespace hornbeamspool::policy
--- /dev/null
+++ b/policy/tenant_budget.cc
@@ -0,0 +1,58 @@
+#include "policy/tenant_budget.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+
+namespace hornbeamspool::policy {
+namespace {
+
+// Demand rises at once and decays with this time, so that a hot tenant's
+// limits stay large for the length of an outage.
+constexpr double kDemandDecaySeconds = 6.0;
+
+}  // namespace
+
+std::int64_t NextLimit(const LimitRequest& request, const BudgetTotal& total) {
+  const std::int64_t others = total.committed - request.held;
+  const std::int64_t room =
+      std::max<std::int64_t>(0, request.prepaid - others - request.least);
+  std::int64_t extra = 0;
+  if (request.needed > request.least) {
+    const std::int64_t lacking = request.needed - request.least;
+    if (lacking <= room) extra = lacking;
+  }
+  const std::int64_t already = std::clamp<std::int64_t>(
+      request.held - request.least - extra, 0, room - extra);
+  const std::int64_t foresight =
+      std::max<std::int64_t>(0, request.wanted - request.least - extra);
+  if (foresight <= already) return request.least + extra + foresight;
+  const std::int64_t unclaimed = room - extra - already;
+  return request.least + extra + already +
+         std::min(foresight - already, unclaimed / 2);
+}
+
+bool TenantAccount::Reserve(std::int64_t amount) {
+  this->largest = std::max(this->largest, amount);
+  if (this->Available() < amount) return false;
+  this->reserved += amount;
+  return true;
+}
+
+void TenantAccount::Settle(std::int64_t amount, std::int64_t used) {
+  this->reserved -= amount;
+  this->spent += std::clamp<std::int64_t>(used, 0, amount);
+}
+
+void TenantAccount::SampleDemand(coordination::Duration elapsed) {
+  const double seconds = std::chrono::duration<double>(elapsed).count();
+  if (seconds <= 0) return;
+  const std::int64_t committed = this->Committed();
+  const double now =
+      static_cast<double>(committed - this->spent_at_sample) / seconds;
+  this->spent_at_sample = committed;
+  const double keep = std::exp(-seconds / kDemandDecaySeconds);
+  this->demand = std::max(0.0, this->demand * keep + now * (1 - keep));
+}
+
+}  // namespace hornbeamspool::policy
--- /dev/null
+++ b/settings/gateway_settings.cc
@@ -0,0 +1,58 @@
+#include "settings/gateway_settings.h"
+
+#include <array>
+#include <chrono>
+
+#include "settings/json_text.h"
+#include "settings/object_reader.h"
+
+namespace hornbeamspool::settings {
+namespace {
+
+constexpr std::array<std::string_view, 4> kLogLevels{"debug", "info", "warn",
+                                                     "error"};
+constexpr double kMostSeconds = 3600;
+
+coordination::Duration SecondsOr(ObjectReader& reader, std::string_view key,
+                                 double fallback) {
+  return std::chrono::duration_cast<coordination::Duration>(
+      std::chrono::duration<double>(
+          reader.NumberOr(key, 0, kMostSeconds, fallback)));
+}
+
+}  // namespace
+
+boost::leaf::result<GatewaySettings> ParseGatewaySettings(
+    std::string_view text) {
+  BOOST_LEAF_AUTO(document, ParseJsonText(text));
+  GatewaySettings gateway;
+  FaultList faults;
+  {
+    ObjectReader root(document, "", faults);
+    if (root.Text("kind") != "gateway") {
+      root.AddFault("kind", "must be gateway");
+    }
+    gateway.vm = root.Text("vm");
+    gateway.availability_zone = root.Text("availability_zone");
+    gateway.listen_address = root.Address("listen");
+    gateway.store_address = root.Address("store");
+    root.Member("readiness", [&](ObjectReader& r) {
+      gateway.readiness_address = r.Address("address");
+      gateway.readiness_path = r.Text("path");
+    });
+    root.Member("retries", [&](ObjectReader& r) {
+      gateway.retry_share = r.NumberOr("share", 0, 1, 0.1);
+      gateway.retry_window = SecondsOr(r, "window_s", 10);
+    });
+    gateway.stop_time = SecondsOr(root, "stop_s", 8);
+    gateway.bridged_outage = SecondsOr(root, "bridged_outage_s", 10);
+    gateway.descriptors =
+        root.IntegerOr("descriptors", IntegerRange{256, 1'000'000}, 4096);
+    gateway.log_level =
+        kLogLevels.at(root.ChoiceOr("log_level", kLogLevels, 1));
+  }
+  if (!faults.empty()) return boost::leaf::new_error(std::move(faults));
+  return gateway;
+}
+
+}  // namespace hornbeamspool::settings
--- /dev/null
+++ b/settings/gateway_settings.h
@@ -0,0 +1,36 @@
+// Settings of a gateway: one VM's addresses, and the bounds that its fleet
+// keeps.
+#pragma once
+
+#include <boost/leaf/result.hpp>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "coordination/time.h"
+
+namespace hornbeamspool::settings {
+
+struct GatewaySettings {
+  std::string vm;
+  std::string availability_zone;
+  std::string listen_address;     // of callers
+  std::string readiness_address;  // where the balancer asks
+  std::string readiness_path;
+  std::string store_address;
+  std::string log_level;
+  std::int64_t descriptors = 4096;  // open files and sockets, at most
+  // From a stop's signal until the process is killed.
+  coordination::Duration stop_time{};
+  // Repeats to a service: at most this share of its requests in any window.
+  double retry_share = 0.1;
+  coordination::Duration retry_window{};
+  // Longest outage of the store that budgets outlast.
+  coordination::Duration bridged_outage{};
+};
+
+// Fails with a FaultList.
+boost::leaf::result<GatewaySettings> ParseGatewaySettings(
+    std::string_view text);
+
+}  // namespace hornbeamspool::settings
--- a/settings/node_settings.cc
+++ b/settings/node_settings.cc
@@ -22,23 +22,8 @@
       reader.IntegerOr(key, kMilliseconds, fallback));
 }
 
-std::string Address(ObjectReader& reader, std::string_view key) {
-  std::string address = reader.Text(key);
-  const std::size_t colon = address.rfind(':');
-  const bool plausible =
-      colon != std::string::npos && colon > 0 &&
-      address.find_first_not_of("0123456789", colon + 1) == std::string::npos &&
-      colon + 1 < address.size() &&
-      address.find_first_not_of("0123456789abcdefABCDEF.:[]") ==
-          std::string::npos;
-  if (!address.empty() && !plausible) {
-    reader.AddFault(key, "must be an IP number, a colon and a port");
-  }
-  return address;
-}
-
 void ReadCallers(ObjectReader& reader, CallerSettings& callers) {
-  callers.address = Address(reader, "address");
+  callers.address = reader.Address("address");
   callers.header_timeout = MillisecondsOr(reader, "header_timeout_ms", 10'000);
   callers.body_timeout = MillisecondsOr(reader, "body_timeout_ms", 30'000);
   callers.idle_timeout = MillisecondsOr(reader, "idle_timeout_ms", 75'000);
@@ -54,7 +39,7 @@
 }
 
 void ReadPeers(ObjectReader& reader, PeerSettings& peers) {
-  peers.address = Address(reader, "address");
+  peers.address = reader.Address("address");
   peers.key = reader.Text("key");
   if (!peers.key.empty() && peers.key.size() < kLeastPeerKeyBytes) {
     reader.AddFault("key", "must hold at least 16 bytes");
@@ -64,10 +49,10 @@
 }
 
 void ReadPlatform(ObjectReader& reader, PlatformSettings& platform) {
-  platform.table = Address(reader, "table");
-  platform.objects = Address(reader, "objects");
-  platform.weights = Address(reader, "weights");
-  platform.vms = Address(reader, "vms");
+  platform.table = reader.Address("table");
+  platform.objects = reader.Address("objects");
+  platform.weights = reader.Address("weights");
+  platform.vms = reader.Address("vms");
   platform.timeout = MillisecondsOr(reader, "timeout_ms", 1'000);
   platform.poll = MillisecondsOr(reader, "poll_ms", 1'000);
 }
@@ -87,7 +72,7 @@
     root.Member("callers",
                 [&](ObjectReader& r) { ReadCallers(r, node.callers); });
     root.Member("operators", [&](ObjectReader& r) {
-      node.operators.address = Address(r, "address");
+      node.operators.address = r.Address("address");
       node.operators.key_sha256 = r.Text("key_sha256");
     });
     root.Member("peers", [&](ObjectReader& r) { ReadPeers(r, node.peers); });
--- a/settings/object_reader.cc
+++ b/settings/object_reader.cc
@@ -61,6 +61,21 @@
   return this->Text(key);
 }
 
+std::string ObjectReader::Address(std::string_view key) {
+  std::string address = this->Text(key);
+  const std::size_t colon = address.rfind(':');
+  const bool plausible =
+      colon != std::string::npos && colon > 0 &&
+      address.find_first_not_of("0123456789", colon + 1) == std::string::npos &&
+      colon + 1 < address.size() &&
+      address.find_first_not_of("0123456789abcdefABCDEF.:[]") ==
+          std::string::npos;
+  if (!address.empty() && !plausible) {
+    this->AddFault(key, "must be an IP number, a colon and a port");
+  }
+  return address;
+}
+
 std::int64_t ObjectReader::Integer(std::string_view key, IntegerRange range) {
   const boost::json::value* value = this->Find(key, true);
   if (value == nullptr) return range.least;
@@ -83,6 +98,18 @@
   return this->Integer(key, range);
 }
 
+double ObjectReader::NumberOr(std::string_view key, double least, double most,
+                              double fallback) {
+  const boost::json::value* value = this->Find(key, false);
+  if (value == nullptr) return fallback;
+  boost::system::error_code error;
+  const auto number = value->to_number<double>(error);
+  if (!error && number >= least && number <= most) return number;
+  this->AddFault(key, "must be a number between " + std::to_string(least) +
+                          " and " + std::to_string(most));
+  return fallback;
+}
+
 bool ObjectReader::BooleanOr(std::string_view key, bool fallback) {
   const boost::json::value* value = this->Find(key, false);
   if (value == nullptr) return fallback;
--- a/settings/object_reader.h
+++ b/settings/object_reader.h
@@ -33,9 +33,14 @@
 
   std::string Text(std::string_view key);
   std::string TextOr(std::string_view key, std::string_view fallback);
+  // An IP number, a colon and a port.
+  std::string Address(std::string_view key);
   std::int64_t Integer(std::string_view key, IntegerRange range);
   std::int64_t IntegerOr(std::string_view key, IntegerRange range,
                          std::int64_t fallback);
+  // A number, whole or not, between `least` and `most`, both included.
+  double NumberOr(std::string_view key, double least, double most,
+                  double fallback);
   bool BooleanOr(std::string_view key, bool fallback);
   std::vector<std::string> Texts(std::string_view key);
   // Index of the text among `choices`.
