Named values for a coroutine's arguments

Cause: GCC 12 destroys a braced temporary in a co_await expression twice; every gateway ended at start with 'free(): invalid pointer'. Ruled out: the order in which members are made.

--- a/gateway/budget_keeper.cc
+++ b/gateway/budget_keeper.cc
@@ -125,12 +125,14 @@
   policy::BudgetDesk& desk = this->context.core->Budgets();
   std::vector<std::string> tenants = desk.Tenants();
   if (tenants.empty()) co_return true;
+  const platform::KeyRange all;
   platform::StoreAnswer totals =
-      co_await this->store->Read(std::string(kTotals), {});
+      co_await this->store->Read(std::string(kTotals), all);
   if (totals.status != StoreStatus::kOk) co_return false;
   // '0' is the character after '/'.
-  platform::StoreAnswer shares = co_await this->store->Read(
-      std::string(kShares), {this->vm + '/', this->vm + '0'});
+  const platform::KeyRange mine{this->vm + '/', this->vm + '0'};
+  platform::StoreAnswer shares =
+      co_await this->store->Read(std::string(kShares), mine);
   if (shares.status != StoreStatus::kOk) co_return false;
   std::vector<StoreRow> rows = std::move(totals.rows);
   for (StoreRow& row : shares.rows) rows.push_back(std::move(row));
--- a/gateway/table_follower.cc
+++ b/gateway/table_follower.cc
@@ -50,8 +50,9 @@
 // One call. False when the store did not answer it.
 http::Task<bool> TableFollower::Step() {
   if (!this->whole) {
+    const platform::KeyRange all;
     const platform::StoreAnswer read =
-        co_await this->store->Read(this->table, {});
+        co_await this->store->Read(this->table, all);
     if (read.status != platform::StoreStatus::kOk) co_return false;
     this->SetReachable(true);
     this->listener.on_whole(read.rows);
