Spending limits with a pace, so that a kill strands little

Besides, a floor of two largest requests for each VM and tenant held 7 million tokens, and predecessors' shares were closed only once the tenant came back. Ruled out: smaller limits (the cuts of 7 to 9 s would refuse instead); reading back what peers remember (all die at once). Change: a share carries a checkpoint by the store's clock, a burst and a pace that the holder keeps to; the successor on the same VM takes as spent only what that allows. Floors by the usual request.

--- a/gateway/budget_keeper.cc
+++ b/gateway/budget_keeper.cc
@@ -23,7 +23,8 @@
 
 template <typename Archive>
 void serialize(Archive& archive, BudgetShare& share) {
-  archive(share.incarnation, share.limit, share.spent);
+  archive(share.incarnation, share.limit, share.spent, share.committed,
+          share.checkpoint_ms, share.burst, share.per_second);
 }
 
 }  // namespace hornbeamspool::policy
@@ -34,12 +35,13 @@
 using platform::StoreRow;
 using platform::StoreStatus;
 using policy::BudgetRows;
+using policy::KeyValue;
 
 constexpr std::string_view kTotals = "budget_totals";  // by tenant
 constexpr std::string_view kShares = "budget_shares";  // by VM and tenant
 
 // How often a look is taken whether a write is due.
-constexpr coordination::Duration kLook = std::chrono::milliseconds(250);
+constexpr coordination::Duration kLook = std::chrono::milliseconds(100);
 
 template <typename Value>
 std::string Encode(const Value& value) {
@@ -76,7 +78,10 @@
   policy::BudgetDesk& desk = this->context.core->Budgets();
   while (true) {
     bool settled = true;
-    if (desk.NeedsRead()) settled = co_await this->ReadRows();
+    if (desk.NeedsRead()) {
+      settled = co_await this->ReadRows();
+      if (!settled) desk.SetReachable(false);
+    }
     std::vector<BudgetRows> rows = desk.PlanWrite(Now());
     if (!rows.empty()) {
       settled = co_await this->WriteRows(std::move(rows));
@@ -134,12 +139,25 @@
   platform::StoreAnswer shares =
       co_await this->store->Read(std::string(kShares), mine);
   if (shares.status != StoreStatus::kOk) co_return false;
+  desk.SetReachable(true);
+  desk.OnStoreClock(shares.store_ms, Now());
   std::vector<StoreRow> rows = std::move(totals.rows);
   for (StoreRow& row : shares.rows) rows.push_back(std::move(row));
   desk.OnRead(this->Collect(rows, tenants));
   co_return true;
 }
 
+void BudgetKeeper::LogLimits(const std::vector<BudgetRows>& rows) {
+  for (const BudgetRows& row : rows) {
+    std::string pairs = KeyValue("tenant", row.tenant);
+    pairs += ' ' + KeyValue("limit", row.share.limit);
+    pairs += ' ' + KeyValue("spent", row.share.spent);
+    pairs += ' ' + KeyValue("fleet_committed", row.total.committed);
+    pairs += ' ' + KeyValue("fleet_spent", row.total.known_spent);
+    this->context.log->Write(LogKind::kBudget, pairs, Now());
+  }
+}
+
 http::Task<bool> BudgetKeeper::WriteRows(std::vector<BudgetRows> rows) {
   policy::BudgetDesk& desk = this->context.core->Budgets();
   std::vector<StoreRow> puts;
@@ -152,9 +170,14 @@
                     Encode(row.share), row.share_version});
   }
   platform::StoreAnswer answer = co_await this->store->Write(puts);
+  const bool answered = answer.status == StoreStatus::kOk ||
+                        answer.status == StoreStatus::kConflict;
+  desk.SetReachable(answered);
+  if (answered) desk.OnStoreClock(answer.store_ms, Now());
   switch (answer.status) {
     case StoreStatus::kOk:
       desk.OnWritten(answer.version);
+      this->LogLimits(rows);
       co_return true;
     case StoreStatus::kConflict:
       desk.OnNotWritten();
@@ -169,11 +192,10 @@
   }
   this->context.log->Write(
       LogKind::kBudget,
-      policy::KeyValue("outcome", answer.status == StoreStatus::kUnknown
-                                      ? "write_unknown"
-                                      : "write_refused") +
-          ' ' +
-          policy::KeyValue("tenants", static_cast<std::int64_t>(rows.size())),
+      KeyValue("outcome", answer.status == StoreStatus::kUnknown
+                              ? "write_unknown"
+                              : "write_refused") +
+          ' ' + KeyValue("tenants", static_cast<std::int64_t>(rows.size())),
       Now());
   co_return false;
 }
--- a/gateway/budget_keeper.h
+++ b/gateway/budget_keeper.h
@@ -31,6 +31,7 @@
   std::vector<policy::BudgetRows> Collect(
       std::span<const platform::StoreRow> rows,
       std::span<const std::string> tenants) const;
+  void LogLimits(const std::vector<policy::BudgetRows>& rows);
   std::string ShareKey(std::string_view tenant) const;
 
   Context context;
--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -163,6 +163,10 @@
     }
     const auto version = static_cast<std::int64_t>(config->version);
     const auto routes = static_cast<std::int64_t>(config->routes.size());
+    std::int64_t prepaid = 0;
+    for (const policy::Tenant& tenant : config->tenants) {
+      prepaid += tenant.prepaid.value_or(0);
+    }
     if (!this->core.SetConfig(std::move(*config))) continue;
     this->callers.SetLimits(
         this->LimitsOf(this->core.Table()->Config().limits));
@@ -170,7 +174,8 @@
     this->log.Write(LogKind::kConfig,
                     KeyValue("outcome", "in_force") + ' ' +
                         KeyValue("version", version) + ' ' +
-                        KeyValue("routes", routes),
+                        KeyValue("routes", routes) + ' ' +
+                        KeyValue("prepaid", prepaid),
                     Now());
   }
 }
--- a/gateway/request_relay.cc
+++ b/gateway/request_relay.cc
@@ -121,12 +121,14 @@
       std::min(this->arrived + kBudgetWait, this->ticket->deadline);
   http::Timer timer(*this->context->io);
   while (true) {
-    const BudgetVerdict verdict = core.Pay(*this->ticket);
+    const BudgetVerdict verdict = core.Pay(*this->ticket, Now());
     if (verdict == BudgetVerdict::kReserved) co_return std::nullopt;
     if (verdict == BudgetVerdict::kExhausted) {
       co_return Refusal{ErrorKind::kBudgetExhausted, {}};
     }
-    const bool waits = Now() < give_up && !this->canceller.Cancelled();
+    const bool waits = verdict == BudgetVerdict::kLacking && Now() < give_up &&
+                       core.Budgets().Reachable() &&
+                       !this->canceller.Cancelled();
     if (!waits) {
       co_return Refusal{ErrorKind::kBudgetUnavailable, std::chrono::seconds(1)};
     }
--- a/gateway/table_follower.cc
+++ b/gateway/table_follower.cc
@@ -13,6 +13,9 @@
 // connection sooner; each call is priced.
 constexpr coordination::Duration kFeedWait = std::chrono::milliseconds(1200);
 
+// After a loss the store is asked for what it has, at once.
+constexpr coordination::Duration kNoWait{0};
+
 // Pause after a failed call, and as much again at random.
 constexpr coordination::Duration kRetryPause = std::chrono::milliseconds(150);
 
@@ -60,8 +63,8 @@
     this->whole = true;
     co_return true;
   }
-  const platform::StoreAnswer feed =
-      co_await this->store->Feed(this->table, this->version, kFeedWait);
+  const platform::StoreAnswer feed = co_await this->store->Feed(
+      this->table, this->version, this->reachable ? kFeedWait : kNoWait);
   if (feed.status == platform::StoreStatus::kGone) {
     this->whole = false;
     co_return true;
--- a/policy/budget_desk.cc
+++ b/policy/budget_desk.cc
@@ -2,23 +2,41 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cstdlib>
+#include <utility>
 
 namespace hornbeamspool::policy {
 namespace {
 
 // Until a tenant's demand is known, a VM asks for this part of its budget:
-// small enough for a fleet of 16 VMs, large enough for the first second.
+// small enough for a fleet of 16 VMs, large enough for the first seconds.
 constexpr std::int64_t kFirstPart = 32;
 
-// Demand may double during an outage.
+// A VM without requests of a tenant that spends elsewhere keeps this part.
+constexpr std::int64_t kIdlePart = 256;
+
+// Demand may grow by half during an outage.
 constexpr double kDemandReserve = 1.5;
 
-// A limit is kept while it is off by less than one part in this many.
+// The pace since a checkpoint: this much of the demand at once, and this many
+// times the demand from then on.
+constexpr double kBurstSeconds = 0.7;
+constexpr double kPaceReserve = 1.5;
+
+// A share is written again when its limit is off by one part in this many, this
+// part of its burst has been used, or its checkpoint is this old.
 constexpr std::int64_t kDeadband = 5;
+constexpr std::int64_t kBurstPart = 2;
+constexpr std::int64_t kOldCheckpointMs = 900;
 
 // Rows of one transaction: two for each tenant, at most 100 entries.
 constexpr std::size_t kMostTenantsPerWrite = 24;
 
+// The clocks of a process and of the store may drift by one part in this many,
+// and a successor reads the store's clock in whole milliseconds.
+constexpr std::int64_t kDriftPart = 100;
+constexpr std::int64_t kClockStepMs = 2;
+
 }  // namespace
 
 void BudgetDesk::SetPrepaid(std::string_view tenant, std::int64_t prepaid) {
@@ -29,18 +47,58 @@
   this->needs_read = true;
 }
 
-BudgetVerdict BudgetDesk::Reserve(std::string_view tenant,
-                                  std::int64_t amount) {
+void BudgetDesk::OnStoreClock(std::int64_t store_ms,
+                              coordination::TimePoint now) {
+  this->store_ms = store_ms;
+  this->store_ms_at = now;
+}
+
+// Never ahead of the store's clock: the answer that told it took its time.
+std::int64_t BudgetDesk::StoreTime(coordination::TimePoint now) const {
+  return this->store_ms + std::chrono::duration_cast<std::chrono::milliseconds>(
+                              now - this->store_ms_at)
+                              .count();
+}
+
+std::int64_t BudgetDesk::LimitOf(const Entry& entry) const {
+  std::int64_t limit = this->IsMine(entry) ? entry.rows.share.limit : 0;
+  for (const BudgetShare& share : entry.in_doubt) {
+    limit = std::min(limit, share.limit);
+  }
+  return limit;
+}
+
+std::int64_t BudgetDesk::BoundOf(const Entry& entry,
+                                 coordination::TimePoint now) const {
+  const std::int64_t store_ms = this->StoreTime(now);
+  std::int64_t bound =
+      this->IsMine(entry) ? entry.rows.share.Bound(store_ms) : 0;
+  for (const BudgetShare& share : entry.in_doubt) {
+    bound = std::min(bound, share.Bound(store_ms));
+  }
+  return bound;
+}
+
+BudgetVerdict BudgetDesk::Reserve(std::string_view tenant, std::int64_t amount,
+                                  coordination::TimePoint now) {
   const auto found = this->entries.find(tenant);
   if (found == this->entries.end()) return BudgetVerdict::kLacking;
   Entry& entry = found->second;
-  if (entry.account.Reserve(amount)) return BudgetVerdict::kReserved;
-  if (!entry.fresh) return BudgetVerdict::kLacking;
-  const std::int64_t unknown_here =
-      entry.account.Spent() - entry.rows.share.spent;
-  const std::int64_t left =
-      entry.prepaid - entry.rows.total.known_spent - unknown_here;
-  return left < amount ? BudgetVerdict::kExhausted : BudgetVerdict::kLacking;
+  if (entry.account.Reserve(amount, this->BoundOf(entry, now))) {
+    return BudgetVerdict::kReserved;
+  }
+  if (!entry.read) return BudgetVerdict::kLacking;
+  const std::int64_t checkpointed =
+      this->IsMine(entry) ? entry.rows.share.spent : 0;
+  const std::int64_t left = entry.prepaid - entry.rows.total.known_spent -
+                            (entry.account.Spent() - checkpointed);
+  if (left < amount) return BudgetVerdict::kExhausted;
+  const std::int64_t unclaimed = entry.prepaid - entry.rows.total.committed;
+  const std::int64_t own = this->LimitOf(entry) - entry.account.Committed();
+  if (unclaimed + own >= amount) return BudgetVerdict::kLacking;
+  // Another VM may have handed back since the rows were read.
+  this->refresh_wanted = true;
+  return BudgetVerdict::kHeld;
 }
 
 void BudgetDesk::Settle(std::string_view tenant, std::int64_t amount,
@@ -64,30 +122,68 @@
       std::chrono::duration<double>(this->options.bridged_outage).count();
   const auto expected = static_cast<std::int64_t>(account.DemandPerSecond() *
                                                   outage * kDemandReserve);
-  const std::int64_t first = account.Committed() == 0 && account.Limit() == 0
-                                 ? entry.prepaid / kFirstPart
-                                 : 0;
+  const bool unknown = account.Committed() == 0;
+  const bool used_elsewhere = entry.rows.total.known_spent > 0;
+  const std::int64_t first =
+      unknown ? entry.prepaid / (used_elsewhere ? kIdlePart : kFirstPart) : 0;
   return account.Committed() +
-         std::max({expected, account.LargestRequest() * 2, first});
+         std::max({expected, account.TypicalRequest() * 2, first});
 }
 
-bool BudgetDesk::IsDue(const Entry& entry, std::int64_t next_limit) const {
-  const std::int64_t held = entry.account.Limit();
-  const std::int64_t hold = next_limit - entry.account.Committed();
+bool BudgetDesk::IsDue(const Entry& entry, std::int64_t next_limit,
+                       coordination::TimePoint now) const {
+  const std::int64_t held = this->LimitOf(entry);
+  const std::int64_t committed = entry.account.Committed();
+  if (!entry.in_doubt.empty()) return true;
+  // A predecessor's share is closed at once: what it left is free then.
+  if (!this->IsMine(entry) && entry.rows.share.incarnation != 0) return true;
   if (this->stopping) return next_limit != held;
-  return std::abs(next_limit - held) * kDeadband > hold || entry.lacking > 0;
+  if (entry.lacking > 0 && next_limit >= committed + entry.lacking) return true;
+  if (std::abs(next_limit - held) * kDeadband > next_limit - committed) {
+    return true;
+  }
+  const BudgetShare& share = entry.rows.share;
+  const std::int64_t room = this->BoundOf(entry, now) - committed;
+  if (room < share.burst / kBurstPart) return share.limit > committed;
+  // The older the checkpoint, the more a successor must take as spent.
+  const std::int64_t since = this->StoreTime(now) - share.checkpoint_ms;
+  return share.per_second > 0 && since >= kOldCheckpointMs;
 }
 
-BudgetRows BudgetDesk::NextRows(const Entry& entry, std::int64_t limit) const {
+BudgetRows BudgetDesk::NextRows(const Entry& entry, std::int64_t limit,
+                                coordination::TimePoint now) const {
+  const TenantAccount& account = entry.account;
+  const std::int64_t store_ms = this->StoreTime(now);
   BudgetRows next = entry.rows;
-  const bool mine = entry.rows.share.incarnation == this->incarnation;
-  // A predecessor's limit stays committed: what it spent can't be known.
-  const BudgetShare before = mine ? entry.rows.share : BudgetShare{};
   next.share.incarnation = this->incarnation;
   next.share.limit = limit;
-  next.share.spent = entry.account.Spent();
-  next.total.committed += limit - before.limit;
-  next.total.known_spent += next.share.spent - before.spent;
+  next.share.spent = account.Spent();
+  next.share.committed = account.Committed();
+  next.share.checkpoint_ms = store_ms;
+  // Without any demand yet, the first requests may take the whole limit.
+  const std::int64_t hold = limit - account.Committed();
+  const auto of_demand =
+      static_cast<std::int64_t>(account.DemandPerSecond() * kBurstSeconds);
+  next.share.burst =
+      account.Committed() == 0
+          ? hold
+          : std::max(of_demand, account.TypicalRequest() * 2) + entry.lacking;
+  next.share.per_second =
+      static_cast<std::int64_t>(account.DemandPerSecond() * kPaceReserve);
+
+  const BudgetShare& before = entry.rows.share;
+  if (this->IsMine(entry)) {
+    next.total.committed += limit - before.limit;
+    next.total.known_spent += next.share.spent - before.spent;
+    return next;
+  }
+  // The predecessor ended before this process began; what it had not spent by
+  // its pace until now goes back.
+  const std::int64_t drift =
+      kClockStepMs +
+      std::max<std::int64_t>(0, store_ms - before.checkpoint_ms) / kDriftPart;
+  next.total.committed += limit + before.Bound(store_ms + drift) - before.limit;
+  next.total.known_spent += next.share.spent;
   return next;
 }
 
@@ -102,28 +198,47 @@
   this->last_sample = now;
   this->next_write = now + this->options.write_interval;
   this->urgent = false;
+  if (std::exchange(this->refresh_wanted, false)) {
+    this->needs_read = true;
+    this->next_write = now;
+    return {};
+  }
   for (auto& [tenant, entry] : this->entries) {
-    TenantAccount& account = entry.account;
-    const LimitRequest request{
-        entry.prepaid, account.Limit(), account.Committed(),
-        account.Committed() + entry.lacking, this->WantedLimit(entry)};
-    const std::int64_t limit = NextLimit(request, entry.rows.total);
-    const bool due = this->IsDue(entry, limit);
+    const std::int64_t committed = entry.account.Committed();
+    BudgetTotal total = entry.rows.total;
+    std::int64_t held = this->LimitOf(entry);
+    if (this->IsMine(entry)) {
+      held = entry.rows.share.limit;
+    } else if (entry.rows.share.incarnation != 0) {
+      // What the predecessor left is free with this write.
+      total.committed = this->NextRows(entry, 0, now).total.committed;
+    }
+    const LimitRequest request{entry.prepaid, held, committed,
+                               committed + entry.lacking,
+                               this->WantedLimit(entry)};
+    const std::int64_t limit = NextLimit(request, total);
+    const bool due = this->IsDue(entry, limit, now);
+    if (due && this->pending.size() < kMostTenantsPerWrite) {
+      this->pending.push_back(this->NextRows(entry, limit, now));
+      entry.in_doubt.push_back(this->pending.back().share);
+    }
     entry.lacking = 0;
-    if (!due || this->pending.size() >= kMostTenantsPerWrite) continue;
-    this->pending.push_back(this->NextRows(entry, limit));
-    account.SetLimit(std::min(account.Limit(), limit));
   }
   return this->pending;
 }
 
+BudgetDesk::Entry& BudgetDesk::EntryOf(const BudgetRows& rows) {
+  return this->entries.find(rows.tenant)->second;
+}
+
 void BudgetDesk::OnWritten(std::uint64_t version) {
   for (BudgetRows& rows : this->pending) {
     rows.total_version = version;
     rows.share_version = version;
-    Entry& entry = this->entries.find(rows.tenant)->second;
-    entry.unresolved = false;
-    entry.account.SetLimit(rows.share.limit);
+    Entry& entry = this->EntryOf(rows);
+    // Earlier writes of unknown outcome can't be carried out any more: their
+    // conditions no longer hold.
+    entry.in_doubt.clear();
     entry.rows = rows;
   }
   this->pending.clear();
@@ -131,36 +246,22 @@
 
 void BudgetDesk::OnNotWritten() {
   for (const BudgetRows& rows : this->pending) {
-    Entry& entry = this->entries.find(rows.tenant)->second;
-    if (entry.unresolved) continue;
-    const bool mine = entry.rows.share.incarnation == this->incarnation;
-    entry.account.SetLimit(mine ? entry.rows.share.limit : 0);
+    this->EntryOf(rows).in_doubt.pop_back();
   }
   this->pending.clear();
 }
 
 void BudgetDesk::OnUnknown() {
-  for (const BudgetRows& rows : this->pending) {
-    this->entries.find(rows.tenant)->second.unresolved = true;
-  }
   this->pending.clear();
   this->needs_read = true;
 }
 
-void BudgetDesk::Adopt(Entry& entry, const BudgetRows& rows) {
-  entry.rows = rows;
-  entry.fresh = true;
-  const bool mine = rows.share.incarnation == this->incarnation;
-  const std::int64_t limit = mine ? rows.share.limit : 0;
-  // While a write may still be carried out, only the lower limit is safe.
-  entry.account.SetLimit(
-      entry.unresolved ? std::min(limit, entry.account.Limit()) : limit);
-}
-
 void BudgetDesk::OnRead(std::span<const BudgetRows> rows) {
   for (const BudgetRows& row : rows) {
     const auto found = this->entries.find(row.tenant);
-    if (found != this->entries.end()) this->Adopt(found->second, row);
+    if (found == this->entries.end()) continue;
+    found->second.rows = row;
+    found->second.read = true;
   }
   this->needs_read = false;
   this->urgent = true;
@@ -175,18 +276,17 @@
 bool BudgetDesk::AllReturned() const {
   if (this->WriteOutstanding()) return false;
   for (const auto& [tenant, entry] : this->entries) {
-    if (entry.account.Limit() != entry.account.Spent()) return false;
+    if (!entry.in_doubt.empty()) return false;
+    if (this->LimitOf(entry) > entry.account.Committed()) return false;
   }
   return true;
 }
 
-std::vector<BudgetDesk::Figures> BudgetDesk::AllFigures() const {
-  std::vector<Figures> figures;
+std::vector<BudgetDeskFigures> BudgetDesk::AllFigures() const {
+  std::vector<BudgetDeskFigures> figures;
   for (const auto& [tenant, entry] : this->entries) {
-    figures.push_back({tenant, entry.prepaid, entry.account.Limit(),
-                       entry.account.Spent(), entry.account.Reserved(),
-                       entry.rows.total.committed,
-                       entry.rows.total.known_spent});
+    figures.push_back({tenant, entry.prepaid, this->LimitOf(entry),
+                       entry.account.Spent(), entry.account.Reserved()});
   }
   return figures;
 }
--- a/policy/budget_desk.h
+++ b/policy/budget_desk.h
@@ -1,14 +1,14 @@
 // The budgets of all tenants at one VM: reservations by requests, and the
 // writes that keep the VM's limits in the store.
 //
-// At most one write is outstanding. A limit that a write lowers is in force
-// before the write is sent, a limit that it raises only once it is
-// acknowledged, so that a lost answer strands tokens and never creates them.
+// At most one write is outstanding. A reservation keeps within the share that
+// is known to lie in the store and within every share that a write of unknown
+// outcome may have put there, so that a lost answer strands tokens and never
+// creates them.
 #pragma once
 
 #include <cstdint>
 #include <map>
-#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -31,6 +31,7 @@
 enum class BudgetVerdict : std::uint8_t {
   kReserved,
   kLacking,    // this VM's limit is too low; a write may raise it
+  kHeld,       // what is left is held by other VMs
   kExhausted,  // the prepaid tokens can't cover the request
   kCount
 };
@@ -40,7 +41,16 @@
   // the platform announces last up to 9 s, and the way back takes a second.
   coordination::Duration bridged_outage = std::chrono::seconds(10);
   // Least time between two writes without a waiting request.
-  coordination::Duration write_interval = std::chrono::milliseconds(1000);
+  coordination::Duration write_interval = std::chrono::milliseconds(500);
+};
+
+// A budget's figures at one VM, for operators.
+struct BudgetDeskFigures {
+  std::string tenant;
+  std::int64_t prepaid = 0;
+  std::int64_t limit = 0;
+  std::int64_t spent = 0;
+  std::int64_t reserved = 0;
 };
 
 class BudgetDesk {
@@ -51,7 +61,8 @@
   // The prepaid tokens of a tenant, by the configuration in force.
   void SetPrepaid(std::string_view tenant, std::int64_t prepaid);
 
-  BudgetVerdict Reserve(std::string_view tenant, std::int64_t amount);
+  BudgetVerdict Reserve(std::string_view tenant, std::int64_t amount,
+                        coordination::TimePoint now);
   void Settle(std::string_view tenant, std::int64_t amount, std::int64_t used);
 
   // A request waits for tokens: a write is due at once.
@@ -68,8 +79,14 @@
   void OnUnknown();
   // Rows as they are in the store; tenants without rows have none.
   void OnRead(std::span<const BudgetRows> rows);
+  // The store's clock, as an answer that came now told it.
+  void OnStoreClock(std::int64_t store_ms, coordination::TimePoint now);
+  // The store did not answer, or does again.
+  void SetReachable(bool reachable) { this->reachable = reachable; }
+
   std::vector<std::string> Tenants() const;
   bool NeedsRead() const { return this->needs_read; }
+  bool Reachable() const { return this->reachable; }
   bool WriteOutstanding() const { return !this->pending.empty(); }
 
   // From here on writes give every unspent token back.
@@ -77,11 +94,7 @@
   // True when nothing unspent is held any more.
   bool AllReturned() const;
 
-  struct Figures {
-    std::string tenant;
-    std::int64_t prepaid, limit, spent, reserved, committed, known_spent;
-  };
-  std::vector<Figures> AllFigures() const;
+  std::vector<BudgetDeskFigures> AllFigures() const;
 
  private:
   struct Entry {
@@ -89,23 +102,36 @@
     TenantAccount account;
     BudgetRows rows;           // as last known in the store
     std::int64_t lacking = 0;  // tokens that waiting requests need
-    bool unresolved = false;   // a write's outcome is not known
-    bool fresh = false;        // rows read since the last doubt
+    bool read = false;
+    // Shares that writes may have put, or may yet put, into the store.
+    std::vector<BudgetShare> in_doubt;
   };
 
+  std::int64_t StoreTime(coordination::TimePoint now) const;
+  bool IsMine(const Entry& entry) const {
+    return entry.rows.share.incarnation == this->incarnation;
+  }
+  std::int64_t LimitOf(const Entry& entry) const;
+  std::int64_t BoundOf(const Entry& entry, coordination::TimePoint now) const;
   std::int64_t WantedLimit(const Entry& entry) const;
-  bool IsDue(const Entry& entry, std::int64_t next_limit) const;
-  BudgetRows NextRows(const Entry& entry, std::int64_t limit) const;
-  void Adopt(Entry& entry, const BudgetRows& rows);
+  bool IsDue(const Entry& entry, std::int64_t next_limit,
+             coordination::TimePoint now) const;
+  BudgetRows NextRows(const Entry& entry, std::int64_t limit,
+                      coordination::TimePoint now) const;
+  Entry& EntryOf(const BudgetRows& rows);
 
   std::map<std::string, Entry, std::less<>> entries;
   std::vector<BudgetRows> pending;  // rows of the outstanding write
   coordination::TimePoint last_sample{};
   coordination::TimePoint next_write{};
+  std::int64_t store_ms = 0;  // the store's clock at `store_ms_at`
+  coordination::TimePoint store_ms_at{};
   std::uint64_t incarnation;
   BudgetDeskOptions options;
   bool urgent = false;
   bool needs_read = true;
+  bool refresh_wanted = false;  // a request lacked what other VMs hold
+  bool reachable = true;
   bool stopping = false;
 };
 
--- a/policy/gateway_core.cc
+++ b/policy/gateway_core.cc
@@ -107,13 +107,13 @@
   return nullptr;
 }
 
-BudgetVerdict GatewayCore::Pay(Ticket& ticket) {
+BudgetVerdict GatewayCore::Pay(Ticket& ticket, TimePoint now) {
   const bool free = ticket.tenant == nullptr || !ticket.tenant->prepaid ||
                     !ticket.request.demand;
   if (free) return BudgetVerdict::kReserved;
   const std::int64_t amount = ticket.request.demand->WorstCase();
   const BudgetVerdict verdict =
-      this->budgets.Reserve(ticket.tenant->name, amount);
+      this->budgets.Reserve(ticket.tenant->name, amount, now);
   if (verdict == BudgetVerdict::kReserved) ticket.reserved = amount;
   return verdict;
 }
--- a/policy/gateway_core.h
+++ b/policy/gateway_core.h
@@ -78,7 +78,7 @@
   std::variant<Refusal, Ticket> Admit(GatewayRequest request,
                                       coordination::TimePoint now);
   // Sets the request's worst case aside.
-  BudgetVerdict Pay(Ticket& ticket);
+  BudgetVerdict Pay(Ticket& ticket, coordination::TimePoint now);
   // Notes that the request waits for tokens.
   void NoteLacking(const Ticket& ticket);
 
--- a/policy/tenant_budget.cc
+++ b/policy/tenant_budget.cc
@@ -11,6 +11,11 @@
 // limits stay large for the length of an outage.
 constexpr double kDemandDecaySeconds = 6.0;
 
+// A request's weight in the size of a usual one.
+constexpr double kTypicalWeight = 0.05;
+
+constexpr std::int64_t kMsPerSecond = 1000;
+
 }  // namespace
 
 std::int64_t NextLimit(const LimitRequest& request, const BudgetTotal& total) {
@@ -32,9 +37,18 @@
          std::min(foresight - already, unclaimed / 2);
 }
 
-bool TenantAccount::Reserve(std::int64_t amount) {
-  this->largest = std::max(this->largest, amount);
-  if (this->Available() < amount) return false;
+std::int64_t BudgetShare::Bound(std::int64_t store_ms) const {
+  // A store clock that went back says nothing of the time that has passed.
+  if (store_ms < this->checkpoint_ms) return this->limit;
+  const std::int64_t elapsed_ms = store_ms - this->checkpoint_ms;
+  const std::int64_t paced = this->per_second * elapsed_ms / kMsPerSecond;
+  return std::min(this->limit, this->committed + this->burst + paced);
+}
+
+bool TenantAccount::Reserve(std::int64_t amount, std::int64_t bound) {
+  const double weight = this->typical == 0 ? 1 : kTypicalWeight;
+  this->typical += weight * (static_cast<double>(amount) - this->typical);
+  if (this->Committed() + amount > bound) return false;
   this->reserved += amount;
   return true;
 }
--- a/policy/tenant_budget.h
+++ b/policy/tenant_budget.h
@@ -17,10 +17,22 @@
 };
 
 // One VM's part of a budget: a row in the store, written by that VM alone.
+//
+// Besides its limit the process keeps a pace: since the checkpoint it spends no
+// faster than `burst` tokens at once and `per_second` tokens a second. So a
+// successor on the same VM knows from the store's clock what was not spent,
+// and strands little, although the limit covers a long outage.
 struct BudgetShare {
-  std::uint64_t incarnation = 0;  // of the process that holds the limit
-  std::int64_t limit = 0;         // tokens it may spend in its life
-  std::int64_t spent = 0;         // at the last checkpoint
+  std::uint64_t incarnation = 0;   // of the process that holds the limit
+  std::int64_t limit = 0;          // tokens it may spend in its life
+  std::int64_t spent = 0;          // at the checkpoint
+  std::int64_t committed = 0;      // at the checkpoint: spent and reserved
+  std::int64_t checkpoint_ms = 0;  // by the store's clock
+  std::int64_t burst = 0;
+  std::int64_t per_second = 0;
+
+  // The most that may have been spent at this time of the store's clock.
+  std::int64_t Bound(std::int64_t store_ms) const;
 };
 
 // The limit that a process asks for.
@@ -39,33 +51,30 @@
 // A process's spending of one budget.
 class TenantAccount {
  public:
-  // Sets aside `amount` tokens. False, and nothing changes, when the limit in
-  // force leaves fewer.
-  bool Reserve(std::int64_t amount);
+  // Sets aside `amount` tokens. False, and nothing changes, when that would
+  // pass `bound`.
+  bool Reserve(std::int64_t amount, std::int64_t bound);
   // Ends a reservation, of which `used` tokens were spent; more than `amount`
   // is counted as `amount`.
   void Settle(std::int64_t amount, std::int64_t used);
 
-  void SetLimit(std::int64_t limit) { this->limit = limit; }
-  std::int64_t Limit() const { return this->limit; }
   std::int64_t Spent() const { return this->spent; }
   std::int64_t Reserved() const { return this->reserved; }
-  std::int64_t Available() const {
-    return this->limit - this->spent - this->reserved;
-  }
   std::int64_t Committed() const { return this->spent + this->reserved; }
 
   // Notes the demand of the time since the last call.
   void SampleDemand(coordination::Duration elapsed);
   // Tokens a second that requests have lately asked for.
   double DemandPerSecond() const { return this->demand; }
-  std::int64_t LargestRequest() const { return this->largest; }
+  // Tokens that a usual request asks for.
+  std::int64_t TypicalRequest() const {
+    return static_cast<std::int64_t>(this->typical);
+  }
 
  private:
-  std::int64_t limit = 0;
   std::int64_t spent = 0;
   std::int64_t reserved = 0;
-  std::int64_t largest = 0;
+  double typical = 0;
   std::int64_t spent_at_sample = 0;
   double demand = 0;
 };
