Tokens kept by a home per tenant, given to peers by datagram

Cause: each VM held a share of each tenant's budget, 70 shares at 7 VMs and 1,656 at 69; in a cut one VM refused what another held, and a kill stranded every share's floor. Ruled out: larger shares (they strand more); a draw from the store for each request (the store is away for 9 s). Change: a tenant's home, by rendezvous over the VMs that answer, holds the share; other VMs ask it by datagram, and the giver counts a gift as spent before it sends it, so that a lost one strands and never creates tokens.

--- a/gateway/budget_keeper.cc
+++ b/gateway/budget_keeper.cc
@@ -10,6 +10,7 @@
 #include <utility>
 
 #include "gateway/event_log.h"
+#include "gateway/token_broker.h"
 #include "hornbeamspool/clock.h"
 #include "policy/event.h"
 #include "policy/gateway_core.h"
@@ -85,6 +86,7 @@
     std::vector<BudgetRows> rows = desk.PlanWrite(Now());
     if (!rows.empty()) {
       settled = co_await this->WriteRows(std::move(rows));
+      this->context.token_broker->OnShareChanged();
       if (settled) continue;
     }
     this->timer.expires_after(kLook);
--- a/gateway/context.h
+++ b/gateway/context.h
@@ -14,12 +14,14 @@
 
 class EventLog;
 class BudgetKeeper;
+class TokenBroker;
 
 struct Context {
   boost::asio::io_context* io = nullptr;
   policy::GatewayCore* core = nullptr;
   http::Client* client = nullptr;
   BudgetKeeper* budget_keeper = nullptr;
+  TokenBroker* token_broker = nullptr;
   EventLog* log = nullptr;
 };
 
--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -13,8 +13,10 @@
 #include "gateway/budget_keeper.h"
 #include "gateway/context.h"
 #include "gateway/event_log.h"
+#include "gateway/peer_channel.h"
 #include "gateway/request_relay.h"
 #include "gateway/table_follower.h"
+#include "gateway/token_broker.h"
 #include "hornbeamspool/clock.h"
 #include "hornbeamspool/error_response.h"
 #include "http/client.h"
@@ -86,6 +88,8 @@
   policy::GatewayCore core;
   Context context;
   BudgetKeeper keeper;
+  PeerChannel channel;
+  TokenBroker broker;
   http::Server callers;
   http::Server readiness;
   TableFollower operator_table;
@@ -103,8 +107,15 @@
       store_http(this->io),
       store(this->store_http, this->settings.store_address),
       core(OptionsOf(this->settings), RandomIncarnation()),
-      context{&this->io, &this->core, &this->client, &this->keeper, &this->log},
+      context{&this->io,     &this->core,   &this->client,
+              &this->keeper, &this->broker, &this->log},
       keeper(this->context, this->store, this->settings.vm),
+      channel(this->context, this->store, this->settings.vm,
+              this->settings.peer_address,
+              [this](const transport::BudgetMessage& message) {
+                this->broker.OnMessage(message);
+              }),
+      broker(this->context, this->channel),
       callers(
           this->io, this->LimitsOf({}),
           [this](http::Exchange& exchange) {
@@ -260,7 +271,7 @@
   if (this->callers.Listen(this->settings.listen_address) == 0) {
     return "cannot listen on " + this->settings.listen_address;
   }
-  return {};
+  return this->channel.Start();
 }
 
 void Gateway::State::FollowSignals() {
@@ -292,6 +303,7 @@
       KeyValue("in_flight", static_cast<std::int64_t>(this->core.InFlight())),
       begin);
   this->callers.CloseAfterAnswers();
+  boost::asio::co_spawn(this->io, this->channel.Leave(), boost::asio::detached);
   http::Timer timer(this->io);
   timer.expires_after(kLeftOutAfter);
   co_await timer.async_wait(http::kAwait);
@@ -301,6 +313,7 @@
     co_await timer.async_wait(http::kAwait);
   }
   this->core.Budgets().BeginStop();
+  this->broker.ReturnGifts();
   while (!this->core.Budgets().AllReturned() && Now() < end + kStopMargin / 2) {
     this->keeper.Kick();
     timer.expires_after(kLook / 5);
@@ -330,6 +343,7 @@
   state.operator_table.Start();
   state.server_table.Start();
   state.keeper.Start();
+  state.broker.Start();
   boost::asio::co_spawn(state.io, state.ExpireServers(), boost::asio::detached);
   state.io.run();
   return {};
--- /dev/null
+++ b/gateway/peer_channel.cc
@@ -0,0 +1,175 @@
+#include "gateway/peer_channel.h"
+
+#include <array>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <chrono>
+#include <random>
+#include <utility>
+#include <vector>
+
+#include "gateway/event_log.h"
+#include "hornbeamspool/clock.h"
+#include "http/address.h"
+#include "policy/event.h"
+#include "transport/heartbeat.h"
+#include "transport/seal.h"
+
+namespace hornbeamspool::gateway {
+namespace {
+
+using platform::StoreRow;
+using platform::StoreStatus;
+
+constexpr std::string_view kPeerTable = "gateways";  // VM to address
+constexpr std::string_view kFleetTable = "fleet";    // settings of the fleet
+constexpr std::string_view kKeyRow = "peer_key";
+constexpr std::size_t kKeyBytes = 32;
+
+constexpr coordination::Duration kRetryPause = std::chrono::milliseconds(300);
+
+std::string RandomKey() {
+  std::random_device random;
+  std::string key;
+  while (key.size() < kKeyBytes) {
+    key += static_cast<char>(random() & 0xffU);
+  }
+  return key;
+}
+
+}  // namespace
+
+PeerChannel::PeerChannel(const Context& context, platform::StoreClient& store,
+                         std::string vm, std::string address, Receiver receiver)
+    : context(context),
+      store(&store),
+      vm(std::move(vm)),
+      address(std::move(address)),
+      receiver(std::move(receiver)),
+      directory(this->vm),
+      table(*context.io, store, std::string(kPeerTable),
+            {[this](const auto& rows) {
+               std::vector<policy::Peer> peers;
+               for (const StoreRow& row : rows) {
+                 peers.push_back({row.key, row.value});
+               }
+               this->directory.Replace(std::move(peers));
+             },
+             [this](const auto& rows) { this->OnRows(rows); }, [](bool) {}}) {}
+
+void PeerChannel::OnRows(const std::vector<StoreRow>& rows) {
+  for (const StoreRow& row : rows) {
+    if (row.removed) {
+      this->directory.Remove(row.key);
+      continue;
+    }
+    this->directory.Put({row.key, row.value});
+  }
+}
+
+std::string PeerChannel::Start() {
+  const auto endpoint = http::ParseUdp(this->address);
+  if (!endpoint) return "cannot read the address " + this->address;
+  try {
+    this->socket =
+        std::make_unique<http::UdpSocket>(*this->context.io, *endpoint);
+  } catch (const boost::system::system_error&) {
+    return "cannot bind " + this->address;
+  }
+  boost::asio::co_spawn(*this->context.io, this->Receive(),
+                        boost::asio::detached);
+  boost::asio::co_spawn(*this->context.io, this->Register(),
+                        boost::asio::detached);
+  this->table.Start();
+  return {};
+}
+
+http::Task<void> PeerChannel::Register() {
+  http::Timer timer(*this->context.io);
+  while (this->key.empty() || !co_await this->Announce()) {
+    if (this->key.empty() && co_await this->LearnKey()) continue;
+    timer.expires_after(kRetryPause);
+    co_await timer.async_wait(http::kAwait);
+  }
+}
+
+// Reads the fleet's key, or leaves one where there is none.
+http::Task<bool> PeerChannel::LearnKey() {
+  const platform::KeyRange all;
+  const platform::StoreAnswer read =
+      co_await this->store->Read(std::string(kFleetTable), all);
+  if (read.status != StoreStatus::kOk) co_return false;
+  for (const StoreRow& row : read.rows) {
+    if (row.key == kKeyRow) this->key = row.value;
+  }
+  if (!this->key.empty()) co_return true;
+  std::vector<StoreRow> rows{
+      {std::string(kFleetTable), std::string(kKeyRow), RandomKey()}};
+  const platform::StoreAnswer written = co_await this->store->Write(rows);
+  if (written.status == StoreStatus::kOk) this->key = rows.front().value;
+  // Another gateway was first, or nobody knows: read again.
+  co_return !this->key.empty();
+}
+
+// Writes this VM's address, unless it stands there already.
+http::Task<bool> PeerChannel::Announce() {
+  if (this->leaving) co_return true;
+  const platform::KeyRange mine{this->vm, this->vm + '\0'};
+  const platform::StoreAnswer read =
+      co_await this->store->Read(std::string(kPeerTable), mine);
+  if (read.status != StoreStatus::kOk) co_return false;
+  std::vector<StoreRow> rows{
+      {std::string(kPeerTable), this->vm, this->address}};
+  if (!read.rows.empty()) {
+    if (read.rows.front().value == this->address) co_return true;
+    rows.front().version = read.rows.front().version;
+  }
+  const platform::StoreAnswer written = co_await this->store->Write(rows);
+  co_return written.status == StoreStatus::kOk;
+}
+
+http::Task<void> PeerChannel::Leave() {
+  this->leaving = true;
+  const platform::KeyRange mine{this->vm, this->vm + '\0'};
+  const platform::StoreAnswer read =
+      co_await this->store->Read(std::string(kPeerTable), mine);
+  if (read.status != StoreStatus::kOk || read.rows.empty()) co_return;
+  std::vector<StoreRow> rows{read.rows.front()};
+  rows.front().removed = true;
+  co_await this->store->Write(rows);
+}
+
+bool PeerChannel::Send(std::string_view vm,
+                       const transport::BudgetMessage& message) {
+  const std::string address = this->directory.AddressOf(vm);
+  const auto endpoint = http::ParseUdp(address);
+  if (!endpoint || this->key.empty()) return false;
+  const std::string datagram =
+      transport::Seal(this->key, transport::EncodeBudgetMessage(message));
+  boost::system::error_code error;
+  this->socket->send_to(boost::asio::buffer(datagram), *endpoint, 0, error);
+  return !error;
+}
+
+http::Task<void> PeerChannel::Receive() {
+  std::array<char, transport::kMaxDatagramBytes> bytes{};
+  while (true) {
+    boost::asio::ip::udp::endpoint from;
+    boost::system::error_code error;
+    const std::size_t count = co_await this->socket->async_receive_from(
+        boost::asio::buffer(bytes), from,
+        boost::asio::redirect_error(http::kAwait, error));
+    if (error == boost::asio::error::operation_aborted) co_return;
+    // An error of an earlier send, such as a port that nobody listens on.
+    if (error) continue;
+    const auto payload = transport::Unseal(this->key, {bytes.data(), count});
+    if (!payload || this->key.empty()) continue;
+    const auto message = transport::DecodeBudgetMessage(*payload);
+    if (!message) continue;
+    this->directory.OnAnswer(message->sender);
+    this->receiver(*message);
+  }
+}
+
+}  // namespace hornbeamspool::gateway
--- /dev/null
+++ b/gateway/peer_channel.h
@@ -0,0 +1,60 @@
+// The gateways' datagrams to each other, and the table by which they find each
+// other in the platform's store. Datagrams are sealed with a key that the
+// first gateway of the fleet leaves in the store.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "gateway/context.h"
+#include "gateway/table_follower.h"
+#include "http/task.h"
+#include "platform/store_client.h"
+#include "policy/peer_directory.h"
+#include "transport/budget_message.h"
+
+namespace hornbeamspool::gateway {
+
+class PeerChannel {
+ public:
+  using Receiver = std::function<void(const transport::BudgetMessage&)>;
+
+  // `address` is this VM's own, ip:port.
+  PeerChannel(const Context& context, platform::StoreClient& store,
+              std::string vm, std::string address, Receiver receiver);
+  PeerChannel(const PeerChannel&) = delete;
+  PeerChannel& operator=(const PeerChannel&) = delete;
+
+  // Returns a fault's text when the address can't be bound.
+  std::string Start();
+  // Takes this VM out of the table, so that peers ask others.
+  http::Task<void> Leave();
+
+  // False when the peer is not known or the key has not been read.
+  bool Send(std::string_view vm, const transport::BudgetMessage& message);
+
+  policy::PeerDirectory& Directory() { return this->directory; }
+  const std::string& Vm() const { return this->vm; }
+
+ private:
+  http::Task<void> Register();
+  http::Task<bool> LearnKey();
+  http::Task<bool> Announce();
+  http::Task<void> Receive();
+  void OnRows(const std::vector<platform::StoreRow>& rows);
+
+  Context context;
+  platform::StoreClient* store;
+  std::string vm;
+  std::string address;
+  Receiver receiver;
+  policy::PeerDirectory directory;
+  TableFollower table;
+  std::unique_ptr<http::UdpSocket> socket;
+  std::string key;
+  bool leaving = false;
+};
+
+}  // namespace hornbeamspool::gateway
--- a/gateway/request_relay.cc
+++ b/gateway/request_relay.cc
@@ -8,9 +8,9 @@
 #include <utility>
 #include <variant>
 
-#include "gateway/budget_keeper.h"
 #include "gateway/event_log.h"
 #include "gateway/stream_relay.h"
+#include "gateway/token_broker.h"
 #include "hornbeamspool/clock.h"
 #include "hornbeamspool/error_response.h"
 #include "http/client.h"
@@ -30,10 +30,9 @@
 using policy::SendOutcome;
 using policy::Ticket;
 
-// A request waits this long for tokens: a write to the store takes 5 ms, and a
-// second one, after a conflict, as long again.
+// A request waits this long for tokens: an ask of two peers that are silent,
+// and a write to the store.
 constexpr Duration kBudgetWait = std::chrono::milliseconds(250);
-constexpr Duration kBudgetLook = std::chrono::milliseconds(10);
 
 // A handshake takes 2 ms within a region; a lost packet is sent again after
 // 200 ms.
@@ -117,27 +116,28 @@
 
 http::Task<std::optional<Refusal>> RequestRelay::Pay() {
   policy::GatewayCore& core = *this->context->core;
+  TokenBroker& broker = *this->context->token_broker;
   const coordination::TimePoint give_up =
       std::min(this->arrived + kBudgetWait, this->ticket->deadline);
-  http::Timer timer(*this->context->io);
   while (true) {
-    const BudgetVerdict verdict = core.Pay(*this->ticket, Now());
-    if (verdict == BudgetVerdict::kReserved) co_return std::nullopt;
-    if (verdict == BudgetVerdict::kExhausted) {
-      co_return Refusal{ErrorKind::kBudgetExhausted, {}};
+    BudgetVerdict verdict = core.Pay(*this->ticket, Now());
+    if (verdict == BudgetVerdict::kReserved) {
+      if (this->ticket->reserved > 0) {
+        broker.Replenish(this->ticket->tenant->name);
+      }
+      co_return std::nullopt;
     }
-    const bool waits = verdict == BudgetVerdict::kLacking && Now() < give_up &&
-                       core.Budgets().Reachable() &&
-                       !this->canceller.Cancelled();
-    if (!waits) {
-      co_return Refusal{ErrorKind::kBudgetUnavailable, std::chrono::seconds(1)};
+    const bool waits = Now() < give_up && !this->canceller.Cancelled();
+    if (waits) {
+      verdict = co_await broker.Find(this->ticket->tenant->name,
+                                     this->ticket->request.demand->WorstCase(),
+                                     give_up);
+      if (verdict == BudgetVerdict::kReserved) continue;
     }
-    if (!core.Budgets().WriteOutstanding()) {
-      core.NoteLacking(*this->ticket);
-      this->context->budget_keeper->Kick();
+    if (verdict == BudgetVerdict::kExhausted) {
+      co_return Refusal{ErrorKind::kBudgetExhausted, {}};
     }
-    timer.expires_after(kBudgetLook);
-    co_await timer.async_wait(http::kAwait);
+    co_return Refusal{ErrorKind::kBudgetUnavailable, std::chrono::seconds(1)};
   }
 }
 
--- /dev/null
+++ b/gateway/token_broker.cc
@@ -0,0 +1,300 @@
+#include "gateway/token_broker.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <chrono>
+#include <utility>
+
+#include "gateway/budget_keeper.h"
+#include "gateway/peer_channel.h"
+#include "hornbeamspool/clock.h"
+#include "policy/gateway_core.h"
+
+namespace hornbeamspool::gateway {
+namespace {
+
+using coordination::Duration;
+using coordination::TimePoint;
+using policy::BudgetDesk;
+using policy::BudgetVerdict;
+using transport::BudgetMessage;
+using transport::BudgetMessageKind;
+using transport::GiftNote;
+
+// VMs that keep a tenant's tokens, one after the other.
+constexpr std::size_t kHomes = 2;
+
+// A VM keeps tokens for this long after it was last the first choice, or was
+// asked.
+constexpr Duration kHomeTime = std::chrono::seconds(4);
+
+// An ask is sent again after this time, and its peer taken as silent after the
+// second. A round trip within a region takes 3 ms, and a write to the store on
+// the way 10 ms.
+constexpr Duration kAskTime = std::chrono::milliseconds(40);
+constexpr int kAskTries = 2;
+
+// How long a peer tries to find what it was asked for.
+constexpr Duration kAnswerTime = std::chrono::milliseconds(30);
+constexpr Duration kAnswerLook = std::chrono::milliseconds(5);
+
+// A refusal holds for this long; then the peer is asked again.
+constexpr Duration kRefusalTime = std::chrono::milliseconds(250);
+
+// Gifts that no request needs go back after a look of this length.
+constexpr Duration kMaintainTime = std::chrono::milliseconds(1000);
+
+// Memory of gifts sent and taken, against datagrams that come twice.
+constexpr std::size_t kRemembered = 512;
+
+GiftNote NoteFor(BudgetVerdict verdict, bool reachable) {
+  if (verdict == BudgetVerdict::kExhausted) return GiftNote::kExhausted;
+  if (verdict == BudgetVerdict::kHeld) return GiftNote::kHeld;
+  return reachable ? GiftNote::kHeld : GiftNote::kUnavailable;
+}
+
+BudgetVerdict VerdictOf(GiftNote note) {
+  if (note == GiftNote::kExhausted) return BudgetVerdict::kExhausted;
+  return BudgetVerdict::kHeld;
+}
+
+}  // namespace
+
+TokenBroker::TokenBroker(const Context& context, PeerChannel& channel)
+    : context(context), channel(&channel), random(std::random_device{}()) {}
+
+void TokenBroker::Start() {
+  boost::asio::co_spawn(*this->context.io, this->Maintain(),
+                        boost::asio::detached);
+}
+
+std::uint64_t TokenBroker::NewId() { return this->random(); }
+
+void TokenBroker::Wake(Search& search) {
+  for (http::Timer* timer : search.waiters) timer->cancel();
+}
+
+void TokenBroker::OnShareChanged() {
+  for (auto& [tenant, search] : this->searches) this->Wake(search);
+}
+
+http::Task<BudgetVerdict> TokenBroker::Find(std::string tenant,
+                                            std::int64_t amount,
+                                            TimePoint until) {
+  Search& search = this->searches[tenant];
+  const TimePoint now = Now();
+  if (search.refused_until > now) co_return VerdictOf(search.note);
+  if (!search.asking) {
+    search.asking = true;
+    boost::asio::co_spawn(*this->context.io, this->Ask(tenant, amount),
+                          boost::asio::detached);
+  }
+  http::Timer timer(*this->context.io);
+  timer.expires_at(until);
+  search.waiters.insert(&timer);
+  boost::system::error_code woken;
+  co_await timer.async_wait(boost::asio::redirect_error(http::kAwait, woken));
+  search.waiters.erase(&timer);
+  if (search.refused_until > Now()) co_return VerdictOf(search.note);
+  co_return BudgetVerdict::kReserved;
+}
+
+void TokenBroker::Replenish(const std::string& tenant) {
+  Search& search = this->searches[tenant];
+  if (search.asking || search.refused_until > Now()) return;
+  const TimePoint now = Now();
+  const std::vector<std::string> homes =
+      this->channel->Directory().HomesOf(tenant, kHomes, now);
+  if (homes.front() == this->channel->Vm()) {
+    this->context.core->Budgets().KeepHome(tenant, now + kHomeTime);
+    return;
+  }
+  if (this->context.core->Budgets().WantedGift(tenant) <= 0) return;
+  search.asking = true;
+  boost::asio::co_spawn(*this->context.io, this->Ask(tenant, 0),
+                        boost::asio::detached);
+}
+
+// Asks the tenant's homes in turn; this VM is the last resort.
+http::Task<void> TokenBroker::Ask(std::string tenant, std::int64_t needed) {
+  Search& search = this->searches[tenant];
+  BudgetDesk& desk = this->context.core->Budgets();
+  const std::vector<std::string> homes =
+      this->channel->Directory().HomesOf(tenant, kHomes, Now());
+  bool found = false;
+  for (const std::string& vm : homes) {
+    if (vm == this->channel->Vm()) break;
+    found = co_await this->AskPeer(vm, tenant, needed);
+    if (found) break;
+  }
+  if (!found && needed > 0) {
+    const TimePoint give_up = Now() + kAskTime;
+    desk.KeepHome(tenant, Now() + kHomeTime);
+    BudgetVerdict verdict = desk.VerdictFor(tenant, needed, Now());
+    if (verdict == BudgetVerdict::kLacking && desk.Reachable()) {
+      http::Timer timer(*this->context.io);
+      desk.NoteLacking(tenant, needed);
+      this->context.budget_keeper->Kick();
+      timer.expires_at(give_up);
+      search.waiters.insert(&timer);
+      boost::system::error_code woken;
+      co_await timer.async_wait(
+          boost::asio::redirect_error(http::kAwait, woken));
+      search.waiters.erase(&timer);
+    } else {
+      search.note = NoteFor(verdict, desk.Reachable());
+      search.refused_until = Now() + kRefusalTime;
+    }
+  }
+  search.asking = false;
+  this->Wake(search);
+}
+
+// True when the peer gave something, or said for good that nothing is left.
+http::Task<bool> TokenBroker::AskPeer(const std::string& vm,
+                                      const std::string& tenant,
+                                      std::int64_t needed) {
+  Search& search = this->searches[tenant];
+  BudgetMessage ask;
+  ask.kind = BudgetMessageKind::kAsk;
+  ask.id = this->NewId();
+  ask.sender = this->channel->Vm();
+  ask.tenant = tenant;
+  ask.needed = needed;
+  ask.amount = needed + this->context.core->Budgets().WantedGift(tenant);
+  search.ask_id = ask.id;
+  search.answered = false;
+  http::Timer timer(*this->context.io);
+  for (int i = 0; i < kAskTries && !search.answered; ++i) {
+    if (!this->channel->Send(vm, ask)) co_return false;
+    timer.expires_after(kAskTime);
+    search.waiters.insert(&timer);
+    boost::system::error_code woken;
+    co_await timer.async_wait(boost::asio::redirect_error(http::kAwait, woken));
+    search.waiters.erase(&timer);
+  }
+  if (!search.answered) {
+    this->channel->Directory().OnSilence(vm, Now());
+    co_return false;
+  }
+  if (search.note == GiftNote::kGiven) co_return true;
+  if (search.note == GiftNote::kUnavailable) co_return false;
+  search.refused_until = Now() + kRefusalTime;
+  co_return true;
+}
+
+void TokenBroker::OnMessage(const BudgetMessage& message) {
+  if (message.kind == BudgetMessageKind::kGift) {
+    this->OnGift(message);
+    return;
+  }
+  for (const SentGift& gift : this->sent) {
+    if (gift.id != message.id) continue;
+    this->channel->Send(message.sender, gift.message);
+    return;
+  }
+  if (!this->answering.insert(message.id).second) return;
+  boost::asio::co_spawn(*this->context.io, this->Answer(message),
+                        boost::asio::detached);
+}
+
+// Each gift counts once, also when its datagram comes twice, and also when
+// nobody waits for it any more.
+void TokenBroker::OnGift(const BudgetMessage& gift) {
+  const bool known = std::find(this->taken.begin(), this->taken.end(),
+                               gift.id) != this->taken.end();
+  if (!known && gift.amount > 0) {
+    this->taken.push_back(gift.id);
+    if (this->taken.size() > kRemembered) this->taken.pop_front();
+    this->context.core->Budgets().TakeGift(gift.tenant, gift.amount);
+  }
+  Search& search = this->searches[gift.tenant];
+  if (search.ask_id == gift.id) {
+    search.answered = true;
+    search.note = gift.note;
+  }
+  this->Wake(search);
+}
+
+http::Task<void> TokenBroker::Answer(BudgetMessage ask) {
+  BudgetDesk& desk = this->context.core->Budgets();
+  const TimePoint give_up = Now() + kAnswerTime;
+  desk.KeepHome(ask.tenant, Now() + kHomeTime);
+  BudgetMessage gift;
+  gift.kind = BudgetMessageKind::kGift;
+  gift.id = ask.id;
+  gift.sender = this->channel->Vm();
+  gift.tenant = ask.tenant;
+  http::Timer timer(*this->context.io);
+  while (true) {
+    gift.amount = desk.Give(ask.tenant, ask.needed, ask.amount, Now());
+    const bool enough = gift.amount > 0 || ask.needed == 0;
+    if (enough) break;
+    const BudgetVerdict verdict =
+        desk.VerdictFor(ask.tenant, ask.needed, Now());
+    const bool waits = verdict == BudgetVerdict::kLacking && desk.Reachable() &&
+                       Now() < give_up;
+    if (!waits) {
+      gift.note = NoteFor(verdict, desk.Reachable());
+      break;
+    }
+    if (!desk.WriteOutstanding()) {
+      desk.NoteLacking(ask.tenant, ask.needed);
+      this->context.budget_keeper->Kick();
+    }
+    timer.expires_after(kAnswerLook);
+    co_await timer.async_wait(http::kAwait);
+  }
+  this->answering.erase(ask.id);
+  this->sent.push_back({ask.id, gift});
+  if (this->sent.size() > kRemembered) this->sent.pop_front();
+  this->channel->Send(ask.sender, gift);
+}
+
+void TokenBroker::GiveBack(const std::string& tenant) {
+  const std::vector<std::string> homes =
+      this->channel->Directory().HomesOf(tenant, kHomes, Now());
+  for (const std::string& vm : homes) {
+    if (vm == this->channel->Vm()) continue;
+    const std::int64_t amount =
+        this->context.core->Budgets().WithdrawIdleGift(tenant);
+    if (amount <= 0) return;
+    BudgetMessage gift;
+    gift.kind = BudgetMessageKind::kGift;
+    gift.id = this->NewId();
+    gift.sender = this->channel->Vm();
+    gift.tenant = tenant;
+    gift.amount = amount;
+    if (this->channel->Send(vm, gift)) return;
+    this->context.core->Budgets().TakeGift(tenant, amount);
+  }
+}
+
+void TokenBroker::ReturnGifts() {
+  for (const std::string& tenant : this->context.core->Budgets().Tenants()) {
+    this->GiveBack(tenant);
+  }
+}
+
+// Keeps this VM a home where it is the first choice, and sends idle gifts back.
+http::Task<void> TokenBroker::Maintain() {
+  http::Timer timer(*this->context.io);
+  while (true) {
+    BudgetDesk& desk = this->context.core->Budgets();
+    for (const std::string& tenant : desk.Tenants()) {
+      const std::vector<std::string> homes =
+          this->channel->Directory().HomesOf(tenant, 1, Now());
+      if (homes.front() == this->channel->Vm()) {
+        desk.KeepHome(tenant, Now() + kHomeTime);
+      } else {
+        this->GiveBack(tenant);
+      }
+    }
+    timer.expires_after(kMaintainTime);
+    co_await timer.async_wait(http::kAwait);
+  }
+}
+
+}  // namespace hornbeamspool::gateway
--- /dev/null
+++ b/gateway/token_broker.h
@@ -0,0 +1,81 @@
+// Finds tokens for requests: from this VM's share where it keeps a tenant's
+// tokens, from the VM that does otherwise. Answers peers that ask.
+#pragma once
+
+#include <deque>
+#include <map>
+#include <random>
+#include <set>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+#include "coordination/time.h"
+#include "gateway/context.h"
+#include "http/task.h"
+#include "policy/budget_desk.h"
+#include "transport/budget_message.h"
+
+namespace hornbeamspool::gateway {
+
+class PeerChannel;
+
+class TokenBroker {
+ public:
+  TokenBroker(const Context& context, PeerChannel& channel);
+  TokenBroker(const TokenBroker&) = delete;
+  TokenBroker& operator=(const TokenBroker&) = delete;
+
+  void Start();
+
+  // Waits until tokens may have come for `amount` of the tenant, or the reason
+  // is known why they don't: kReserved says to try again.
+  http::Task<policy::BudgetVerdict> Find(std::string tenant,
+                                         std::int64_t amount,
+                                         coordination::TimePoint until);
+  // Asks ahead of the next requests where gifts run low.
+  void Replenish(const std::string& tenant);
+
+  void OnMessage(const transport::BudgetMessage& message);
+  // The store has answered a write: requests that wait may go on.
+  void OnShareChanged();
+  // Gives every gift back.
+  void ReturnGifts();
+
+ private:
+  // What is known of one tenant's search.
+  struct Search {
+    bool asking = false;
+    std::uint64_t ask_id = 0;
+    bool answered = false;
+    transport::GiftNote note = transport::GiftNote::kGiven;
+    coordination::TimePoint refused_until{};  // `note` holds until then
+    std::set<http::Timer*> waiters;
+  };
+
+  // A gift that was sent, for an ask that comes twice.
+  struct SentGift {
+    std::uint64_t id = 0;
+    transport::BudgetMessage message;
+  };
+
+  http::Task<void> Ask(std::string tenant, std::int64_t needed);
+  http::Task<bool> AskPeer(const std::string& vm, const std::string& tenant,
+                           std::int64_t needed);
+  http::Task<void> Answer(transport::BudgetMessage ask);
+  http::Task<void> Maintain();
+  void OnGift(const transport::BudgetMessage& gift);
+  void Wake(Search& search);
+  void GiveBack(const std::string& tenant);
+  std::uint64_t NewId();
+
+  Context context;
+  PeerChannel* channel;
+  std::map<std::string, Search, std::less<>> searches;
+  std::deque<SentGift> sent;          // the latest, for repeated asks
+  std::deque<std::uint64_t> taken;    // ids of the latest gifts received
+  std::set<std::uint64_t> answering;  // asks in progress
+  std::mt19937_64 random;
+};
+
+}  // namespace hornbeamspool::gateway
--- a/policy/budget_desk.cc
+++ b/policy/budget_desk.cc
@@ -8,12 +8,20 @@
 namespace hornbeamspool::policy {
 namespace {
 
-// Until a tenant's demand is known, a VM asks for this part of its budget:
-// small enough for a fleet of 16 VMs, large enough for the first seconds.
-constexpr std::int64_t kFirstPart = 32;
+// Until a tenant's demand is known, its home holds this part of its budget: a
+// few seconds of a day's spending.
+constexpr std::int64_t kFirstPart = 12;
 
-// A VM without requests of a tenant that spends elsewhere keeps this part.
-constexpr std::int64_t kIdlePart = 256;
+// Gifts cover a peer's demand for this long; a wish that no request waits for
+// takes one part in this many of what the giver has.
+constexpr double kGiftSeconds = 0.7;
+constexpr std::int64_t kGiftPart = 4;
+
+// Gifts of more than this many times the need go back.
+constexpr std::int64_t kIdleFactor = 4;
+
+// Gifts on the way are under one part of a budget in this many.
+constexpr std::int64_t kDoubtPart = 50;
 
 // Demand may grow by half during an outage.
 constexpr double kDemandReserve = 1.5;
@@ -80,21 +88,43 @@
 }
 
 BudgetVerdict BudgetDesk::Reserve(std::string_view tenant, std::int64_t amount,
-                                  coordination::TimePoint now) {
+                                  coordination::TimePoint now,
+                                  BudgetSource& source) {
   const auto found = this->entries.find(tenant);
   if (found == this->entries.end()) return BudgetVerdict::kLacking;
   Entry& entry = found->second;
+  if (entry.gifts.Reserve(amount, entry.received)) {
+    source = BudgetSource::kGift;
+    return BudgetVerdict::kReserved;
+  }
   if (entry.account.Reserve(amount, this->BoundOf(entry, now))) {
+    source = BudgetSource::kShare;
     return BudgetVerdict::kReserved;
   }
+  return this->VerdictFor(tenant, amount, now);
+}
+
+BudgetVerdict BudgetDesk::VerdictFor(std::string_view tenant,
+                                     std::int64_t amount,
+                                     coordination::TimePoint now) {
+  const auto found = this->entries.find(tenant);
+  if (found == this->entries.end()) return BudgetVerdict::kLacking;
+  const Entry& entry = found->second;
   if (!entry.read) return BudgetVerdict::kLacking;
+  const std::int64_t committed = entry.account.Committed();
+  if (this->BoundOf(entry, now) - committed >= amount) {
+    return BudgetVerdict::kLacking;
+  }
   const std::int64_t checkpointed =
       this->IsMine(entry) ? entry.rows.share.spent : 0;
   const std::int64_t left = entry.prepaid - entry.rows.total.known_spent -
                             (entry.account.Spent() - checkpointed);
-  if (left < amount) return BudgetVerdict::kExhausted;
+  // Gifts count as spent before they are; a part of the budget stays in doubt.
+  if (left + entry.prepaid / kDoubtPart < amount) {
+    return BudgetVerdict::kExhausted;
+  }
   const std::int64_t unclaimed = entry.prepaid - entry.rows.total.committed;
-  const std::int64_t own = this->LimitOf(entry) - entry.account.Committed();
+  const std::int64_t own = this->LimitOf(entry) - committed;
   if (unclaimed + own >= amount) return BudgetVerdict::kLacking;
   // Another VM may have handed back since the rows were read.
   this->refresh_wanted = true;
@@ -102,10 +132,67 @@
 }
 
 void BudgetDesk::Settle(std::string_view tenant, std::int64_t amount,
-                        std::int64_t used) {
+                        std::int64_t used, BudgetSource source) {
   const auto found = this->entries.find(tenant);
   if (found == this->entries.end()) return;
-  found->second.account.Settle(amount, used);
+  Entry& entry = found->second;
+  (source == BudgetSource::kGift ? entry.gifts : entry.account)
+      .Settle(amount, used);
+}
+
+std::int64_t BudgetDesk::Give(std::string_view tenant, std::int64_t needed,
+                              std::int64_t wanted,
+                              coordination::TimePoint now) {
+  const auto found = this->entries.find(tenant);
+  if (found == this->entries.end()) return 0;
+  Entry& entry = found->second;
+  const std::int64_t room =
+      this->BoundOf(entry, now) - entry.account.Committed();
+  const std::int64_t spare = std::max<std::int64_t>(0, room) / kGiftPart;
+  const std::int64_t given = std::max(needed, std::min(wanted, spare));
+  if (given <= 0 || given > room) return 0;
+  entry.account.Reserve(given, this->BoundOf(entry, now));
+  entry.account.Settle(given, given);
+  return given;
+}
+
+void BudgetDesk::TakeGift(std::string_view tenant, std::int64_t amount) {
+  const auto found = this->entries.find(tenant);
+  if (found != this->entries.end()) found->second.received += amount;
+}
+
+std::int64_t BudgetDesk::WantedGift(std::string_view tenant) const {
+  const auto found = this->entries.find(tenant);
+  if (found == this->entries.end() || this->stopping) return 0;
+  const Entry& entry = found->second;
+  const auto expected =
+      static_cast<std::int64_t>(entry.gifts.DemandPerSecond() * kGiftSeconds);
+  const std::int64_t target =
+      std::max(expected, entry.gifts.TypicalRequest() * 2);
+  return std::max<std::int64_t>(
+      0, target - (entry.received - entry.gifts.Committed()));
+}
+
+std::int64_t BudgetDesk::WithdrawIdleGift(std::string_view tenant) {
+  const auto found = this->entries.find(tenant);
+  if (found == this->entries.end()) return 0;
+  Entry& entry = found->second;
+  const std::int64_t free = entry.received - entry.gifts.Committed();
+  const auto expected =
+      static_cast<std::int64_t>(entry.gifts.DemandPerSecond() * kGiftSeconds);
+  const std::int64_t kept =
+      this->stopping
+          ? 0
+          : kIdleFactor * std::max(expected, entry.gifts.TypicalRequest());
+  if (free <= kept) return 0;
+  entry.received -= free - kept / kIdleFactor;
+  return free - kept / kIdleFactor;
+}
+
+void BudgetDesk::KeepHome(std::string_view tenant,
+                          coordination::TimePoint until) {
+  const auto found = this->entries.find(tenant);
+  if (found != this->entries.end()) found->second.home_until = until;
 }
 
 void BudgetDesk::NoteLacking(std::string_view tenant, std::int64_t amount) {
@@ -115,17 +202,17 @@
   this->urgent = true;
 }
 
-std::int64_t BudgetDesk::WantedLimit(const Entry& entry) const {
+std::int64_t BudgetDesk::WantedLimit(const Entry& entry,
+                                     coordination::TimePoint now) const {
   const TenantAccount& account = entry.account;
-  if (this->stopping) return account.Committed();
+  const bool holds = !this->stopping && now < entry.home_until;
+  if (!holds) return account.Committed();
   const double outage =
       std::chrono::duration<double>(this->options.bridged_outage).count();
   const auto expected = static_cast<std::int64_t>(account.DemandPerSecond() *
                                                   outage * kDemandReserve);
-  const bool unknown = account.Committed() == 0;
-  const bool used_elsewhere = entry.rows.total.known_spent > 0;
   const std::int64_t first =
-      unknown ? entry.prepaid / (used_elsewhere ? kIdlePart : kFirstPart) : 0;
+      account.Committed() == 0 ? entry.prepaid / kFirstPart : 0;
   return account.Committed() +
          std::max({expected, account.TypicalRequest() * 2, first});
 }
@@ -137,8 +224,8 @@
   if (!entry.in_doubt.empty()) return true;
   // A predecessor's share is closed at once: what it left is free then.
   if (!this->IsMine(entry) && entry.rows.share.incarnation != 0) return true;
-  if (this->stopping) return next_limit != held;
   if (entry.lacking > 0 && next_limit >= committed + entry.lacking) return true;
+  if (this->stopping || now >= entry.home_until) return next_limit != held;
   if (std::abs(next_limit - held) * kDeadband > next_limit - committed) {
     return true;
   }
@@ -193,6 +280,7 @@
   if (this->last_sample != coordination::TimePoint{}) {
     for (auto& [tenant, entry] : this->entries) {
       entry.account.SampleDemand(now - this->last_sample);
+      entry.gifts.SampleDemand(now - this->last_sample);
     }
   }
   this->last_sample = now;
@@ -215,7 +303,7 @@
     }
     const LimitRequest request{entry.prepaid, held, committed,
                                committed + entry.lacking,
-                               this->WantedLimit(entry)};
+                               this->WantedLimit(entry, now)};
     const std::int64_t limit = NextLimit(request, total);
     const bool due = this->IsDue(entry, limit, now);
     if (due && this->pending.size() < kMostTenantsPerWrite) {
--- a/policy/budget_desk.h
+++ b/policy/budget_desk.h
@@ -36,6 +36,9 @@
   kCount
 };
 
+// Whose tokens a reservation was made of.
+enum class BudgetSource : std::uint8_t { kShare, kGift, kCount };
+
 struct BudgetDeskOptions {
   // Spending that a limit covers without the store. The store's outages that
   // the platform announces last up to 9 s, and the way back takes a second.
@@ -61,9 +64,28 @@
   // The prepaid tokens of a tenant, by the configuration in force.
   void SetPrepaid(std::string_view tenant, std::int64_t prepaid);
 
+  // Sets `amount` tokens aside, of what peers gave or of this VM's own share.
   BudgetVerdict Reserve(std::string_view tenant, std::int64_t amount,
-                        coordination::TimePoint now);
-  void Settle(std::string_view tenant, std::int64_t amount, std::int64_t used);
+                        coordination::TimePoint now, BudgetSource& source);
+  void Settle(std::string_view tenant, std::int64_t amount, std::int64_t used,
+              BudgetSource source);
+
+  // Gives tokens of this VM's share away: all of `wanted`, or less but not
+  // less than `needed`, or nothing. What is given counts as spent here.
+  std::int64_t Give(std::string_view tenant, std::int64_t needed,
+                    std::int64_t wanted, coordination::TimePoint now);
+  // What stands in the way of giving `amount` now.
+  BudgetVerdict VerdictFor(std::string_view tenant, std::int64_t amount,
+                           coordination::TimePoint now);
+  // Takes tokens that a peer gave, or gives back.
+  void TakeGift(std::string_view tenant, std::int64_t amount);
+  // Tokens worth asking a peer for, besides those that a request needs now.
+  std::int64_t WantedGift(std::string_view tenant) const;
+  // Gifts that are more than this VM needs; they leave the account here.
+  std::int64_t WithdrawIdleGift(std::string_view tenant);
+
+  // This VM keeps the tenant's tokens: it holds a share until `until`.
+  void KeepHome(std::string_view tenant, coordination::TimePoint until);
 
   // A request waits for tokens: a write is due at once.
   void NoteLacking(std::string_view tenant, std::int64_t amount);
@@ -99,7 +121,10 @@
  private:
   struct Entry {
     std::int64_t prepaid = 0;
-    TenantAccount account;
+    TenantAccount account;      // of this VM's share
+    TenantAccount gifts;        // of what peers gave
+    std::int64_t received = 0;  // tokens that peers gave, less given back
+    coordination::TimePoint home_until{};
     BudgetRows rows;           // as last known in the store
     std::int64_t lacking = 0;  // tokens that waiting requests need
     bool read = false;
@@ -113,7 +138,8 @@
   }
   std::int64_t LimitOf(const Entry& entry) const;
   std::int64_t BoundOf(const Entry& entry, coordination::TimePoint now) const;
-  std::int64_t WantedLimit(const Entry& entry) const;
+  std::int64_t WantedLimit(const Entry& entry,
+                           coordination::TimePoint now) const;
   bool IsDue(const Entry& entry, std::int64_t next_limit,
              coordination::TimePoint now) const;
   BudgetRows NextRows(const Entry& entry, std::int64_t limit,
--- a/policy/gateway_core.cc
+++ b/policy/gateway_core.cc
@@ -113,16 +113,11 @@
   if (free) return BudgetVerdict::kReserved;
   const std::int64_t amount = ticket.request.demand->WorstCase();
   const BudgetVerdict verdict =
-      this->budgets.Reserve(ticket.tenant->name, amount, now);
+      this->budgets.Reserve(ticket.tenant->name, amount, now, ticket.source);
   if (verdict == BudgetVerdict::kReserved) ticket.reserved = amount;
   return verdict;
 }
 
-void GatewayCore::NoteLacking(const Ticket& ticket) {
-  this->budgets.NoteLacking(ticket.tenant->name,
-                            ticket.request.demand->WorstCase());
-}
-
 RetryAllowance& GatewayCore::AllowanceOf(const std::string& service) {
   return this->allowances.try_emplace(service, this->options.retries)
       .first->second;
@@ -213,7 +208,7 @@
   --this->in_flight;
   if (ticket.reserved == 0) return;
   this->budgets.Settle(ticket.tenant->name, ticket.reserved,
-                       this->TokensUsed(ticket));
+                       this->TokensUsed(ticket), ticket.source);
   ticket.reserved = 0;
 }
 
--- a/policy/gateway_core.h
+++ b/policy/gateway_core.h
@@ -38,7 +38,8 @@
   coordination::TimePoint arrived{};
   coordination::TimePoint deadline{};  // the answer has ended by then
   std::int64_t reserved = 0;           // tokens set aside
-  bool prompt_read = false;            // a server may have read the prompt
+  BudgetSource source = BudgetSource::kShare;
+  bool prompt_read = false;  // a server may have read the prompt
   std::int64_t events_delivered = 0;
   std::int64_t sends = 0;
   std::int64_t runs = 0;  // sends that a server may have run
@@ -79,9 +80,6 @@
                                       coordination::TimePoint now);
   // Sets the request's worst case aside.
   BudgetVerdict Pay(Ticket& ticket, coordination::TimePoint now);
-  // Notes that the request waits for tokens.
-  void NoteLacking(const Ticket& ticket);
-
   std::variant<Refusal, SendOrder> NextSend(Ticket& ticket,
                                             coordination::TimePoint now);
   // Notes how a send ended. True when the request may be sent once more; then
--- /dev/null
+++ b/policy/peer_directory.cc
@@ -0,0 +1,82 @@
+#include "policy/peer_directory.h"
+
+#include <algorithm>
+#include <chrono>
+#include <set>
+#include <utility>
+
+#include "coordination/rendezvous.h"
+
+namespace hornbeamspool::policy {
+namespace {
+
+// How long a silent peer is left out at first, and at most.
+constexpr coordination::Duration kFirstSilence = std::chrono::milliseconds(500);
+constexpr std::int64_t kMostDoublings = 4;
+
+}  // namespace
+
+void PeerDirectory::Put(Peer peer) {
+  if (peer.vm == this->self) return;
+  Known& known = this->peers[peer.vm];
+  if (known.address != peer.address) known = Known{};
+  known.address = std::move(peer.address);
+}
+
+void PeerDirectory::Remove(std::string_view vm) {
+  const auto found = this->peers.find(vm);
+  if (found != this->peers.end()) this->peers.erase(found);
+}
+
+void PeerDirectory::Replace(std::vector<Peer> peers) {
+  std::set<std::string, std::less<>> present;
+  for (Peer& peer : peers) {
+    present.insert(peer.vm);
+    this->Put(std::move(peer));
+  }
+  std::erase_if(this->peers, [&present](const auto& entry) {
+    return !present.contains(entry.first);
+  });
+}
+
+void PeerDirectory::OnAnswer(std::string_view vm) {
+  const auto found = this->peers.find(vm);
+  if (found == this->peers.end()) return;
+  found->second.silences = 0;
+  found->second.silent_until = {};
+}
+
+void PeerDirectory::OnSilence(std::string_view vm,
+                              coordination::TimePoint now) {
+  const auto found = this->peers.find(vm);
+  if (found == this->peers.end()) return;
+  const auto doublings =
+      static_cast<unsigned>(std::min(found->second.silences++, kMostDoublings));
+  found->second.silent_until = now + kFirstSilence * (1U << doublings);
+}
+
+std::vector<std::string> PeerDirectory::HomesOf(
+    std::string_view tenant, std::size_t most,
+    coordination::TimePoint now) const {
+  const std::uint64_t seed = coordination::StableHash(tenant);
+  std::vector<std::pair<std::uint64_t, std::string_view>> ranked;
+  ranked.emplace_back(coordination::StableHash(this->self, seed), this->self);
+  for (const auto& [vm, known] : this->peers) {
+    if (known.silent_until > now) continue;
+    ranked.emplace_back(coordination::StableHash(vm, seed), vm);
+  }
+  std::sort(ranked.rbegin(), ranked.rend());
+  std::vector<std::string> homes;
+  for (const auto& [score, vm] : ranked) {
+    if (homes.size() == most) break;
+    homes.emplace_back(vm);
+  }
+  return homes;
+}
+
+std::string PeerDirectory::AddressOf(std::string_view vm) const {
+  const auto found = this->peers.find(vm);
+  return found == this->peers.end() ? std::string() : found->second.address;
+}
+
+}  // namespace hornbeamspool::policy
--- a/settings/gateway_settings.cc
+++ b/settings/gateway_settings.cc
@@ -36,6 +36,7 @@
     gateway.availability_zone = root.Text("availability_zone");
     gateway.listen_address = root.Address("listen");
     gateway.store_address = root.Address("store");
+    gateway.peer_address = root.Address("peers");
     root.Member("readiness", [&](ObjectReader& r) {
       gateway.readiness_address = r.Address("address");
       gateway.readiness_path = r.Text("path");
--- a/settings/gateway_settings.h
+++ b/settings/gateway_settings.h
@@ -18,6 +18,7 @@
   std::string readiness_address;  // where the balancer asks
   std::string readiness_path;
   std::string store_address;
+  std::string peer_address;  // this VM's own, for datagrams between gateways
   std::string log_level;
   std::int64_t descriptors = 4096;  // open files and sockets, at most
   // From a stop's signal until the process is killed.
--- a/transport/heartbeat.cc
+++ b/transport/heartbeat.cc
@@ -5,30 +5,7 @@
 #include <exception>
 #include <sstream>
 
-namespace hornbeamspool::transport {
-namespace {
-
-// A text with a length of 16 bits: a broken length costs little memory.
-struct ShortText {
-  std::string* text;
-
-  template <typename Archive>
-  void save(Archive& archive) const {
-    const auto size = static_cast<std::uint16_t>(this->text->size());
-    archive(size, cereal::binary_data(this->text->data(), size));
-  }
-
-  template <typename Archive>
-  void load(Archive& archive) {
-    std::uint16_t size = 0;
-    archive(size);
-    this->text->resize(size);
-    archive(cereal::binary_data(this->text->data(), size));
-  }
-};
-
-}  // namespace
-}  // namespace hornbeamspool::transport
+#include "transport/short_text.h"
 
 namespace hornbeamspool::coordination {
 
