--- /dev/null
+++ b/bench/budget_fleet.cc
@@ -0,0 +1,343 @@
+#include "bench/budget_fleet.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace hornbeamspool::bench {
+namespace {
+
+using coordination::Duration;
+using coordination::TimePoint;
+using policy::BudgetDesk;
+using policy::BudgetRows;
+using policy::BudgetSource;
+using policy::BudgetVerdict;
+
+constexpr Duration kStep = std::chrono::milliseconds(10);
+constexpr Duration kStoreTime = std::chrono::milliseconds(8);
+constexpr Duration kAnswerLimit = std::chrono::milliseconds(1200);
+constexpr Duration kServiceTime = std::chrono::milliseconds(800);
+constexpr Duration kRetryTime = std::chrono::milliseconds(20);
+constexpr Duration kHomeTime = std::chrono::seconds(4);
+constexpr int kTries = 10;
+
+// A request's worst case, and the part of it that is spent.
+constexpr std::int64_t kLeastTokens = 200;
+constexpr std::int64_t kMostTokens = 12'000;
+constexpr double kUsedPart = 0.9;
+
+double SecondsOf(Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+std::int64_t StoreMs(TimePoint now) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             now.time_since_epoch())
+      .count();
+}
+
+}  // namespace
+
+BudgetFleet::BudgetFleet(const FleetOptions& options)
+    : options(options), random(options.seed) {
+  this->vms.resize(options.vms);
+  for (std::size_t i = 0; i < options.tenants; ++i) {
+    this->tenants.push_back({"tenant-" + std::to_string(i), 0, 0, 1});
+  }
+  for (std::size_t vm = 0; vm < options.vms; ++vm) this->Start(vm);
+}
+
+bool BudgetFleet::Reaches(std::size_t vm) const {
+  return this->vms[vm].up && !this->vms[vm].cut;
+}
+
+void BudgetFleet::Start(std::size_t vm) {
+  Vm& state = this->vms[vm];
+  state.up = true;
+  state.desk = std::make_unique<BudgetDesk>(this->next_incarnation++,
+                                            policy::BudgetDeskOptions{});
+  for (const TenantState& tenant : this->tenants) {
+    state.desk->SetPrepaid(tenant.name, this->options.prepaid);
+  }
+}
+
+// What the process had set aside is spent by the servers, or not at all; the
+// model takes it as unspent, which leaves the most to its successor.
+void BudgetFleet::Kill(std::size_t vm, Duration down) {
+  Vm& state = this->vms[vm];
+  if (!state.up) return;
+  state.up = false;
+  state.up_at = this->now + down;
+  state.desk.reset();
+}
+
+void BudgetFleet::Later(Duration delay, std::function<void()> run) {
+  this->events.emplace(this->now + delay, std::move(run));
+}
+
+void BudgetFleet::Faults() {
+  const double step = SecondsOf(kStep);
+  for (std::size_t i = 0; i < this->vms.size(); ++i) {
+    Vm& vm = this->vms[i];
+    if (!vm.up && this->now >= vm.up_at) this->Start(i);
+    if (vm.cut && this->now >= vm.cut_until) vm.cut = false;
+    if (this->Draw() < this->options.kill_rate * step) {
+      this->Kill(i, std::chrono::milliseconds(
+                        300 + static_cast<std::int64_t>(this->Draw() * 3000)));
+    }
+    if (!vm.cut && this->Draw() < this->options.cut_rate * step) {
+      vm.cut = true;
+      vm.cut_until =
+          this->now + std::chrono::milliseconds(
+                          static_cast<std::int64_t>(this->Draw() * 9000));
+    }
+  }
+  if (this->options.standard_day) this->StandardDay();
+}
+
+void BudgetFleet::StandardDay() {
+  const double at = SecondsOf(this->now.time_since_epoch());
+  const auto begins = [at](double second) {
+    return at >= second && at < second + SecondsOf(kStep);
+  };
+  for (const double second : {6.0, 24.0}) {
+    if (!begins(second)) continue;
+    for (Vm& vm : this->vms) {
+      vm.cut = true;
+      vm.cut_until = this->now + std::chrono::seconds(8);
+    }
+  }
+  this->tenants.front().share = at >= 15 && at < 21 ? 2.3 : 1;
+  if (!begins(34)) return;
+  for (std::size_t i = 0; i < this->vms.size(); ++i) {
+    this->Kill(i, std::chrono::milliseconds(1300));
+  }
+}
+
+void BudgetFleet::Arrivals() {
+  for (std::size_t i = 0; i < this->tenants.size(); ++i) {
+    const double rate = this->options.requests_per_second *
+                        this->tenants[i].share /
+                        static_cast<double>(this->tenants.size());
+    std::poisson_distribution<int> count(rate * SecondsOf(kStep));
+    for (int n = count(this->random); n > 0; --n) {
+      // Most requests of a tenant come through one VM.
+      const std::size_t usual = (i * 3 + 1) % this->vms.size();
+      const auto any = static_cast<std::size_t>(
+          this->Draw() * static_cast<double>(this->vms.size()));
+      const std::size_t vm = this->Draw() < 0.5 ? usual : any;
+      const auto amount = kLeastTokens + static_cast<std::int64_t>(
+                                             this->Draw() * this->Draw() *
+                                             static_cast<double>(kMostTokens));
+      if (!this->vms[vm].up) continue;
+      ++this->result.requests;
+      this->Serve(vm, i, amount, kTries);
+    }
+  }
+}
+
+std::size_t BudgetFleet::HomeOf(std::size_t tenant) const {
+  for (std::size_t i = 0; i < this->vms.size(); ++i) {
+    const std::size_t vm = (tenant + i) % this->vms.size();
+    if (this->vms[vm].up) return vm;
+  }
+  return tenant % this->vms.size();
+}
+
+// Asks the tenant's home for tokens. The datagram with them may get lost, or
+// come twice.
+bool BudgetFleet::AskHome(std::size_t vm, std::size_t tenant,
+                          std::int64_t amount) {
+  const std::size_t home = this->HomeOf(tenant);
+  if (home == vm || !this->vms[home].up) return false;
+  BudgetDesk& giver = *this->vms[home].desk;
+  const std::string& name = this->tenants[tenant].name;
+  giver.KeepHome(name, this->now + kHomeTime);
+  const std::int64_t wanted = amount + this->vms[vm].desk->WantedGift(name);
+  const std::int64_t given = giver.Give(name, amount, wanted, this->now);
+  if (given == 0) {
+    giver.NoteLacking(name, amount);
+    return true;
+  }
+  if (this->Draw() < this->options.lost_datagram_rate) return true;
+  this->vms[vm].desk->TakeGift(name, given);
+  if (this->options.mutation == FleetMutation::kGiftCountedTwice) {
+    this->vms[vm].desk->TakeGift(name, given);
+  }
+  return true;
+}
+
+void BudgetFleet::Serve(std::size_t vm, std::size_t tenant, std::int64_t amount,
+                        int tries_left) {
+  if (!this->vms[vm].up) return;
+  TenantState& state = this->tenants[tenant];
+  BudgetDesk& desk = *this->vms[vm].desk;
+  BudgetSource source = BudgetSource::kShare;
+  const BudgetVerdict verdict =
+      desk.Reserve(state.name, amount, this->now, source);
+  if (verdict == BudgetVerdict::kReserved) {
+    ++this->result.served;
+    const auto used =
+        static_cast<std::int64_t>(static_cast<double>(amount) * kUsedPart);
+    state.spent += used;
+    this->Check(tenant);
+    BudgetDesk* same = &desk;
+    this->Later(kServiceTime, [this, vm, same, tenant, amount, used, source] {
+      if (this->vms[vm].desk.get() != same) return;
+      same->Settle(this->tenants[tenant].name, amount, used, source);
+    });
+    return;
+  }
+  bool asked = false;
+  if (this->options.strategy != HoldStrategy::kEachVm) {
+    asked = this->AskHome(vm, tenant, amount);
+  }
+  if (!asked) {
+    desk.KeepHome(state.name, this->now + kHomeTime);
+    desk.NoteLacking(state.name, amount);
+  }
+  if (tries_left > 0) {
+    this->Later(kRetryTime, [this, vm, tenant, amount, tries_left] {
+      this->Serve(vm, tenant, amount, tries_left - 1);
+    });
+    return;
+  }
+  ++this->result.refused;
+  if (state.spent + amount <= this->options.prepaid) {
+    ++this->result.refused_that_fitted;
+  }
+}
+
+void BudgetFleet::Check(std::size_t tenant) {
+  const std::int64_t over = this->tenants[tenant].spent - this->options.prepaid;
+  if (over <= 0) return;
+  this->result.overspend = std::max(this->result.overspend, over);
+  if (!this->result.violation.empty()) return;
+  this->result.violation = "overspend of " + std::to_string(over) + " at " +
+                           std::to_string(StoreMs(this->now)) + " ms";
+}
+
+void BudgetFleet::ReadInto(std::size_t vm) {
+  std::vector<BudgetRows> rows;
+  for (const TenantState& tenant : this->tenants) {
+    const StoredRows& stored = this->store[tenant.name];
+    BudgetRows row{tenant.name, stored.total, stored.total_version, {}, 0};
+    if (const auto found = stored.shares.find(vm);
+        found != stored.shares.end()) {
+      row.share = found->second.first;
+      row.share_version = found->second.second;
+    }
+    const bool forgets = this->options.mutation == FleetMutation::kForgetsPace;
+    if (forgets) row.share.burst = row.share.per_second = 0;
+    if (this->options.strategy == HoldStrategy::kNoReclaim) {
+      row.share.burst = row.share.limit;
+    }
+    rows.push_back(std::move(row));
+  }
+  this->vms[vm].desk->OnStoreClock(StoreMs(this->now), this->now);
+  this->vms[vm].desk->OnRead(rows);
+}
+
+bool BudgetFleet::Apply(std::size_t vm, const std::vector<BudgetRows>& rows) {
+  for (const BudgetRows& row : rows) {
+    const StoredRows& stored = this->store[row.tenant];
+    const auto found = stored.shares.find(vm);
+    const std::uint64_t share_version =
+        found == stored.shares.end() ? 0 : found->second.second;
+    const bool holds = stored.total_version == row.total_version &&
+                       share_version == row.share_version;
+    if (!holds) return false;
+  }
+  ++this->store_version;
+  for (const BudgetRows& row : rows) {
+    StoredRows& stored = this->store[row.tenant];
+    stored.total = row.total;
+    stored.total_version = this->store_version;
+    stored.shares[vm] = {row.share, this->store_version};
+  }
+  return true;
+}
+
+// One look of a VM at what is due, as its keeper takes it.
+void BudgetFleet::Write(std::size_t vm) {
+  if (!this->vms[vm].up) return;
+  BudgetDesk* desk = this->vms[vm].desk.get();
+  for (std::size_t i = 0; i < this->tenants.size(); ++i) {
+    const bool holds = this->options.strategy == HoldStrategy::kEachVm ||
+                       this->HomeOf(i) == vm;
+    if (holds) desk->KeepHome(this->tenants[i].name, this->now + kHomeTime);
+  }
+  if (desk->NeedsRead()) {
+    if (!this->Reaches(vm)) return;
+    this->result.store_calls += 2;
+    this->ReadInto(vm);
+  }
+  const std::vector<BudgetRows> rows = desk->PlanWrite(this->now);
+  if (rows.empty()) return;
+  ++this->result.store_calls;
+  const bool lost = this->Draw() < this->options.lost_answer_rate;
+  const bool reaches = this->Reaches(vm);
+  const auto alive = [this, vm, desk] {
+    return this->vms[vm].desk.get() == desk;
+  };
+  if (!reaches || lost) {
+    // Perhaps done, now or seconds later.
+    if (reaches && this->Draw() < 0.7) {
+      this->Later(std::chrono::milliseconds(
+                      static_cast<std::int64_t>(this->Draw() * 6000)),
+                  [this, vm, rows] { this->Apply(vm, rows); });
+    }
+    this->Later(kAnswerLimit, [this, alive, desk] {
+      if (!alive()) return;
+      if (this->options.mutation == FleetMutation::kAckBeforeWrite) {
+        desk->OnWritten(this->store_version);
+        desk->OnUnknown();
+        return;
+      }
+      desk->OnUnknown();
+    });
+    return;
+  }
+  this->Later(kStoreTime, [this, vm, rows, alive, desk] {
+    const bool done = this->Apply(vm, rows);
+    if (!alive()) return;
+    desk->OnStoreClock(StoreMs(this->now), this->now);
+    if (done) {
+      desk->OnWritten(this->store_version);
+      return;
+    }
+    desk->OnNotWritten();
+    this->ReadInto(vm);
+  });
+}
+
+FleetResult BudgetFleet::Run() {
+  const TimePoint end = this->now + this->options.length;
+  while (this->now < end) {
+    this->now += kStep;
+    this->Faults();
+    while (!this->events.empty() && this->events.begin()->first <= this->now) {
+      const auto run = std::move(this->events.begin()->second);
+      this->events.erase(this->events.begin());
+      run();
+    }
+    this->Arrivals();
+    for (std::size_t vm = 0; vm < this->vms.size(); ++vm) this->Write(vm);
+  }
+  for (const TenantState& tenant : this->tenants) {
+    this->result.spent += tenant.spent;
+    std::int64_t held = 0;
+    for (const Vm& vm : this->vms) {
+      if (!vm.up) continue;
+      for (const auto& figures : vm.desk->AllFigures()) {
+        if (figures.tenant == tenant.name)
+          held += figures.limit - figures.spent;
+      }
+    }
+    this->result.stranded +=
+        this->store[tenant.name].total.committed - tenant.spent - held;
+  }
+  return this->result;
+}
+
+}  // namespace hornbeamspool::bench
--- a/gateway/request_relay.cc
+++ b/gateway/request_relay.cc
@@ -305,6 +305,12 @@
   pairs += ' ' + KeyValue("outcome", NameOf(outcome));
   pairs += ' ' + KeyValue("send", this->ticket->sends);
   pairs += ' ' + KeyValue("events", this->ticket->events_delivered);
+  if (this->ticket->started) {
+    pairs += ' ' + KeyValue("first_ms",
+                            Milliseconds(this->ticket->first_event_after));
+    pairs += ' ' + KeyValue("longest_pause_ms",
+                            Milliseconds(this->ticket->longest_pause));
+  }
   pairs += ' ' + KeyValue("after_ms", Milliseconds(Now() - this->arrived));
   this->context->log->Write(kind, pairs, Now());
 }
--- a/gateway/stream_relay.cc
+++ b/gateway/stream_relay.cc
@@ -1,11 +1,13 @@
 #include "gateway/stream_relay.h"
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <cstdint>
 #include <optional>
 #include <utility>
 
+#include "hornbeamspool/clock.h"
 #include "platform/request_headers.h"
 
 namespace hornbeamspool::gateway {
@@ -66,10 +68,22 @@
   // A resumed stream may begin with events that were delivered before.
   if (id && last && *id <= *last) return;
   if (id) last = id;
+  this->NoteTime(Now());
   this->due.append(raw);
   ++this->due_events;
 }
 
+void StreamRelay::NoteTime(coordination::TimePoint now) {
+  policy::Ticket& ticket = *this->ticket;
+  if (ticket.last_event_at == coordination::TimePoint{}) {
+    ticket.first_event_after = now - ticket.arrived;
+  } else {
+    ticket.longest_pause =
+        std::max(ticket.longest_pause, now - ticket.last_event_at);
+  }
+  ticket.last_event_at = now;
+}
+
 http::Task<bool> StreamRelay::Show() {
   if (this->due.empty()) co_return true;
   if (!this->ticket->started) {
--- a/gateway/stream_relay.h
+++ b/gateway/stream_relay.h
@@ -32,6 +32,7 @@
 
  private:
   void TakeEvent(std::string_view raw);
+  void NoteTime(coordination::TimePoint now);
   http::Task<bool> Show();
 
   policy::GatewayCore* core;
--- a/policy/gateway_core.h
+++ b/policy/gateway_core.h
@@ -45,6 +45,9 @@
   std::int64_t runs = 0;  // sends that a server may have run
   bool started = false;   // the caller has been sent the answer's head
   std::optional<std::int64_t> last_event_id;  // the last one delivered
+  coordination::TimePoint last_event_at{};    // zero before the first
+  coordination::Duration first_event_after{};  // the arrival
+  coordination::Duration longest_pause{};      // between events
   std::vector<std::string> failed_servers;
 };
 
--- /dev/null
+++ b/tests/budget_test.cc
@@ -0,0 +1,226 @@
+// Prepaid budgets: the arithmetic of limits, and long randomised runs of a
+// fleet's desks, whose check is shown to notice broken rules.
+#include <doctest/doctest.h>
+
+#include <chrono>
+#include <string>
+#include <vector>
+
+#include "bench/budget_fleet.h"
+#include "policy/budget_desk.h"
+#include "policy/tenant_budget.h"
+
+namespace hornbeamspool {
+namespace {
+
+using bench::BudgetFleet;
+using bench::FleetMutation;
+using bench::FleetOptions;
+using bench::FleetResult;
+using bench::HoldStrategy;
+using policy::BudgetDesk;
+using policy::BudgetRows;
+using policy::BudgetShare;
+using policy::BudgetSource;
+using policy::BudgetTotal;
+using policy::BudgetVerdict;
+using policy::LimitRequest;
+using policy::NextLimit;
+using policy::TenantAccount;
+
+constexpr std::uint64_t kRuns = 300;
+
+// Kills, cuts, lost and late writes and lost datagrams, on a budget that runs
+// out.
+FleetOptions Rough(std::uint64_t seed) {
+  FleetOptions options;
+  options.seed = seed;
+  options.vms = 2 + seed % 6;
+  options.tenants = 1 + seed % 3;
+  options.prepaid = 600'000;
+  options.length = std::chrono::seconds(25);
+  options.kill_rate = 0.05;
+  options.cut_rate = 0.05;
+  options.lost_answer_rate = 0.1;
+  options.lost_datagram_rate = 0.05;
+  return options;
+}
+
+bool Notices(FleetMutation mutation) {
+  for (std::uint64_t seed = 1; seed <= kRuns; ++seed) {
+    FleetOptions options = Rough(seed);
+    options.mutation = mutation;
+    if (!BudgetFleet(options).Run().violation.empty()) return true;
+  }
+  return false;
+}
+
+coordination::TimePoint At(std::int64_t ms) {
+  return coordination::TimePoint(std::chrono::milliseconds(ms));
+}
+
+// A desk whose rows have been read, keeping the tenant's tokens.
+BudgetDesk KeptDesk(std::uint64_t incarnation, const BudgetRows& rows) {
+  BudgetDesk desk(incarnation, {});
+  desk.SetPrepaid(rows.tenant, 1'000'000);
+  desk.OnStoreClock(10'000, At(0));
+  desk.OnRead(std::vector<BudgetRows>{rows});
+  desk.KeepHome(rows.tenant, At(60'000));
+  return desk;
+}
+
+BudgetRows Absent() {
+  BudgetRows rows;
+  rows.tenant = "t";
+  return rows;
+}
+
+TEST_CASE(
+    "a limit grows by what waits, and by half of the rest for foresight") {
+  const BudgetTotal total{400, 0};
+  CHECK(NextLimit({1000, 100, 50, 50, 1000}, total) == 100 + 600 / 2);
+  // A request that waits may take all that is left.
+  CHECK(NextLimit({1000, 100, 50, 700, 700}, total) == 700);
+  // One that doesn't fit takes nothing.
+  CHECK(NextLimit({1000, 100, 50, 701, 50}, total) == 50);
+}
+
+TEST_CASE("a limit shrinks to what is wanted, never below what is committed") {
+  const BudgetTotal total{900, 0};
+  CHECK(NextLimit({1000, 500, 120, 120, 200}, total) == 200);
+  CHECK(NextLimit({1000, 500, 120, 120, 0}, total) == 120);
+}
+
+TEST_CASE("a share's bound follows its pace up to its limit") {
+  const BudgetShare share{1, 1000, 100, 150, 5'000, 50, 200};
+  CHECK(share.Bound(5'000) == 200);
+  CHECK(share.Bound(6'000) == 400);
+  CHECK(share.Bound(60'000) == 1000);
+  // A store clock that went back proves nothing.
+  CHECK(share.Bound(4'999) == 1000);
+}
+
+TEST_CASE("tokens are usable only once the write is acknowledged") {
+  BudgetDesk desk = KeptDesk(7, Absent());
+  BudgetSource source = BudgetSource::kShare;
+  CHECK(desk.Reserve("t", 100, At(1), source) == BudgetVerdict::kLacking);
+  const std::vector<BudgetRows> rows = desk.PlanWrite(At(1));
+  REQUIRE(rows.size() == 1);
+  CHECK(desk.Reserve("t", 100, At(2), source) == BudgetVerdict::kLacking);
+  desk.OnWritten(1);
+  CHECK(desk.Reserve("t", 100, At(3), source) == BudgetVerdict::kReserved);
+}
+
+TEST_CASE("a write of unknown outcome leaves the lower limit in force") {
+  BudgetDesk desk = KeptDesk(7, Absent());
+  (void)desk.PlanWrite(At(1));
+  desk.OnWritten(1);
+  BudgetSource source = BudgetSource::kShare;
+  const std::int64_t limit = desk.AllFigures().front().limit;
+  desk.KeepHome("t", At(0));
+  const std::vector<BudgetRows> lowered = desk.PlanWrite(At(2'000));
+  REQUIRE(lowered.size() == 1);
+  CHECK(lowered.front().share.limit == 0);
+  desk.OnUnknown();
+  CHECK(desk.Reserve("t", 1, At(2'001), source) != BudgetVerdict::kReserved);
+  // The row still shows the higher limit: the write may yet be carried out.
+  BudgetRows seen = lowered.front();
+  seen.share.limit = limit;
+  seen.share.burst = limit;
+  seen.total_version = seen.share_version = 1;
+  desk.OnRead(std::vector<BudgetRows>{seen});
+  CHECK(desk.Reserve("t", 1, At(2'002), source) != BudgetVerdict::kReserved);
+}
+
+TEST_CASE("a successor frees what its predecessor's pace left") {
+  BudgetRows rows = Absent();
+  rows.total = {500'000, 0};
+  rows.total_version = rows.share_version = 3;
+  // Killed within a second of the checkpoint at 9,500 ms.
+  rows.share = {6, 500'000, 20'000, 30'000, 9'500, 10'000, 20'000};
+  BudgetDesk desk = KeptDesk(7, rows);
+  const std::vector<BudgetRows> planned = desk.PlanWrite(At(0));
+  REQUIRE(planned.size() == 1);
+  const std::int64_t own = planned.front().share.limit;
+  // 30,000 + 10,000 at once + 20,000 a second for half a second and the drift.
+  const std::int64_t predecessor = planned.front().total.committed - own;
+  CHECK(predecessor >= 50'000);
+  CHECK(predecessor <= 51'000);
+}
+
+TEST_CASE("what other VMs hold is refused at once and looked for again") {
+  BudgetRows rows = Absent();
+  rows.total = {990'000, 100'000};
+  rows.total_version = 4;
+  BudgetDesk desk = KeptDesk(7, rows);
+  BudgetSource source = BudgetSource::kShare;
+  CHECK(desk.Reserve("t", 50'000, At(1), source) == BudgetVerdict::kHeld);
+  CHECK(desk.PlanWrite(At(2)).empty());
+  CHECK(desk.NeedsRead());
+}
+
+TEST_CASE("a budget counts as exhausted only when known spending says so") {
+  BudgetRows rows = Absent();
+  rows.total = {1'000'000, 990'000};
+  rows.total_version = 4;
+  BudgetDesk desk = KeptDesk(7, rows);
+  BudgetSource source = BudgetSource::kShare;
+  CHECK(desk.Reserve("t", 5'000, At(1), source) == BudgetVerdict::kHeld);
+  CHECK(desk.Reserve("t", 50'000, At(1), source) == BudgetVerdict::kExhausted);
+}
+
+TEST_CASE("a gift counts as spent by its giver and can be spent once") {
+  BudgetDesk giver = KeptDesk(7, Absent());
+  (void)giver.PlanWrite(At(1));
+  giver.OnWritten(1);
+  BudgetDesk taker = KeptDesk(8, Absent());
+  const std::int64_t given = giver.Give("t", 1'000, 5'000, At(2));
+  CHECK(given >= 1'000);
+  CHECK(giver.AllFigures().front().spent == given);
+  taker.TakeGift("t", given);
+  BudgetSource source = BudgetSource::kShare;
+  CHECK(taker.Reserve("t", given, At(3), source) == BudgetVerdict::kReserved);
+  CHECK(source == BudgetSource::kGift);
+  CHECK(taker.Reserve("t", 1, At(3), source) != BudgetVerdict::kReserved);
+  taker.Settle("t", given, given / 2, BudgetSource::kGift);
+  taker.BeginStop();
+  CHECK(taker.WithdrawIdleGift("t") == given - given / 2);
+  CHECK(taker.WithdrawIdleGift("t") == 0);
+}
+
+TEST_CASE("no schedule of kills, cuts and lost answers overspends") {
+  std::int64_t served = 0;
+  for (std::uint64_t seed = 1; seed <= kRuns; ++seed) {
+    for (const HoldStrategy strategy :
+         {HoldStrategy::kHomes, HoldStrategy::kEachVm}) {
+      FleetOptions options = Rough(seed);
+      options.strategy = strategy;
+      const FleetResult result = BudgetFleet(options).Run();
+      INFO("seed ", seed, ": ", result.violation);
+      REQUIRE(result.violation.empty());
+      served += result.served;
+    }
+  }
+  CHECK(served > 0);
+}
+
+TEST_CASE("the check notices each broken rule") {
+  CHECK(Notices(FleetMutation::kAckBeforeWrite));
+  CHECK(Notices(FleetMutation::kForgetsPace));
+  CHECK(Notices(FleetMutation::kGiftCountedTwice));
+}
+
+// The users' standard day: two cuts of 8 s, a hot tenant, everyone killed.
+TEST_CASE("pattern: cuts and a kill of everyone refuse little that fits") {
+  FleetOptions options;
+  options.standard_day = true;
+  options.prepaid = 4'500'000;
+  const FleetResult homes = BudgetFleet(options).Run();
+  CHECK(homes.overspend == 0);
+  options.strategy = HoldStrategy::kNoReclaim;
+  const FleetResult none = BudgetFleet(options).Run();
+  CHECK(homes.refused_that_fitted * 2 < none.refused_that_fitted);
+}
+
+}  // namespace
+}  // namespace hornbeamspool
