--- a/gateway/request_relay.cc
+++ b/gateway/request_relay.cc
@@ -230,7 +230,7 @@
                       *this->exchange, stream);
     co_return co_await relay.Run();
   }
-  this->context->core->Board().OnStarted(order.record);
+  this->context->core->Board().OnStarted(order.record, Now());
   co_return co_await this->RelayWhole(stream, facts);
 }
 
--- a/policy/gateway_core.cc
+++ b/policy/gateway_core.cc
@@ -133,12 +133,14 @@
   }
   const std::vector<const ServerEntry*> servers =
       this->servers.Usable(ticket.service->name);
-  const ModelDemand* demand =
-      ticket.request.demand ? &*ticket.request.demand : nullptr;
-  const EngineTraits* engine =
-      ticket.service->engine ? &*ticket.service->engine : nullptr;
+  ChoiceRequest choice;
+  if (ticket.request.demand) choice.demand = &*ticket.request.demand;
+  if (ticket.service->engine) {
+    choice.memory_tokens = ticket.service->engine->memory_tokens;
+  }
+  choice.target_pause = ticket.route->target_pause;
   const ServerEntry* server =
-      this->board.Choose(servers, demand, engine, ticket.failed_servers, now);
+      this->board.Choose(servers, choice, ticket.failed_servers, now);
   if (server == nullptr) {
     const ErrorKind kind =
         ticket.runs > 0 ? ErrorKind::kUpstreamFailed : ErrorKind::kNoUpstream;
@@ -162,7 +164,7 @@
                               : static_cast<std::size_t>(std::max<std::int64_t>(
                                     1, ticket.service->max_connections /
                                            this->options.connection_sharers));
-  order.record = this->board.OnSent(*server, demand, now);
+  order.record = this->board.OnSent(*server, choice.demand, now);
   return order;
 }
 
--- a/policy/server_board.cc
+++ b/policy/server_board.cc
@@ -2,13 +2,13 @@
 
 #include <algorithm>
 #include <array>
+#include <chrono>
 #include <limits>
 #include <string>
 #include <utility>
 #include <vector>
 
 #include "coordination/rendezvous.h"
-#include "policy/gateway_config.h"
 
 namespace hornbeamspool::policy {
 namespace {
@@ -16,18 +16,36 @@
 using coordination::Duration;
 using coordination::TimePoint;
 
-// Costs are counted in prompt tokens to read.
+// Costs are counted in milliseconds of delay.
 
-// A running request slows the others on its engine as much as this.
-constexpr double kRunningCost = 250;
-// A request that waits at the server: a prompt of usual length.
-constexpr double kWaitingCost = 1500;
-// Crossing availability zones: bytes are priced, and take a little longer.
-constexpr double kZoneCost = 150;
+// A prompt token takes this long to read until answers have told better: large
+// engines read about 100 tokens in a millisecond.
+constexpr double kFirstMsPerToken = 0.01;
+
+// Reading a shared part that another engine holds already costs this many
+// times its time: the engine's work besides the request's own delay.
+constexpr double kRereadFactor = 4;
+// Each running request slows the others' tokens.
+constexpr double kRunningMs = 2;
+// A request that waits at the server.
+constexpr double kWaitingMs = 15;
+// What a stream loses when a prompt read beside it fills its target pause.
+constexpr double kPauseMs = 60;
+// Pauses well over the target lose no more.
+constexpr double kMostPauses = 1.5;
+// Crossing availability zones: a little delay, and bytes are priced.
+constexpr double kZoneMs = 3;
 // A server whose answers all fail.
-constexpr double kFailureCost = 40'000;
+constexpr double kFailureMs = 1000;
 // A server that is full, by its slots or its memory.
-constexpr double kFullCost = 20'000;
+constexpr double kFullMs = 500;
+
+// How fast the time for a token follows observations below and above it: close
+// to the fastest, since the others waited for something else too.
+constexpr double kFasterWeight = 0.1;
+constexpr double kSlowerWeight = 0.01;
+// Prompts too short to tell the engine's speed.
+constexpr std::int64_t kLeastObserved = 2000;
 
 // A report is believed for this long; servers answer several times a second.
 constexpr Duration kLoadAge = std::chrono::milliseconds(1000);
@@ -101,37 +119,46 @@
   std::int64_t tokens = 0;
 };
 
+ServerBoard::ServerBoard(std::string availability_zone)
+    : availability_zone(std::move(availability_zone)),
+      ms_per_token(kFirstMsPerToken) {}
+
 ServerBoard::State& ServerBoard::StateOf(std::string_view server) {
   State& state = this->states[std::string(server)];
   if (!state.cache) state.cache = std::make_shared<PartCache>();
   return state;
 }
 
-// Prompt tokens that the server would have to read.
-std::int64_t ServerBoard::UnreadTokens(const State& state,
-                                       const ServerEntry& server,
-                                       const ModelDemand& demand,
-                                       bool home) const {
-  std::int64_t cached = 0;
+// Prompt tokens that the server would have to read: the request's own, and
+// shared ones that it does not hold.
+ServerBoard::Unread ServerBoard::UnreadOf(const State& state,
+                                          const ModelDemand& demand,
+                                          bool home) const {
+  Unread unread;
+  std::int64_t shared = 0;
   bool known = true;
-  double trusted = 0;
   for (std::size_t i = 0; i + 1 < demand.parts.size(); ++i) {
     const PromptPart& part = demand.parts[i];
+    shared += part.tokens;
     known = known && state.cache->Holds(part.id);
-    if (known) {
-      cached += part.tokens;
-    } else if (home) {
-      trusted += static_cast<double>(part.tokens) * kHomeTrust;
-    }
+    if (known) continue;
+    const double missing = home ? 1 - kHomeTrust : 1;
+    unread.shared +=
+        static_cast<std::int64_t>(static_cast<double>(part.tokens) * missing);
   }
-  (void)server;
-  return std::max<std::int64_t>(
-      1, demand.prompt_tokens - cached - static_cast<std::int64_t>(trusted));
+  unread.own = std::max<std::int64_t>(1, demand.prompt_tokens - shared);
+  return unread;
+}
+
+// What a running stream loses while prompts of this time are read beside it.
+double ServerBoard::PauseLoss(double prefill_ms, double target_ms) const {
+  const double pauses = std::min(kMostPauses, prefill_ms / target_ms);
+  return kPauseMs * pauses * pauses;
 }
 
 double ServerBoard::Cost(const State& state, const ServerEntry& server,
-                         const ModelDemand* demand, const EngineTraits* engine,
-                         bool home, TimePoint now) const {
+                         const ChoiceRequest& request, bool home,
+                         TimePoint now) const {
   const bool reported = now - state.load_at < kLoadAge;
   std::int64_t running = state.in_flight;
   std::int64_t waiting = 0;
@@ -139,33 +166,42 @@
     running = std::max(running, state.load.running + state.sent_since_load);
     waiting = state.load.waiting;
   }
-  double cost = static_cast<double>(state.unread_tokens) +
-                static_cast<double>(running) * kRunningCost +
-                static_cast<double>(waiting) * kWaitingCost +
-                state.failure_rate * kFailureCost;
-  if (server.availability_zone != this->availability_zone) cost += kZoneCost;
+  const auto streams = static_cast<double>(running);
+  double cost = streams * kRunningMs +
+                static_cast<double>(waiting) * kWaitingMs +
+                state.failure_rate * kFailureMs;
+  if (server.availability_zone != this->availability_zone) cost += kZoneMs;
   const std::int64_t slots = std::max<std::int64_t>(1, server.slots);
   if (running >= slots) {
-    cost += kFullCost * (1 + static_cast<double>(running - slots + waiting) /
-                                 static_cast<double>(slots));
-  }
-  if (demand != nullptr) {
-    cost +=
-        static_cast<double>(this->UnreadTokens(state, server, *demand, home));
-    const bool crowded =
-        engine != nullptr && engine->memory_tokens > 0 &&
-        state.held_tokens + demand->WorstCase() > engine->memory_tokens;
-    if (crowded) cost += kFullCost;
+    cost += kFullMs * (1 + static_cast<double>(running - slots + waiting) /
+                               static_cast<double>(slots));
   }
+  if (request.demand == nullptr) return cost;
+  const Unread unread = this->UnreadOf(state, *request.demand, home);
+  const double before =
+      static_cast<double>(state.unread_tokens) * this->ms_per_token;
+  const double own =
+      static_cast<double>(unread.own + unread.shared) * this->ms_per_token;
+  const double target_ms = std::max(
+      1.0,
+      std::chrono::duration<double, std::milli>(request.target_pause).count());
+  cost += before + own;
+  cost +=
+      static_cast<double>(unread.shared) * this->ms_per_token * kRereadFactor;
+  cost += streams * (this->PauseLoss(before + own, target_ms) -
+                     this->PauseLoss(before, target_ms));
+  const bool crowded =
+      request.memory_tokens > 0 &&
+      state.held_tokens + request.demand->WorstCase() > request.memory_tokens;
+  if (crowded) cost += kFullMs;
   return cost;
 }
 
 const ServerEntry* ServerBoard::Choose(
-    std::span<const ServerEntry* const> servers, const ModelDemand* demand,
-    const EngineTraits* engine, std::span<const std::string> avoid,
-    TimePoint now) {
+    std::span<const ServerEntry* const> servers, const ChoiceRequest& request,
+    std::span<const std::string> avoid, TimePoint now) {
   // Step 1: the server where the request's shared parts are at home.
-  const std::optional<std::uint64_t> key = HomeKey(demand);
+  const std::optional<std::uint64_t> key = HomeKey(request.demand);
   const ServerEntry* home = key ? HomeOf(*key, servers) : nullptr;
 
   // Step 2: the cheapest server; suspended ones only when no other is left.
@@ -180,7 +216,7 @@
     const bool suspended = state.suspended_until > now;
     if (best != nullptr && suspended && !best_suspended) continue;
     const double cost =
-        this->Cost(state, *server, demand, engine, server == home, now);
+        this->Cost(state, *server, request, server == home, now);
     const bool better =
         best == nullptr || (best_suspended && !suspended) || cost < best_cost;
     if (!better) continue;
@@ -193,14 +229,16 @@
 
 SendRecord ServerBoard::OnSent(const ServerEntry& server,
                                const ModelDemand* demand, TimePoint now) {
-  (void)now;
   State& state = this->StateOf(server.id);
   SendRecord record;
   record.server = server.id;
+  record.sent_at = now;
   ++state.in_flight;
   ++state.sent_since_load;
   if (demand == nullptr) return record;
-  record.unread_tokens = this->UnreadTokens(state, server, *demand, false);
+  const Unread unread = this->UnreadOf(state, *demand, false);
+  record.unread_tokens = unread.own + unread.shared;
+  record.tokens_before = state.unread_tokens;
   record.held_tokens = demand->WorstCase();
   state.unread_tokens += record.unread_tokens;
   state.held_tokens += record.held_tokens;
@@ -210,10 +248,19 @@
   return record;
 }
 
-void ServerBoard::OnStarted(SendRecord& record) {
+void ServerBoard::OnStarted(SendRecord& record, TimePoint now) {
   if (record.started) return;
   record.started = true;
   this->StateOf(record.server).unread_tokens -= record.unread_tokens;
+  if (record.unread_tokens < kLeastObserved) return;
+  const double elapsed_ms =
+      std::chrono::duration<double, std::milli>(now - record.sent_at).count();
+  const double observed =
+      elapsed_ms /
+      static_cast<double>(record.unread_tokens + record.tokens_before);
+  const double weight =
+      observed < this->ms_per_token ? kFasterWeight : kSlowerWeight;
+  this->ms_per_token += weight * (observed - this->ms_per_token);
 }
 
 void ServerBoard::OnLoad(std::string_view server, const ServerLoad& load,
--- a/policy/server_board.h
+++ b/policy/server_board.h
@@ -18,8 +18,6 @@
 
 namespace hornbeamspool::policy {
 
-struct EngineTraits;
-
 // A server's own word of its load.
 struct ServerLoad {
   std::int64_t running = 0;
@@ -44,26 +42,33 @@
   std::string server;
   std::int64_t unread_tokens = 0;  // of the prompt, until the first event
   std::int64_t held_tokens = 0;    // of the engine's memory
-  bool started = false;            // the first event has come
+  std::int64_t tokens_before = 0;  // unread there when it was sent
+  coordination::TimePoint sent_at{};
+  bool started = false;  // the first event has come
+};
+
+// What the choice of a server depends on.
+struct ChoiceRequest {
+  const ModelDemand* demand = nullptr;    // null: no model request
+  std::int64_t memory_tokens = 0;         // of an engine; 0: not known
+  coordination::Duration target_pause{};  // of streams
 };
 
 class ServerBoard {
  public:
-  explicit ServerBoard(std::string availability_zone)
-      : availability_zone(std::move(availability_zone)) {}
+  explicit ServerBoard(std::string availability_zone);
 
   // The server to send to among `servers`, leaving out the ids in `avoid`; null
   // when none can take the request now.
   const ServerEntry* Choose(std::span<const ServerEntry* const> servers,
-                            const ModelDemand* demand,
-                            const EngineTraits* engine,
+                            const ChoiceRequest& request,
                             std::span<const std::string> avoid,
                             coordination::TimePoint now);
 
   SendRecord OnSent(const ServerEntry& server, const ModelDemand* demand,
                     coordination::TimePoint now);
   // The answer's head, or a stream's first event, has come.
-  void OnStarted(SendRecord& record);
+  void OnStarted(SendRecord& record, coordination::TimePoint now);
   void OnLoad(std::string_view server, const ServerLoad& load,
               coordination::TimePoint now);
   // Ends the record.
@@ -95,13 +100,20 @@
   };
 
   State& StateOf(std::string_view server);
-  std::int64_t UnreadTokens(const State& state, const ServerEntry& server,
-                            const ModelDemand& demand, bool home) const;
+  // Prompt tokens that a server would have to read.
+  struct Unread {
+    std::int64_t own = 0;
+    std::int64_t shared = 0;
+  };
+  Unread UnreadOf(const State& state, const ModelDemand& demand,
+                  bool home) const;
+  double PauseLoss(double prefill_ms, double target_ms) const;
   double Cost(const State& state, const ServerEntry& server,
-              const ModelDemand* demand, const EngineTraits* engine, bool home,
+              const ChoiceRequest& request, bool home,
               coordination::TimePoint now) const;
 
   std::string availability_zone;
+  double ms_per_token;  // that engines take to read a prompt
   std::unordered_map<std::string, State> states;
 };
 
