--- /dev/null
+++ b/tests/gateway_policy_test.cc
@@ -0,0 +1,339 @@
+// The decisions of a gateway: routes, servers, the choice among them, retries,
+// and what a request is answered.
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <chrono>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "policy/gateway_core.h"
+#include "policy/peer_directory.h"
+#include "policy/retry_allowance.h"
+#include "policy/route_table.h"
+#include "policy/server_board.h"
+#include "policy/server_directory.h"
+
+namespace hornbeamspool::policy {
+namespace {
+
+using coordination::TimePoint;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+TimePoint At(std::int64_t ms) { return TimePoint(milliseconds(ms)); }
+
+Route MakeRoute(std::string host, std::string prefix, RouteKind kind) {
+  Route route;
+  route.name = prefix;
+  route.host = std::move(host);
+  route.prefix = std::move(prefix);
+  route.kind = kind;
+  route.timeout = seconds(10);
+  route.target_latency = milliseconds(600);
+  route.target_pause = milliseconds(300);
+  route.attempts = 2;
+  route.shares = {{"engines", 1}};
+  return route;
+}
+
+GatewayConfig MakeConfig(std::uint64_t version) {
+  GatewayConfig config;
+  config.version = version;
+  config.routes = {
+      MakeRoute("a.example", "/", RouteKind::kIdempotent),
+      MakeRoute("a.example", "/orders/", RouteKind::kNonIdempotent),
+      MakeRoute("a.example", "/orders/draft/", RouteKind::kStream)};
+  Service service;
+  service.name = "engines";
+  service.max_connections = 100;
+  service.engine = EngineTraits{48, 400'000, 9};
+  config.services.emplace("engines", service);
+  config.tenants = {{"t", {"key"}, std::nullopt, 1'000'000}};
+  return config;
+}
+
+GatewayRequest MakeRequest(std::string path, std::string key = "key") {
+  GatewayRequest request;
+  request.id = "r1";
+  request.host = "a.example";
+  request.path = std::move(path);
+  request.key = std::move(key);
+  request.patience = seconds(5);
+  return request;
+}
+
+ServerEntry MakeServer(std::string id, std::string zone = "z1") {
+  ServerEntry entry;
+  entry.id = std::move(id);
+  entry.service = "engines";
+  entry.address = "10.0.0.1:1";
+  entry.availability_zone = std::move(zone);
+  entry.slots = 48;
+  return entry;
+}
+
+GatewayCore MakeCore() {
+  GatewayOptions options;
+  options.availability_zone = "z1";
+  options.retries = {0.2, seconds(10)};
+  return GatewayCore(options, 1);
+}
+
+// A core with a configuration that the store has confirmed, and servers.
+void Prepare(GatewayCore& core, std::vector<std::string> servers) {
+  core.SetConfig(MakeConfig(7));
+  core.SetConfigConfirmed(true);
+  core.Servers().SetReachable(true, At(0));
+  for (std::string& id : servers) core.Servers().Put(MakeServer(std::move(id)));
+}
+
+ErrorKind RefusedKind(const std::variant<Refusal, Ticket>& admission) {
+  const auto* refusal = std::get_if<Refusal>(&admission);
+  return refusal ? refusal->kind : ErrorKind::kCount;
+}
+
+ModelDemand MakeDemand(std::int64_t prompt, std::vector<PromptPart> parts) {
+  ModelDemand demand;
+  demand.prompt_tokens = prompt;
+  demand.max_output_tokens = 100;
+  demand.parts = std::move(parts);
+  return demand;
+}
+
+TEST_CASE("the longest prefix of the host's routes wins") {
+  const RouteTable table(MakeConfig(1));
+  CHECK(table.FindRoute("a.example", "/x")->prefix == "/");
+  CHECK(table.FindRoute("a.example", "/orders/1")->prefix == "/orders/");
+  CHECK(table.FindRoute("a.example:80", "/orders/draft/1")->prefix ==
+        "/orders/draft/");
+  CHECK(table.FindRoute("a.example", "/orders")->prefix == "/");
+  CHECK(table.FindRoute("b.example", "/") == nullptr);
+  CHECK(table.FindTenant("key")->name == "t");
+  CHECK(table.FindTenant("other") == nullptr);
+}
+
+TEST_CASE("an older configuration is never taken") {
+  GatewayCore core = MakeCore();
+  CHECK(core.SetConfig(MakeConfig(7)));
+  CHECK_FALSE(core.SetConfig(MakeConfig(7)));
+  CHECK_FALSE(core.SetConfig(MakeConfig(6)));
+  CHECK(core.Table()->Config().version == 7);
+}
+
+TEST_CASE("without a configuration a request is asked to come back") {
+  GatewayCore core = MakeCore();
+  const auto admission = core.Admit(MakeRequest("/x"), At(0));
+  CHECK(RefusedKind(admission) == ErrorKind::kNotReady);
+  CHECK(std::get<Refusal>(admission).retry_after > milliseconds(0));
+}
+
+TEST_CASE("unknown routes and keys are final only with a confirmed table") {
+  GatewayCore core = MakeCore();
+  Prepare(core, {"s1"});
+  GatewayRequest elsewhere = MakeRequest("/x");
+  elsewhere.host = "b.example";
+  CHECK(RefusedKind(core.Admit(elsewhere, At(0))) == ErrorKind::kNotFound);
+  CHECK(RefusedKind(core.Admit(MakeRequest("/x", "new"), At(0))) ==
+        ErrorKind::kUnauthenticated);
+  core.SetConfigConfirmed(false);
+  CHECK(RefusedKind(core.Admit(elsewhere, At(0))) == ErrorKind::kNotReady);
+  CHECK(RefusedKind(core.Admit(MakeRequest("/x", "new"), At(0))) ==
+        ErrorKind::kNotReady);
+  CHECK(RefusedKind(core.Admit(MakeRequest("/x", ""), At(0))) ==
+        ErrorKind::kUnauthenticated);
+}
+
+TEST_CASE("a non-idempotent request is sent again only when it has not run") {
+  for (const SendOutcome outcome :
+       {SendOutcome::kBroken, SendOutcome::kSilent, SendOutcome::kRejected,
+        SendOutcome::kUnreachable}) {
+    GatewayCore core = MakeCore();
+    Prepare(core, {"s1", "s2"});
+    Ticket ticket =
+        std::get<Ticket>(core.Admit(MakeRequest("/orders/1"), At(0)));
+    const auto order = std::get<SendOrder>(core.NextSend(ticket, At(1)));
+    const bool not_run = outcome == SendOutcome::kRejected ||
+                         outcome == SendOutcome::kUnreachable;
+    CHECK(core.OnSendEnded(ticket, order, outcome, At(2)) == not_run);
+    // A refusal that promises "not run" must be true.
+    const Refusal refusal = core.FinalRefusal(ticket, outcome);
+    const bool promises = AnswerFor(refusal.kind).run == RunState::kNotRun;
+    CHECK(promises == not_run);
+  }
+}
+
+TEST_CASE("an idempotent request reaches no more servers than its attempts") {
+  GatewayCore core = MakeCore();
+  Prepare(core, {"s1", "s2", "s3"});
+  for (int i = 0; i < 20; ++i) {  // earns retries
+    (void)core.Admit(MakeRequest("/x"), At(0));
+  }
+  Ticket ticket = std::get<Ticket>(core.Admit(MakeRequest("/x"), At(0)));
+  const auto first = std::get<SendOrder>(core.NextSend(ticket, At(1)));
+  REQUIRE(core.OnSendEnded(ticket, first, SendOutcome::kBroken, At(2)));
+  const auto second = std::get<SendOrder>(core.NextSend(ticket, At(3)));
+  CHECK(second.server.id != first.server.id);
+  CHECK_FALSE(core.OnSendEnded(ticket, second, SendOutcome::kBroken, At(4)));
+}
+
+TEST_CASE("no send begins that the deadline would cut at once") {
+  GatewayCore core = MakeCore();
+  Prepare(core, {"s1"});
+  Ticket ticket = std::get<Ticket>(core.Admit(MakeRequest("/x"), At(0)));
+  CHECK(std::holds_alternative<Refusal>(core.NextSend(ticket, At(4'990))));
+  const auto order = std::get<SendOrder>(core.NextSend(ticket, At(1'000)));
+  CHECK(order.left == seconds(4));
+}
+
+TEST_CASE("repeats keep within their share in every window") {
+  RetryAllowance allowance({0.2, seconds(10)});
+  for (int i = 0; i < 100; ++i) allowance.NoteRequest(At(i * 10));
+  int taken = 0;
+  while (allowance.Take(At(1'000))) ++taken;
+  CHECK(taken <= 20);
+  CHECK(taken >= 10);
+  CHECK_FALSE(allowance.Take(At(9'000)));
+  // A window later both are forgotten.
+  CHECK_FALSE(allowance.Take(At(30'000)));
+}
+
+TEST_CASE("entries that lapse while the store is away are kept for a while") {
+  ServerDirectory servers;
+  servers.SetReachable(true, At(0));
+  servers.Put(MakeServer("s1"));
+  servers.Put(MakeServer("s2"));
+  servers.SetReachable(false, At(10'000));
+  servers.SetReachable(true, At(15'000));
+  servers.Replace({MakeServer("s2")}, At(15'010));
+  CHECK(servers.Usable("engines").size() == 2);
+  CHECK(servers.Expire(At(16'000)).empty());
+  CHECK(servers.Expire(At(18'000)) == std::vector<std::string>{"s1"});
+  CHECK(servers.Usable("engines").size() == 1);
+}
+
+TEST_CASE("a removed or draining server gets nothing at once") {
+  ServerDirectory servers;
+  servers.SetReachable(true, At(0));
+  servers.Put(MakeServer("s1"));
+  ServerEntry leaving = MakeServer("s2");
+  leaving.draining = true;
+  servers.Put(leaving);
+  CHECK(servers.Usable("engines").size() == 1);
+  servers.Remove("s1", At(10'000));
+  CHECK(servers.Usable("engines").empty());
+}
+
+TEST_CASE("requests that share a prompt part go where it was read") {
+  ServerBoard board("z1");
+  const ServerEntry a = MakeServer("a");
+  const ServerEntry b = MakeServer("b");
+  const std::vector<const ServerEntry*> servers{&a, &b};
+  const ModelDemand demand =
+      MakeDemand(9'000, {{1, 500}, {2, 5'000}, {3, 3'500}});
+  const ChoiceRequest request{&demand, 400'000, milliseconds(300)};
+  const ServerEntry* first = board.Choose(servers, request, {}, At(0));
+  SendRecord record = board.OnSent(*first, &demand, At(0));
+  board.OnStarted(record, At(60));
+  board.OnEnded(record, SendOutcome::kAnswered, At(500));
+  CHECK(board.Choose(servers, request, {}, At(600)) == first);
+}
+
+TEST_CASE("pattern: hot key, its home spills over when it is busy") {
+  ServerBoard board("z1");
+  const ServerEntry a = MakeServer("a");
+  const ServerEntry b = MakeServer("b");
+  const std::vector<const ServerEntry*> servers{&a, &b};
+  const ModelDemand demand =
+      MakeDemand(9'000, {{1, 500}, {2, 5'000}, {3, 3'500}});
+  const ChoiceRequest request{&demand, 400'000, milliseconds(300)};
+  int to_a = 0;
+  constexpr int kSends = 40;
+  for (int i = 0; i < kSends; ++i) {
+    const ServerEntry* chosen = board.Choose(servers, request, {}, At(i));
+    to_a += chosen == &a ? 1 : 0;
+    (void)board.OnSent(*chosen, &demand, At(i));
+  }
+  CHECK(std::min(to_a, kSends - to_a) >= kSends / 5);
+}
+
+TEST_CASE("a server that can't be reached is left alone, then tried again") {
+  ServerBoard board("z1");
+  const ServerEntry a = MakeServer("a");
+  const ServerEntry b = MakeServer("b", "z2");
+  const std::vector<const ServerEntry*> servers{&a, &b};
+  CHECK(board.Choose(servers, {}, {}, At(0)) == &a);
+  const SendRecord record = board.OnSent(a, nullptr, At(0));
+  board.OnEnded(record, SendOutcome::kUnreachable, At(1));
+  CHECK(board.Choose(servers, {}, {}, At(2)) == &b);
+  const std::vector<const ServerEntry*> alone{&a};
+  CHECK(board.Choose(alone, {}, {}, At(2)) == &a);
+}
+
+TEST_CASE("pattern: a grey server loses its share of the traffic") {
+  ServerBoard board("z1");
+  const ServerEntry a = MakeServer("a");
+  const ServerEntry b = MakeServer("b");
+  const std::vector<const ServerEntry*> servers{&a, &b};
+  int to_a = 0;
+  for (int i = 0; i < 100; ++i) {
+    const ServerEntry* chosen = board.Choose(servers, {}, {}, At(i * 100));
+    const SendRecord record = board.OnSent(*chosen, nullptr, At(i * 100));
+    const bool fails = chosen == &a && i % 2 == 0;
+    to_a += chosen == &a ? 1 : 0;
+    board.OnEnded(record, fails ? SendOutcome::kBroken : SendOutcome::kAnswered,
+                  At(i * 100 + 50));
+  }
+  CHECK(to_a < 30);
+}
+
+TEST_CASE("every VM finds the same home, and the next one when it is silent") {
+  PeerDirectory one("vm1");
+  PeerDirectory two("vm2");
+  one.Replace({{"vm2", "a:1"}, {"vm3", "b:1"}});
+  two.Replace({{"vm1", "c:1"}, {"vm3", "b:1"}});
+  for (const char* tenant : {"t1", "t2", "t3", "t4", "t5"}) {
+    CHECK(one.HomesOf(tenant, 2, At(0)) == two.HomesOf(tenant, 2, At(0)));
+  }
+  std::string tenant = "t0";
+  while (one.HomesOf(tenant, 1, At(0)).front() != "vm3") tenant += 'x';
+  one.OnSilence("vm3", At(0));
+  CHECK(one.HomesOf(tenant, 1, At(1)).front() != "vm3");
+  CHECK(one.HomesOf(tenant, 1, At(60'000)).front() == "vm3");
+  one.OnAnswer("vm3");
+  CHECK(one.HomesOf(tenant, 1, At(1)).front() == "vm3");
+}
+
+TEST_CASE("a budget is charged its prompt once and its delivered output") {
+  GatewayCore core = MakeCore();
+  Prepare(core, {"s1"});
+  GatewayRequest request = MakeRequest("/x");
+  request.demand = MakeDemand(1'000, {{1, 1'000}});
+  BudgetDesk& desk = core.Budgets();
+  desk.OnStoreClock(1, At(0));
+  BudgetRows rows;
+  rows.tenant = "t";
+  desk.OnRead(std::vector<BudgetRows>{rows});
+  desk.KeepHome("t", At(60'000));
+  (void)desk.PlanWrite(At(1));
+  desk.OnWritten(1);
+  Ticket ticket = std::get<Ticket>(core.Admit(request, At(2)));
+  REQUIRE(core.Pay(ticket, At(2)) == BudgetVerdict::kReserved);
+  const auto order = std::get<SendOrder>(core.NextSend(ticket, At(3)));
+  ticket.events_delivered = 3;
+  core.OnSendEnded(ticket, order, SendOutcome::kAnswered, At(4));
+  core.Finish(ticket);
+  CHECK(desk.AllFigures().front().spent == 1'000 + 3 * 9);
+  CHECK(desk.AllFigures().front().reserved == 0);
+
+  // What has not run costs nothing.
+  Ticket other = std::get<Ticket>(core.Admit(request, At(5)));
+  REQUIRE(core.Pay(other, At(5)) == BudgetVerdict::kReserved);
+  core.Finish(other);
+  CHECK(desk.AllFigures().front().spent == 1'000 + 3 * 9);
+}
+
+}  // namespace
+}  // namespace hornbeamspool::policy
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -7,6 +7,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/write.hpp>
 #include <string>
 #include <thread>
@@ -26,6 +27,8 @@
   response.body = exchange.GetRequest().method + ' ' +
                   exchange.GetRequest().target + ' ' +
                   exchange.GetRequest().body;
+  const std::string_view folded = exchange.GetRequest().HeaderValue("X");
+  if (!folded.empty()) response.body += " X=" + std::string(folded);
   co_await exchange.Send(std::move(response));
 }
 
@@ -102,7 +105,7 @@
 TEST_CASE("a chunked body") {
   const Fixture fixture;
   const std::string answer = fixture.Talk(
-      "POST /c HTTP/1.1\r\nTransfer-Encoding: chunked\r\n"
+      "POST /c HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n"
       "Connection: close\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n");
   CHECK(answer.ends_with("POST /c abcde"));
 }
@@ -110,8 +113,8 @@
 TEST_CASE("pipelined requests are answered in their order") {
   const Fixture fixture;
   const std::string answer = fixture.Talk(
-      "GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n"
-      "GET /3 HTTP/1.1\r\nConnection: close\r\n\r\n");
+      "GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n"
+      "GET /3 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
   const std::size_t first = answer.find("GET /1 ");
   const std::size_t second = answer.find("GET /2 ");
   const std::size_t third = answer.find("GET /3 ");
@@ -123,12 +126,77 @@
 TEST_CASE("a continue is given before a body is sent") {
   const Fixture fixture;
   const std::string answer = fixture.Talk(
-      "POST /e HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 2\r\n"
+      "POST /e HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: "
+      "2\r\n"
       "Connection: close\r\n\r\nhi");
   CHECK(answer.starts_with("HTTP/1.1 100"));
   CHECK(answer.ends_with("POST /e hi"));
 }
 
+// RFC 9112, 3.2 and 6.1: what follows on the connection must not be read as a
+// request.
+TEST_CASE("a head whose host or framing is ambiguous ends its connection") {
+  const Fixture fixture;
+  constexpr std::string_view kSmuggled =
+      "GET /smuggled HTTP/1.1\r\nHost: h\r\n"
+      "Connection: close\r\n\r\n";
+  for (const char* head :
+       {"POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: xchunked\r\n\r\n",
+        "POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: gzip, "
+        "chunked\r\n\r\n",
+        "POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n"
+        "Transfer-Encoding: identity\r\n\r\n",
+        "POST /x HTTP/1.0\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n",
+        "GET /x HTTP/1.1\r\n\r\n",
+        "GET /x HTTP/1.1\r\nHost: h\r\nHost: g\r\n\r\n"}) {
+    INFO(head);
+    const std::string answer =
+        fixture.Talk(std::string(head) + std::string(kSmuggled));
+    CHECK(answer.starts_with("HTTP/1.1 400"));
+    CHECK_EQ(answer.find("/smuggled"), std::string::npos);
+  }
+}
+
+TEST_CASE("a folded header line is joined with a space") {
+  const Fixture fixture;
+  const std::string answer = fixture.Talk(
+      "GET /f HTTP/1.1\r\nHost: h\r\nX: a\r\n b\r\nConnection: close\r\n\r\n");
+  CHECK(answer.starts_with("HTTP/1.1 200"));
+  CHECK(answer.ends_with("GET /f  X=a b"));
+}
+
+TEST_CASE("a caller that closes while its request is served is noticed") {
+  net::io_context io{1};
+  bool gone = false;
+  Server server(
+      io, ServerLimits{},
+      [&](Exchange& exchange) -> Task<void> {
+        Timer timer(io);
+        timer.expires_after(std::chrono::seconds(10));
+        exchange.OnGone([&] {
+          gone = true;
+          timer.cancel();
+        });
+        boost::system::error_code woken;
+        co_await timer.async_wait(net::redirect_error(kAwait, woken));
+        exchange.OnGone(nullptr);
+        Response response;
+        co_await exchange.Send(std::move(response));
+        io.stop();
+      },
+      Rejected);
+  const std::uint16_t port = server.Listen("127.0.0.1:0");
+  std::thread caller([port] {
+    net::io_context own;
+    net::ip::tcp::socket socket(own);
+    socket.connect({net::ip::make_address("127.0.0.1"), port});
+    net::write(socket, net::buffer("GET / HTTP/1.1\r\nHost: h\r\n\r\n", 27));
+  });
+  caller.join();
+  io.run();
+  CHECK(gone);
+}
+
 TEST_CASE("a passed deadline cancels until it is disarmed") {
   // What is cancelled may have been between two operations.
   constexpr int kMostHandlers = 50;
