--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -3,6 +3,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 build=${1:-build/test}
+scripts/check_names.sh
 git ls-files '*.cc' '*.h' | xargs clang-format --dry-run -Werror
 [ -f "$build/compile_commands.json" ] || cmake -S . -B "$build" -G Ninja -DHORNBEAMSPOOL_SANITIZE=ON >/dev/null
 git ls-files '*.cc' | grep -v '^http/beast.cc$' | grep -v '^examples/' |
