A store that is back is noticed; gateway tested as processes; explain; metrics

Cause: the process test, over a stand-in that speaks the platform's published protocol, refused every request of a tenant after an outage of the store: a VM whose write had been refused took the store as away until its next write, and none became due. Besides, the first retry at low traffic was never allowed, as the fleet's extra repeats were not counted, and a server that another one had replaced at its address was chosen again. Change: a store that was away is asked until it answers; extra repeats shared by the VMs that are known; a misdirected send leaves the server alone. A metrics page, and hornbeamctl explain.

--- a/gateway/budget_keeper.cc
+++ b/gateway/budget_keeper.cc
@@ -12,6 +12,7 @@
 #include "gateway/event_log.h"
 #include "gateway/token_broker.h"
 #include "hornbeamspool/clock.h"
+#include "hornbeamspool/metrics.h"
 #include "policy/event.h"
 #include "policy/gateway_core.h"
 
@@ -79,7 +80,9 @@
   policy::BudgetDesk& desk = this->context.core->Budgets();
   while (true) {
     bool settled = true;
-    if (desk.NeedsRead()) {
+    // A store that was away is asked until it answers, also when nothing is
+    // due: requests that lack tokens are refused meanwhile.
+    if (desk.NeedsRead() || !desk.Reachable()) {
       settled = co_await this->ReadRows();
       if (!settled) desk.SetReachable(false);
     }
@@ -174,6 +177,8 @@
   platform::StoreAnswer answer = co_await this->store->Write(puts);
   const bool answered = answer.status == StoreStatus::kOk ||
                         answer.status == StoreStatus::kConflict;
+  this->context.metrics->Add(Counter::kStoreCalls);
+  if (!answered) this->context.metrics->Add(Counter::kStoreFailures);
   desk.SetReachable(answered);
   if (answered) desk.OnStoreClock(answer.store_ms, Now());
   switch (answer.status) {
--- a/gateway/context.h
+++ b/gateway/context.h
@@ -3,6 +3,9 @@
 
 #include <boost/asio/io_context.hpp>
 
+namespace hornbeamspool {
+class Metrics;
+}
 namespace hornbeamspool::http {
 class Client;
 }
@@ -23,6 +26,7 @@
   BudgetKeeper* budget_keeper = nullptr;
   TokenBroker* token_broker = nullptr;
   EventLog* log = nullptr;
+  Metrics* metrics = nullptr;
 };
 
 }  // namespace hornbeamspool::gateway
--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -19,6 +19,7 @@
 #include "gateway/token_broker.h"
 #include "hornbeamspool/clock.h"
 #include "hornbeamspool/error_response.h"
+#include "hornbeamspool/metrics.h"
 #include "http/client.h"
 #include "http/server.h"
 #include "platform/documents.h"
@@ -56,6 +57,7 @@
   policy::GatewayOptions options;
   options.availability_zone = settings.availability_zone;
   options.retries.share = settings.retry_share;
+  options.retries.extra = settings.retry_extra;
   options.retries.window = settings.retry_window;
   options.budgets.bridged_outage = settings.bridged_outage;
   return options;
@@ -74,6 +76,7 @@
   void OnStore(std::string_view table, bool reachable);
   bool Ready() const;
   http::Task<void> AnswerReadiness(http::Exchange& exchange);
+  http::Task<void> AnswerMetrics(http::Exchange& exchange);
   http::Task<void> ExpireServers();
   http::Task<void> Stop();
   http::ServerLimits LimitsOf(const policy::CallerLimits& limits) const;
@@ -82,6 +85,7 @@
   Reload reload;
   boost::asio::io_context io{1};
   EventLog log;
+  Metrics metrics;
   http::Client client;
   http::Client store_http;
   platform::StoreClient store;
@@ -92,6 +96,7 @@
   TokenBroker broker;
   http::Server callers;
   http::Server readiness;
+  http::Server metrics_page;
   TableFollower operator_table;
   TableFollower server_table;
   boost::asio::signal_set signals;
@@ -107,8 +112,8 @@
       store_http(this->io),
       store(this->store_http, this->settings.store_address),
       core(OptionsOf(this->settings), RandomIncarnation()),
-      context{&this->io,     &this->core,   &this->client,
-              &this->keeper, &this->broker, &this->log},
+      context{&this->io,     &this->core, &this->client, &this->keeper,
+              &this->broker, &this->log,  &this->metrics},
       keeper(this->context, this->store, this->settings.vm),
       channel(this->context, this->store, this->settings.vm,
               this->settings.peer_address,
@@ -128,6 +133,12 @@
             return this->AnswerReadiness(exchange);
           },
           &RejectResponse),
+      metrics_page(
+          this->io, http::ServerLimits{},
+          [this](http::Exchange& exchange) {
+            return this->AnswerMetrics(exchange);
+          },
+          &RejectResponse),
       operator_table(this->io, this->store,
                      std::string(platform::kOperatorTable),
                      {[this](const auto& rows) { this->OnOperatorRows(rows); },
@@ -250,6 +261,13 @@
   co_await exchange.Send(std::move(response));
 }
 
+http::Task<void> Gateway::State::AnswerMetrics(http::Exchange& exchange) {
+  http::Response response;
+  response.headers.push_back({"Content-Type", "text/plain; version=0.0.4"});
+  response.body = this->metrics.Text();
+  co_await exchange.Send(std::move(response));
+}
+
 http::Task<void> Gateway::State::ExpireServers() {
   http::Timer timer(this->io);
   while (true) {
@@ -271,6 +289,10 @@
   if (this->callers.Listen(this->settings.listen_address) == 0) {
     return "cannot listen on " + this->settings.listen_address;
   }
+  if (!this->settings.metrics_address.empty() &&
+      this->metrics_page.Listen(this->settings.metrics_address) == 0) {
+    return "cannot listen on " + this->settings.metrics_address;
+  }
   return this->channel.Start();
 }
 
--- a/gateway/peer_channel.cc
+++ b/gateway/peer_channel.cc
@@ -12,7 +12,7 @@
 #include "gateway/event_log.h"
 #include "hornbeamspool/clock.h"
 #include "http/address.h"
-#include "policy/event.h"
+#include "policy/gateway_core.h"
 #include "transport/heartbeat.h"
 #include "transport/seal.h"
 
@@ -55,6 +55,7 @@
                  peers.push_back({row.key, row.value});
                }
                this->directory.Replace(std::move(peers));
+               this->context.core->SetFleetSize(this->directory.Size() + 1);
              },
              [this](const auto& rows) { this->OnRows(rows); }, [](bool) {}}) {}
 
@@ -66,6 +67,7 @@
     }
     this->directory.Put({row.key, row.value});
   }
+  this->context.core->SetFleetSize(this->directory.Size() + 1);
 }
 
 std::string PeerChannel::Start() {
--- a/gateway/request_relay.cc
+++ b/gateway/request_relay.cc
@@ -13,6 +13,7 @@
 #include "gateway/token_broker.h"
 #include "hornbeamspool/clock.h"
 #include "hornbeamspool/error_response.h"
+#include "hornbeamspool/metrics.h"
 #include "http/client.h"
 #include "platform/request_headers.h"
 #include "policy/event.h"
@@ -47,8 +48,8 @@
 std::string_view NameOf(SendOutcome outcome) {
   static constexpr std::array<std::string_view,
                               static_cast<std::size_t>(SendOutcome::kCount)>
-      kNames{"answered", "server_error", "rejected", "unreachable",
-             "broken",   "silent",       "abandoned"};
+      kNames{"answered",    "server_error", "rejected", "misdirected",
+             "unreachable", "broken",       "silent",   "abandoned"};
   return kNames.at(static_cast<std::size_t>(outcome));
 }
 
@@ -72,6 +73,7 @@
                                      const platform::AnswerFacts& facts);
   http::Task<std::optional<std::string>> ReadBody(http::ResponseStream& stream);
   http::Task<void> Refuse(const Refusal& refusal);
+  void ObserveTimes();
   void LogSend(const SendOrder& order, SendOutcome outcome);
 
   const Context* context;
@@ -94,6 +96,7 @@
     co_return;
   }
   this->request_id = request->id;
+  this->context->metrics->Add(Counter::kRequests);
 
   // Step 2: route, key and budget.
   auto admission =
@@ -223,7 +226,8 @@
   if (facts.not_run) {
     const bool whole = (co_await this->ReadBody(stream)).has_value();
     if (!whole) opened.stream->Discard();
-    co_return SendOutcome::kRejected;
+    co_return facts.misdirected ? SendOutcome::kMisdirected
+                                : SendOutcome::kRejected;
   }
   if (ticket.route->kind == policy::RouteKind::kStream && success) {
     StreamRelay relay(*this->context->core, *this->ticket, order,
@@ -283,6 +287,10 @@
     }
   }
   this->context->log->Write(LogKind::kRefused, pairs, Now());
+  this->context->metrics->Add(Counter::kRefusals);
+  const bool budget = refusal.kind == ErrorKind::kBudgetUnavailable ||
+                      refusal.kind == ErrorKind::kBudgetExhausted;
+  if (budget) this->context->metrics->Add(Counter::kBudgetRefusals);
   policy::Refused refused;
   refused.kind = refusal.kind;
   refused.retry_after_s = 0;
@@ -293,12 +301,27 @@
   co_await this->exchange->Send(std::move(response));
 }
 
+void RequestRelay::ObserveTimes() {
+  Metrics& metrics = *this->context->metrics;
+  metrics.Observe(Timing::kWholeAnswer, Now() - this->arrived);
+  if (!this->ticket->started) return;
+  metrics.Observe(Timing::kFirstToken, this->ticket->first_event_after);
+  metrics.Observe(Timing::kTokenGap, this->ticket->longest_pause);
+}
+
 void RequestRelay::LogSend(const SendOrder& order, SendOutcome outcome) {
   LogKind kind = LogKind::kSendFailed;
-  if (outcome == SendOutcome::kAnswered) kind = LogKind::kServed;
-  if (this->ticket->started && kind == LogKind::kSendFailed) {
+  Counter counter = Counter::kSendsFailed;
+  if (outcome == SendOutcome::kAnswered) {
+    kind = LogKind::kServed;
+    counter = Counter::kServed;
+    this->ObserveTimes();
+  } else if (this->ticket->started) {
     kind = LogKind::kBroken;
+    counter = Counter::kAnswersBroken;
   }
+  this->context->metrics->Add(counter);
+  if (this->ticket->sends > 1) this->context->metrics->Add(Counter::kRetries);
   std::string pairs = KeyValue("request", this->request_id);
   pairs += ' ' + KeyValue("route", this->ticket->route->name);
   pairs += ' ' + KeyValue("server", order.server.id);
--- a/gateway/token_broker.cc
+++ b/gateway/token_broker.cc
@@ -10,6 +10,7 @@
 #include "gateway/budget_keeper.h"
 #include "gateway/peer_channel.h"
 #include "hornbeamspool/clock.h"
+#include "hornbeamspool/metrics.h"
 #include "policy/gateway_core.h"
 
 namespace hornbeamspool::gateway {
@@ -213,6 +214,7 @@
     this->taken.push_back(gift.id);
     if (this->taken.size() > kRemembered) this->taken.pop_front();
     this->context.core->Budgets().TakeGift(gift.tenant, gift.amount);
+    this->context.metrics->Add(Counter::kTokensReceived, gift.amount);
   }
   Search& search = this->searches[gift.tenant];
   if (search.ask_id == gift.id) {
@@ -251,6 +253,7 @@
     timer.expires_after(kAnswerLook);
     co_await timer.async_wait(http::kAwait);
   }
+  this->context.metrics->Add(Counter::kTokensGiven, gift.amount);
   this->answering.erase(ask.id);
   this->sent.push_back({ask.id, gift});
   if (this->sent.size() > kRemembered) this->sent.pop_front();
--- a/hornbeamctl/verbs.cc
+++ b/hornbeamctl/verbs.cc
@@ -13,6 +13,7 @@
 #include <sstream>
 #include <vector>
 
+#include "hornbeamctl/explain.h"
 #include "hornbeamctl/output.h"
 #include "settings/check.h"
 #include "settings/json_text.h"
@@ -341,7 +342,29 @@
   return kExitOk;
 }
 
-constexpr std::array<Verb, 15> kVerbs{{
+// What happened to one request, from the logs of gateways.
+int ExplainRequest(const OperatorClient&, const VerbOptions&,
+                   Arguments arguments) {
+  std::vector<std::string> lines;
+  for (const std::string_view path : arguments.subspan(1)) {
+    std::ifstream file{std::string(path)};
+    if (!file) {
+      std::cerr << "cannot read " << path << '\n';
+      return kExitUsage;
+    }
+    std::string line;
+    while (std::getline(file, line)) lines.push_back(line);
+  }
+  const std::vector<std::string> story = Explain(arguments[0], lines);
+  if (story.empty()) {
+    std::cerr << "no line names " << arguments[0] << '\n';
+    return kExitRefused;
+  }
+  for (const std::string& line : story) std::cout << line << '\n';
+  return kExitOk;
+}
+
+constexpr std::array<Verb, 16> kVerbs{{
     {"config", "check", "FILE...", "report every fault of settings files",
      ConfigCheck, 1},
     {"config", "put", "FILE", "accept a fleet configuration", ConfigPut, 1},
@@ -360,6 +383,8 @@
     {"move", "undo", "...", "not available yet", Move, 0},
     {"nodes", "", "", "routers, their epochs, and upstreams", Nodes, 0},
     {"timeline", "", "", "events of all routers, merged", Timeline, 0},
+    {"explain", "", "ID FILE...", "the story of a request, from gateways' logs",
+     ExplainRequest, 2},
 }};
 
 }  // namespace
--- a/hornbeamspool/metrics.cc
+++ b/hornbeamspool/metrics.cc
@@ -37,7 +37,15 @@
     "heartbeat_bytes_sent",
     "heartbeats_received",
     "heartbeats_dropped",
-    "events_dropped"};
+    "events_dropped",
+    "served",
+    "sends_failed",
+    "answers_broken",
+    "budget_refusals",
+    "store_calls",
+    "store_failures",
+    "tokens_given",
+    "tokens_received"};
 constexpr std::array<std::string_view, kTimings> kTimingNames{
     "first_token_seconds", "token_gap_seconds", "whole_answer_seconds",
     "admission_seconds", "table_call_seconds"};
--- a/hornbeamspool/metrics.h
+++ b/hornbeamspool/metrics.h
@@ -26,6 +26,14 @@
   kHeartbeatsReceived,
   kHeartbeatsDropped,
   kEventsDropped,
+  kServed,
+  kSendsFailed,
+  kAnswersBroken,
+  kBudgetRefusals,
+  kStoreCalls,
+  kStoreFailures,
+  kTokensGiven,
+  kTokensReceived,
   kCount
 };
 
--- a/policy/gateway_core.cc
+++ b/policy/gateway_core.cc
@@ -25,6 +25,10 @@
 
 constexpr std::int64_t kLeastUrgent = 9;
 
+// VMs that may have been added and are not known yet, for the share of a
+// server's connections.
+constexpr std::int64_t kMoreVms = 3;
+
 // Spreads the callers' return over half of the time more.
 Duration Spread(Duration after, std::string_view request_id) {
   const std::uint64_t hash = coordination::StableHash(request_id);
@@ -146,7 +150,8 @@
         ticket.runs > 0 ? ErrorKind::kUpstreamFailed : ErrorKind::kNoUpstream;
     return Refusal{kind, Spread(kRetryServer, ticket.request.id)};
   }
-  if (ticket.sends > 0 && !this->AllowanceOf(ticket.service->name).Take(now)) {
+  if (ticket.sends > 0 &&
+      !this->AllowanceOf(ticket.service->name).Take(this->fleet_size, now)) {
     const ErrorKind kind =
         ticket.runs > 0 ? ErrorKind::kUpstreamFailed : ErrorKind::kNoUpstream;
     return Refusal{kind, Spread(kRetryServer, ticket.request.id)};
@@ -163,7 +168,7 @@
                               ? SIZE_MAX
                               : static_cast<std::size_t>(std::max<std::int64_t>(
                                     1, ticket.service->max_connections /
-                                           this->options.connection_sharers));
+                                           (this->fleet_size + kMoreVms)));
   order.record = this->board.OnSent(*server, choice.demand, now);
   return order;
 }
@@ -171,8 +176,9 @@
 bool GatewayCore::OnSendEnded(Ticket& ticket, const SendOrder& order,
                               SendOutcome outcome, TimePoint now) {
   this->board.OnEnded(order.record, outcome, now);
-  const bool not_run =
-      outcome == SendOutcome::kRejected || outcome == SendOutcome::kUnreachable;
+  const bool not_run = outcome == SendOutcome::kRejected ||
+                       outcome == SendOutcome::kMisdirected ||
+                       outcome == SendOutcome::kUnreachable;
   if (!not_run) {
     ++ticket.runs;
     ticket.prompt_read = true;
--- a/policy/gateway_core.h
+++ b/policy/gateway_core.h
@@ -44,8 +44,8 @@
   std::int64_t sends = 0;
   std::int64_t runs = 0;  // sends that a server may have run
   bool started = false;   // the caller has been sent the answer's head
-  std::optional<std::int64_t> last_event_id;  // the last one delivered
-  coordination::TimePoint last_event_at{};    // zero before the first
+  std::optional<std::int64_t> last_event_id;   // the last one delivered
+  coordination::TimePoint last_event_at{};     // zero before the first
   coordination::Duration first_event_after{};  // the arrival
   coordination::Duration longest_pause{};      // between events
   std::vector<std::string> failed_servers;
@@ -64,14 +64,17 @@
   std::string availability_zone;
   RetryBounds retries;
   BudgetDeskOptions budgets;
-  // VMs that share a server's connections.
-  std::int64_t connection_sharers = 10;
 };
 
 class GatewayCore {
  public:
   GatewayCore(GatewayOptions options, std::uint64_t incarnation);
 
+  // The number of VMs in the fleet, this one included.
+  void SetFleetSize(std::size_t vms) {
+    this->fleet_size = static_cast<std::int64_t>(vms);
+  }
+
   // Takes a configuration that is newer than the one in force; false otherwise.
   bool SetConfig(GatewayConfig config);
   const RouteTable* Table() const { return this->table.get(); }
@@ -112,6 +115,7 @@
   BudgetDesk budgets;
   std::map<std::string, RetryAllowance, std::less<>> allowances;  // by service
   std::size_t in_flight = 0;
+  std::int64_t fleet_size = 1;
   bool confirmed = false;
 };
 
--- a/policy/retry_allowance.cc
+++ b/policy/retry_allowance.cc
@@ -1,5 +1,7 @@
 #include "policy/retry_allowance.h"
 
+#include <algorithm>
+
 namespace hornbeamspool::policy {
 namespace {
 
@@ -23,7 +25,7 @@
   ++this->Current(now).requests;
 }
 
-bool RetryAllowance::Take(coordination::TimePoint now) {
+bool RetryAllowance::Take(std::int64_t sharers, coordination::TimePoint now) {
   Slice& current = this->Current(now);
   std::int64_t requests = 0;
   std::int64_t repeats = 0;
@@ -32,7 +34,9 @@
     repeats += slice.repeats;
   }
   const double allowed =
-      static_cast<double>(requests) * this->bounds.share * kUsedPart;
+      static_cast<double>(requests) * this->bounds.share * kUsedPart +
+      static_cast<double>(this->bounds.extra) * kUsedExtra /
+          static_cast<double>(std::max<std::int64_t>(1, sharers));
   if (static_cast<double>(repeats + 1) > allowed) return false;
   ++current.repeats;
   return true;
--- a/policy/retry_allowance.h
+++ b/policy/retry_allowance.h
@@ -12,6 +12,7 @@
 
 struct RetryBounds {
   double share = 0.1;               // repeats for each request
+  std::int64_t extra = 0;           // repeats of the whole fleet besides
   coordination::Duration window{};  // over which both are counted
 };
 
@@ -20,13 +21,16 @@
   explicit RetryAllowance(RetryBounds bounds) : bounds(bounds) {}
 
   void NoteRequest(coordination::TimePoint now);
-  // Takes one repeat. False when the window has none left.
-  bool Take(coordination::TimePoint now);
+  // Takes one repeat. False when the window has none left. `sharers` is the
+  // number of VMs that share the fleet's extra repeats.
+  bool Take(std::int64_t sharers, coordination::TimePoint now);
 
  private:
   // Part of the share that is used: the bound is on sliding windows of the
   // fleet, which VMs see shifted against each other.
   static constexpr double kUsedPart = 0.8;
+  // Part of the extra repeats: a VM may not know yet of those that were added.
+  static constexpr double kUsedExtra = 0.5;
 
   struct Slice {
     coordination::TimePoint begin;
--- a/policy/server_board.cc
+++ b/policy/server_board.cc
@@ -56,6 +56,8 @@
 // A server that can't be reached is left alone, longer each time.
 constexpr Duration kFirstSuspension = std::chrono::milliseconds(300);
 constexpr std::int64_t kMostDoublings = 4;
+// So is one that fails more often than this in a row.
+constexpr std::int64_t kFailuresBorne = 2;
 
 // Engines evict what has not been used for long; parts beyond this many tokens
 // are taken as evicted. Used where an engine's memory isn't known.
@@ -278,8 +280,9 @@
   state.held_tokens -= record.held_tokens;
   if (!record.started) state.unread_tokens -= record.unread_tokens;
   if (outcome == SendOutcome::kAbandoned) return;
-  const bool failed = outcome == SendOutcome::kUnreachable ||
-                      outcome == SendOutcome::kBroken ||
+  const bool absent = outcome == SendOutcome::kUnreachable ||
+                      outcome == SendOutcome::kMisdirected;
+  const bool failed = absent || outcome == SendOutcome::kBroken ||
                       outcome == SendOutcome::kSilent;
   state.failure_rate +=
       kFailureWeight * ((failed ? 1.0 : 0.0) - state.failure_rate);
@@ -287,10 +290,8 @@
     state.failures_in_a_row = 0;
     return;
   }
-  const bool suspends =
-      outcome == SendOutcome::kUnreachable || ++state.failures_in_a_row > 2;
-  if (!suspends) return;
-  if (outcome == SendOutcome::kUnreachable) ++state.failures_in_a_row;
+  ++state.failures_in_a_row;
+  if (!absent && state.failures_in_a_row <= kFailuresBorne) return;
   const auto doublings =
       static_cast<unsigned>(std::min(state.failures_in_a_row, kMostDoublings));
   state.suspended_until = now + kFirstSuspension * (1U << doublings) / 2;
--- a/policy/server_board.h
+++ b/policy/server_board.h
@@ -30,6 +30,7 @@
   kAnswered,     // the server's whole answer
   kServerError,  // the server's whole answer, which tells of its own failure
   kRejected,     // the server said that it did not run the request
+  kMisdirected,  // another server has the address; the request has not run
   kUnreachable,  // no byte was sent
   kBroken,       // sent; the answer failed or belongs to another request
   kSilent,       // sent; no answer came in time
--- a/settings/gateway_settings.cc
+++ b/settings/gateway_settings.cc
@@ -41,8 +41,10 @@
       gateway.readiness_address = r.Address("address");
       gateway.readiness_path = r.Text("path");
     });
+    if (root.Has("metrics")) gateway.metrics_address = root.Address("metrics");
     root.Member("retries", [&](ObjectReader& r) {
       gateway.retry_share = r.NumberOr("share", 0, 1, 0.1);
+      gateway.retry_extra = r.IntegerOr("extra", IntegerRange{0, 1'000'000}, 0);
       gateway.retry_window = SecondsOr(r, "window_s", 10);
     });
     gateway.stop_time = SecondsOr(root, "stop_s", 8);
--- a/settings/gateway_settings.h
+++ b/settings/gateway_settings.h
@@ -18,13 +18,15 @@
   std::string readiness_address;  // where the balancer asks
   std::string readiness_path;
   std::string store_address;
-  std::string peer_address;  // this VM's own, for datagrams between gateways
+  std::string peer_address;     // this VM's own, for datagrams between gateways
+  std::string metrics_address;  // empty: no metrics page
   std::string log_level;
   std::int64_t descriptors = 4096;  // open files and sockets, at most
   // From a stop's signal until the process is killed.
   coordination::Duration stop_time{};
   // Repeats to a service: at most this share of its requests in any window.
   double retry_share = 0.1;
+  std::int64_t retry_extra = 0;  // of the whole fleet, besides the share
   coordination::Duration retry_window{};
   // Longest outage of the store that budgets outlast.
   coordination::Duration bridged_outage{};
--- a/settings/object_reader.h
+++ b/settings/object_reader.h
@@ -31,6 +31,7 @@
   // Notes unknown keys.
   ~ObjectReader();
 
+  bool Has(std::string_view key) { return this->Find(key, false) != nullptr; }
   std::string Text(std::string_view key);
   std::string TextOr(std::string_view key, std::string_view fallback);
   // An IP number, a colon and a port.
--- a/standin/main.cc
+++ b/standin/main.cc
@@ -2,6 +2,8 @@
 //   standin platform --listen=IP:PORT --vms=FILE
 //   standin engine --listen=IP:PORT --name=NAME --version=v1 ...
 //   standin service --listen=IP:PORT --name=NAME
+//   standin store --listen=IP:PORT
+//   standin server --listen=IP:PORT --name=ID
 //   standin load --target=IP:PORT --bearer=KEY ...
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
@@ -22,7 +24,9 @@
 #include "standin/engine_standin.h"
 #include "standin/load.h"
 #include "standin/platform_standin.h"
+#include "standin/server_standin.h"
 #include "standin/service_standin.h"
+#include "standin/store_standin.h"
 
 ABSL_FLAG(std::string, listen, "127.0.0.1:0", "address to listen on");
 ABSL_FLAG(std::string, name, "engine", "name of the stand-in");
@@ -98,6 +102,18 @@
   return Serve(io, service.Listen(absl::GetFlag(FLAGS_listen)));
 }
 
+int RunStore() {
+  net::io_context io{1};
+  StoreStandin store(io);
+  return Serve(io, store.Listen(absl::GetFlag(FLAGS_listen)));
+}
+
+int RunServer() {
+  net::io_context io{1};
+  ServerStandin server(io, absl::GetFlag(FLAGS_name));
+  return Serve(io, server.Listen(absl::GetFlag(FLAGS_listen)));
+}
+
 json::object Percentiles(const std::vector<double>& values) {
   return {{"p50", Percentile(values, 0.50)},
           {"p95", Percentile(values, 0.95)},
@@ -150,7 +166,10 @@
   if (command == "platform") return RunPlatform();
   if (command == "engine") return RunEngine();
   if (command == "service") return RunService();
+  if (command == "store") return RunStore();
+  if (command == "server") return RunServer();
   if (command == "load") return RunLoad();
-  std::cerr << "usage: standin platform|engine|service|load [flags]\n";
+  std::cerr << "usage: standin platform|engine|service|store|server|load "
+               "[flags]\n";
   return 2;
 }
--- /dev/null
+++ b/standin/server_standin.cc
@@ -0,0 +1,97 @@
+#include "standin/server_standin.h"
+
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+#include <charconv>
+#include <chrono>
+#include <utility>
+
+namespace hornbeamspool::standin {
+namespace {
+
+constexpr int kEvents = 10;
+constexpr coordination::Duration kEventPause = std::chrono::milliseconds(20);
+
+}  // namespace
+
+ServerStandin::ServerStandin(boost::asio::io_context& io, std::string id)
+    : io(&io),
+      id(std::move(id)),
+      server(
+          io, http::ServerLimits{},
+          [this](http::Exchange& exchange) { return this->Handle(exchange); },
+          [](http::Reject) { return http::JsonResponse(400, "{}"); }),
+      gate(io) {}
+
+std::uint16_t ServerStandin::Listen(std::string_view address) {
+  return this->server.Listen(address);
+}
+
+http::Task<void> ServerStandin::Handle(http::Exchange& exchange) {
+  const http::Request& request = exchange.GetRequest();
+  if (request.Path() == "/faults") {
+    const bool taken = this->gate.Set(request.body);
+    co_await exchange.Send(http::JsonResponse(taken ? 200 : 400, "{}"));
+    co_return;
+  }
+  if (request.Path() == "/runs") {
+    co_await exchange.Send(this->Runs());
+    co_return;
+  }
+  if (!co_await this->gate.Enter(exchange)) co_return;
+  const std::string attempt(request.HeaderValue("Attempt-Id"));
+  http::Response answer;
+  answer.headers.push_back({"Attempt-Id", attempt});
+  const std::string_view expected = request.HeaderValue("Expect-Instance");
+  if (!expected.empty() && expected != this->id) {
+    answer.status = 421;
+    answer.headers.push_back({"Instance-Id", this->id});
+    co_await exchange.Send(std::move(answer));
+    co_return;
+  }
+  ++this->runs[attempt];
+  answer.headers.push_back({"Server-Stamp", "stamp-" + this->id});
+  answer.headers.push_back({"Instance-Load", "1,0,8"});
+  if (request.Path().starts_with("/stream/")) {
+    co_await this->Stream(exchange, std::move(answer));
+    co_return;
+  }
+  answer.body = request.method + ' ' + request.target + ' ' + request.body +
+                " tenant=" + std::string(request.HeaderValue("Tenant"));
+  co_await this->gate.Leave(exchange, std::move(answer));
+}
+
+http::Task<void> ServerStandin::Stream(http::Exchange& exchange,
+                                       http::Response head) {
+  const std::string_view after =
+      exchange.GetRequest().HeaderValue("Last-Event-Id");
+  int first = 0;
+  if (!after.empty()) {
+    std::from_chars(after.data(), after.data() + after.size(), first);
+    ++first;
+  }
+  head.headers.push_back({"Content-Type", "text/event-stream"});
+  if (!co_await exchange.BeginStream(std::move(head))) co_return;
+  http::Timer timer(*this->io);
+  for (int i = first; i < kEvents; ++i) {
+    const std::string number = std::to_string(i);
+    const std::string event =
+        "id: " + number + "\ndata: event " + number + "\n\n";
+    if (!co_await exchange.Write(event)) co_return;
+    if (this->gate.Get().down) {  // breaks off midway
+      exchange.Abort();
+      co_return;
+    }
+    timer.expires_after(kEventPause);
+    co_await timer.async_wait(http::kAwait);
+  }
+  co_await exchange.EndStream();
+}
+
+http::Response ServerStandin::Runs() const {
+  boost::json::object counts;
+  for (const auto& [attempt, count] : this->runs) counts[attempt] = count;
+  return http::JsonResponse(200, boost::json::serialize(counts));
+}
+
+}  // namespace hornbeamspool::standin
--- /dev/null
+++ b/standin/server_standin.h
@@ -0,0 +1,39 @@
+// A stand-in for the platform's servers: answers each request with the marks
+// that the platform's servers set, and streams events on /stream/. Counts how
+// often each request ran.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+
+#include "http/exchange.h"
+#include "http/server.h"
+#include "http/task.h"
+#include "standin/fault_gate.h"
+
+namespace hornbeamspool::standin {
+
+class ServerStandin {
+ public:
+  // `id` is this start of the server, by which callers name it.
+  ServerStandin(boost::asio::io_context& io, std::string id);
+
+  // Returns the port, 0 on failure.
+  std::uint16_t Listen(std::string_view address);
+
+ private:
+  http::Task<void> Handle(http::Exchange& exchange);
+  http::Task<void> Stream(http::Exchange& exchange, http::Response head);
+  http::Response Runs() const;
+
+  boost::asio::io_context* io;
+  std::string id;
+  http::Server server;
+  FaultGate gate;
+  std::map<std::string, std::int64_t, std::less<>> runs;
+};
+
+}  // namespace hornbeamspool::standin
--- a/tests/gateway_policy_test.cc
+++ b/tests/gateway_policy_test.cc
@@ -78,7 +78,7 @@
 GatewayCore MakeCore() {
   GatewayOptions options;
   options.availability_zone = "z1";
-  options.retries = {0.2, seconds(10)};
+  options.retries = {0.2, 0, seconds(10)};
   return GatewayCore(options, 1);
 }
 
@@ -189,15 +189,33 @@
 }
 
 TEST_CASE("repeats keep within their share in every window") {
-  RetryAllowance allowance({0.2, seconds(10)});
+  RetryAllowance allowance({0.2, 0, seconds(10)});
   for (int i = 0; i < 100; ++i) allowance.NoteRequest(At(i * 10));
   int taken = 0;
-  while (allowance.Take(At(1'000))) ++taken;
+  while (allowance.Take(1, At(1'000))) ++taken;
   CHECK(taken <= 20);
   CHECK(taken >= 10);
-  CHECK_FALSE(allowance.Take(At(9'000)));
+  CHECK_FALSE(allowance.Take(1, At(9'000)));
   // A window later both are forgotten.
-  CHECK_FALSE(allowance.Take(At(30'000)));
+  CHECK_FALSE(allowance.Take(1, At(30'000)));
+}
+
+TEST_CASE("the fleet's extra repeats are shared by its VMs") {
+  RetryAllowance allowance({0.2, 40, seconds(10)});
+  int taken = 0;
+  while (allowance.Take(10, At(1'000))) ++taken;
+  CHECK(taken >= 1);
+  CHECK(taken <= 4);
+}
+
+TEST_CASE("a server whose address another one has is left alone") {
+  ServerBoard board("z1");
+  const ServerEntry a = MakeServer("a");
+  const ServerEntry b = MakeServer("b", "z2");
+  const std::vector<const ServerEntry*> servers{&a, &b};
+  const SendRecord record = board.OnSent(a, nullptr, At(0));
+  board.OnEnded(record, SendOutcome::kMisdirected, At(1));
+  CHECK(board.Choose(servers, {}, {}, At(2)) == &b);
 }
 
 TEST_CASE("entries that lapse while the store is away are kept for a while") {
--- /dev/null
+++ b/tests/process/gateway_test.sh
@@ -0,0 +1,183 @@
+#!/usr/bin/env bash
+# Gateways as real processes over a stand-in of the platform's store and two of
+# its servers. Prints each check; exits 1 when one fails.
+#
+#   tests/process/gateway_test.sh BIN
+set -uo pipefail
+cd "$(dirname "$0")/../.."
+bin=$1
+dir=$(mktemp -d)
+pids=()
+trap 'kill -9 "${pids[@]}" 2>/dev/null; [ -n "${KEEP:-}" ] || rm -rf "$dir"' EXIT
+failures=0
+store=127.0.0.1:19700
+
+check() {  # NAME EXPECTED ACTUAL
+  if [[ "$3" == $2 ]]; then
+    echo "ok: $1"
+  else
+    echo "FAILED: $1: wanted '$2', saw '$3'"
+    failures=$((failures + 1))
+  fi
+}
+
+# Waits until a command succeeds; gives up after a minute.
+until_true() {
+  for _ in $(seq 600); do
+    "$@" >/dev/null 2>&1 && return 0
+    sleep 0.1
+  done
+  return 1
+}
+
+row() { curl -s -X PUT "http://$store/rows/$1" -d "$2" >/dev/null; }
+fault() { curl -s -X PUT "http://127.0.0.1:$1/faults" -d "$2" >/dev/null; }
+key=key
+# call GATEWAY PATH [curl arguments]: the answer's body. ID names the attempt.
+call() {
+  local port=1971$1 path=$2
+  shift 2
+  curl -sN -m 20 -H 'Host: a.example' -H "Attempt-Id: ${ID:-$BASHPID-$RANDOM}" -H "Authorization: Bearer $key" "$@" "http://127.0.0.1:$port$path"
+}
+status() { call "$@" -o /dev/null -w '%{http_code}'; }
+status_is() { [ "$(status "$2" "$3" "${@:4}")" = "$1" ]; }
+ready() { [ "$(curl -s -o /dev/null -w '%{http_code}' "http://127.0.0.1:1972$1/ready")" = 200 ]; }
+runs() { curl -s http://127.0.0.1:19701/runs http://127.0.0.1:19702/runs | grep -o "\"$1\":[0-9]*" | cut -d: -f2 | awk '{sum += $1} END {print sum + 0}'; }
+gone() { ! kill -0 "$1"; }
+
+gateway() {  # NUMBER
+  cat >"$dir/gateway$1.json" <<JSON
+{ "kind": "gateway", "vm": "vm-$1", "availability_zone": "z1",
+  "listen": "127.0.0.1:1971$1", "readiness": { "address": "127.0.0.1:1972$1", "path": "/ready" },
+  "store": "$store", "peers": "127.0.0.1:1973$1", "metrics": "127.0.0.1:1974$1",
+  "retries": { "share": 0.2, "extra": 40, "window_s": 10 }, "stop_s": 20 }
+JSON
+  "$bin/hornbeamspool" --gateway="$dir/gateway$1.json" >>"$dir/gateway$1.log" 2>&1 &
+  pids+=($!)
+  declare -g "gateway$1=$!"
+}
+
+config() {  # VERSION KEY PREPAID
+  local route='"host":"a.example","timeout_ms":10000,"target_latency_ms":600,"priority":1,"attempts":2,"public":false'
+  row op/config "{\"version\":$1,\"routes\":[
+    {\"name\":\"lookup\",\"prefix\":\"/lookup/\",\"kind\":\"idempotent\",\"service\":\"s\",$route},
+    {\"name\":\"order\",\"prefix\":\"/order/\",\"kind\":\"non_idempotent\",\"service\":\"s\",$route},
+    {\"name\":\"stream\",\"prefix\":\"/stream/\",\"kind\":\"stream\",\"stream_resume\":true,\"service\":\"s\",$route}],
+    \"services\":[{\"name\":\"s\",\"health_path\":\"/h\",\"max_connections\":100,
+      \"engine\":{\"slot_count\":8,\"kv_capacity_tokens\":100000,\"stride\":1}}],
+    \"limits\":{},\"tenants\":[{\"name\":\"t\",\"api_keys\":[\"$2\"],\"prepaid\":$3}]}"
+}
+
+server_row() {  # ID PORT STATE
+  row "servers/$1" "{\"service\":\"s\",\"address\":\"127.0.0.1:$2\",\"zone\":\"z1\",\"version\":\"v1\",\"slot_count\":8,\"state\":\"$3\",\"seq\":1}"
+}
+
+"$bin/standin" store --listen=$store & pids+=($!)
+"$bin/standin" server --listen=127.0.0.1:19701 --name=i-1 & pids+=($!)
+"$bin/standin" server --listen=127.0.0.1:19702 --name=i-2 & pids+=($!)
+until_true curl -s -o /dev/null "http://$store/faults" -X PUT -d '{}'
+
+# Without a configuration: a state with its own answer.
+gateway 1
+until_true curl -s -o /dev/null http://127.0.0.1:19721/ready
+check 'without a configuration it is not ready' 503 "$(curl -s -o /dev/null -w '%{http_code}' http://127.0.0.1:19721/ready)"
+check 'and says when to come back' '*Retry-After*' "$(call 1 /lookup/x -i)"
+
+config 1 key 100000
+server_row i-1 19701 ready
+server_row i-2 19702 ready
+row servers/other 'not an entry'
+gateway 2
+until_true ready 1
+until_true ready 2
+until_true status_is 200 1 /lookup/x
+until_true status_is 200 2 /lookup/x
+
+# Routes, keys, headers.
+check 'a request is relayed with its tenant' 'POST /lookup/x?q=1 body tenant=t' "$(call 1 '/lookup/x?q=1' -d body -H 'Tenant: forged')"
+check 'the answer bears the server'"'"'s mark' '*Server-Stamp: stamp-i-*' "$(call 1 /lookup/x -i)"
+check 'an unknown route' 404 "$(status 1 /elsewhere)"
+check 'an unknown key' 401 "$(key=other status 1 /lookup/x)"
+check 'a header that cannot be read' 400 "$(status 1 /lookup/x -H 'Deadline-Ms: soon')"
+check 'a coding that is not understood' 400 "$(status 1 /lookup/x -H 'Transfer-Encoding: gzip' -d x)"
+
+# Streams.
+whole=$(for i in $(seq 0 9); do echo "data: event $i"; done)
+events() { grep '^data:'; }
+check 'a stream is whole' "$whole" "$(call 1 /stream/x | events)"
+call 1 /stream/x >"$dir/stream" &
+reader=$!
+sleep 0.1
+fault 19701 '{"down":true}'
+wait $reader
+check 'a stream goes on at another server, no piece missing or double' "$whole" "$(events <"$dir/stream")"
+fault 19701 '{"down":false}'
+
+# Orders run at most once.
+fault 19701 '{"lose_answers":1}'
+fault 19702 '{"lose_answers":1}'
+check 'an order whose answer is lost is not repeated' 502 "$(ID=order-1 status 1 /order/1 -d x)"
+check 'and ran once' 1 "$(runs order-1)"
+fault 19701 '{"lose_answers":0}'
+fault 19702 '{"lose_answers":0}'
+
+# Another server has the address.
+server_row i-3 19701 ready
+row servers/i-1 gone
+until_true status_is 200 1 /order/2
+check 'an order finds the server that is meant' 200 "$(status 1 /order/3 -d x)"
+server_row i-1 19701 ready
+row servers/i-3 gone
+
+# The store is away: what is known goes on.
+fault 19700 '{"down":true}'
+check 'without the store requests are served' 200 "$(status 1 /lookup/x)"
+until_true status_is 503 1 /elsewhere
+check 'an unknown route may be a new one' 503 "$(status 1 /elsewhere)"
+check 'budgets last without the store' 200 "$(status 1 /lookup/x -H 'Token-Count: 100,10')"
+fault 19700 '{"down":false}'
+until_true status_is 404 1 /elsewhere
+
+# A budget: spent through both gateways, one of them killed, never passed.
+served=0
+spend() {  # GATEWAY TIMES
+  for _ in $(seq "$2"); do
+    [ "$(status "$1" /lookup/x -H 'Token-Count: 4000,0')" = 200 ] && served=$((served + 1))
+  done
+}
+spend 1 6
+spend 2 6
+check 'a budget serves through every gateway' 12 "$served"
+kill -9 "$gateway2"
+until_true gone "$gateway2"
+gateway 2
+until_true ready 2
+until_true status_is 200 2 /lookup/x
+spend 2 30
+check 'a budget is never passed, also after a kill' true "$([ $((served * 4000)) -le 100000 ] && echo true || echo "$served")"
+check 'a kill leaves most of a budget usable' true "$([ "$served" -ge 16 ] && echo true || echo "$served")"
+check 'and is refused at the end' '4xx|503' "$(status 2 /lookup/x -H 'Token-Count: 90000,0' | sed -E 's/^(402|503)$/4xx|503/')"
+
+# A new configuration, and a key that is taken away.
+config 2 key2 200000
+until_true status_is 401 1 /lookup/x
+check 'a key that was taken away' 401 "$(status 1 /lookup/x)"
+check 'and the new one' 200 "$(key=key2 status 1 /lookup/x -H 'Token-Count: 4000,0')"
+config 1 key 1
+sleep 1.5
+check 'an older configuration is not taken' 401 "$(status 1 /lookup/x)"
+
+# A planned stop finishes what runs.
+key=key2 call 1 /stream/x >"$dir/stream" &
+reader=$!
+sleep 0.1
+kill -TERM "$gateway1"
+wait $reader
+check 'a planned stop cuts no stream' "$whole" "$(events <"$dir/stream")"
+until_true gone "$gateway1"
+check 'and ends the process' true "$(gone "$gateway1" 2>/dev/null && echo true)"
+check 'metrics are served' '*hornbeamspool_served_total*' "$(curl -s http://127.0.0.1:19742/metrics)"
+request=$(grep -o 'request=[^ ]*' "$dir/gateway1.log" | tail -1 | cut -d= -f2)
+check 'a request is explained from the logs' "*$request*" "$("$bin/hornbeamctl" explain "$request" "$dir/gateway1.log" "$dir/gateway2.log")"
+
+exit $((failures > 0))
