Tokens follow their home through outages and planned stops

Gifts that homes held were lost with them. Ruled out: handing back at the stop alone (the store is away just then).

--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -325,6 +325,7 @@
       KeyValue("in_flight", static_cast<std::int64_t>(this->core.InFlight())),
       begin);
   this->callers.CloseAfterAnswers();
+  this->broker.Leave();
   boost::asio::co_spawn(this->io, this->channel.Leave(), boost::asio::detached);
   http::Timer timer(this->io);
   timer.expires_after(kLeftOutAfter);
--- a/gateway/token_broker.cc
+++ b/gateway/token_broker.cc
@@ -47,6 +47,11 @@
 // Gifts that no request needs go back after a look of this length.
 constexpr Duration kMaintainTime = std::chrono::milliseconds(500);
 
+// A gift that nobody asked for is sent this often, at this distance: nothing
+// tells whether its datagram arrived, and it counts once.
+constexpr int kGiftSends = 3;
+constexpr Duration kGiftPause = std::chrono::milliseconds(60);
+
 // Memory of gifts sent and taken, against datagrams that come twice.
 constexpr std::size_t kRemembered = 512;
 
@@ -108,7 +113,7 @@
   const TimePoint now = Now();
   const std::vector<std::string> homes =
       this->channel->Directory().HomesOf(tenant, kHomes, now);
-  if (homes.front() == this->channel->Vm()) {
+  if (homes.front() == this->channel->Vm() && !this->leaving) {
     this->context.core->Budgets().KeepHome(tenant, now + kHomeTime);
     return;
   }
@@ -126,6 +131,7 @@
       this->channel->Directory().HomesOf(tenant, kHomes, Now());
   bool found = false;
   for (const std::string& vm : homes) {
+    if (vm == this->channel->Vm() && this->leaving) continue;
     if (vm == this->channel->Vm()) break;
     found = co_await this->AskPeer(vm, tenant, needed);
     if (found) break;
@@ -227,7 +233,7 @@
 http::Task<void> TokenBroker::Answer(BudgetMessage ask) {
   BudgetDesk& desk = this->context.core->Budgets();
   const TimePoint give_up = Now() + kAnswerTime;
-  desk.KeepHome(ask.tenant, Now() + kHomeTime);
+  if (!this->leaving) desk.KeepHome(ask.tenant, Now() + kHomeTime);
   BudgetMessage gift;
   gift.kind = BudgetMessageKind::kGift;
   gift.id = ask.id;
@@ -270,21 +276,54 @@
   gift.sender = this->channel->Vm();
   gift.tenant = tenant;
   gift.amount = amount;
-  if (this->channel->Send(vm, gift)) return;
-  this->context.core->Budgets().TakeGift(tenant, amount);
+  if (!this->channel->Send(vm, gift)) {
+    this->context.core->Budgets().TakeGift(tenant, amount);
+    return;
+  }
+  boost::asio::co_spawn(*this->context.io, this->SendAgain(vm, gift),
+                        boost::asio::detached);
 }
 
-void TokenBroker::GiveBack(const std::string& tenant) {
-  const std::vector<std::string> homes =
-      this->channel->Directory().HomesOf(tenant, kHomes, Now());
-  for (const std::string& vm : homes) {
-    if (vm == this->channel->Vm()) continue;
-    this->SendGift(vm, tenant,
-                   this->context.core->Budgets().WithdrawIdleGift(tenant));
-    return;
+http::Task<void> TokenBroker::SendAgain(std::string vm, BudgetMessage gift) {
+  http::Timer timer(*this->context.io);
+  for (int i = 1; i < kGiftSends; ++i) {
+    timer.expires_after(kGiftPause);
+    co_await timer.async_wait(http::kAwait);
+    this->channel->Send(vm, gift);
   }
 }
 
+// Empty when this VM is alone.
+std::string TokenBroker::FirstOtherHome(const std::string& tenant) const {
+  for (std::string& vm :
+       this->channel->Directory().HomesOf(tenant, kHomes, Now())) {
+    if (vm != this->channel->Vm()) return std::move(vm);
+  }
+  return {};
+}
+
+void TokenBroker::GiveBack(const std::string& tenant) {
+  const std::string vm = this->FirstOtherHome(tenant);
+  if (vm.empty()) return;
+  this->SendGift(vm, tenant,
+                 this->context.core->Budgets().WithdrawIdleGift(tenant));
+}
+
+// The store is away, and this VM holds tokens of a tenant whose home is
+// elsewhere: they go there, since nobody asks here for them.
+void TokenBroker::PassOn(const std::string& tenant) {
+  BudgetDesk& desk = this->context.core->Budgets();
+  const std::string vm = this->FirstOtherHome(tenant);
+  if (vm.empty() || desk.Reachable()) return;
+  this->SendGift(vm, tenant, desk.GiveAll(tenant, Now()));
+}
+
+void TokenBroker::Leave() {
+  this->leaving = true;
+  this->context.core->Budgets().LeaveHomes();
+  this->context.budget_keeper->Kick();
+}
+
 void TokenBroker::ReturnGifts() {
   for (const std::string& tenant : this->context.core->Budgets().Tenants()) {
     this->GiveBack(tenant);
@@ -299,10 +338,11 @@
     for (const std::string& tenant : desk.Tenants()) {
       const std::vector<std::string> homes =
           this->channel->Directory().HomesOf(tenant, 1, Now());
-      if (homes.front() == this->channel->Vm()) {
+      if (homes.front() == this->channel->Vm() && !this->leaving) {
         desk.KeepHome(tenant, Now() + kHomeTime);
       } else {
         this->GiveBack(tenant);
+        this->PassOn(tenant);
       }
     }
     timer.expires_after(kMaintainTime);
--- a/gateway/token_broker.h
+++ b/gateway/token_broker.h
@@ -39,6 +39,8 @@
   void OnMessage(const transport::BudgetMessage& message);
   // The store has answered a write: requests that wait may go on.
   void OnShareChanged();
+  // This VM is about to stop: others keep the tenants' tokens from here on.
+  void Leave();
   // Gives every gift back.
   void ReturnGifts();
 
@@ -69,6 +71,9 @@
   void SendGift(const std::string& vm, const std::string& tenant,
                 std::int64_t amount);
   void GiveBack(const std::string& tenant);
+  void PassOn(const std::string& tenant);
+  http::Task<void> SendAgain(std::string vm, transport::BudgetMessage gift);
+  std::string FirstOtherHome(const std::string& tenant) const;
   std::uint64_t NewId();
 
   Context context;
@@ -78,6 +83,7 @@
   std::deque<std::uint64_t> taken;    // ids of the latest gifts received
   std::set<std::uint64_t> answering;  // asks in progress
   std::mt19937_64 random;
+  bool leaving = false;
 };
 
 }  // namespace hornbeamspool::gateway
--- a/policy/budget_desk.cc
+++ b/policy/budget_desk.cc
@@ -23,6 +23,9 @@
 // A demand under one usual request in this many gifts counts as few.
 constexpr std::int64_t kFewRequests = 2;
 
+// Gifts over one part of a budget in this many are returned at once.
+constexpr std::int64_t kReturnPart = 500;
+
 // Gifts on the way are under one part of a budget in this many.
 constexpr std::int64_t kDoubtPart = 50;
 
@@ -159,6 +162,19 @@
   return given;
 }
 
+std::int64_t BudgetDesk::GiveAll(std::string_view tenant,
+                                 coordination::TimePoint now) {
+  const auto found = this->entries.find(tenant);
+  if (found == this->entries.end()) return 0;
+  Entry& entry = found->second;
+  const std::int64_t bound = this->BoundOf(entry, now);
+  const std::int64_t room = bound - entry.account.Committed();
+  if (room <= 0) return 0;
+  entry.account.Reserve(room, bound);
+  entry.account.Settle(room, room);
+  return room;
+}
+
 void BudgetDesk::TakeGift(std::string_view tenant, std::int64_t amount) {
   const auto found = this->entries.find(tenant);
   if (found != this->entries.end()) found->second.received += amount;
@@ -192,6 +208,11 @@
   return free - target;
 }
 
+void BudgetDesk::LeaveHomes() {
+  for (auto& [tenant, entry] : this->entries) entry.home_until = {};
+  this->urgent = true;
+}
+
 std::int64_t BudgetDesk::WithdrawFreeGift(std::string_view tenant) {
   const auto found = this->entries.find(tenant);
   if (found == this->entries.end()) return 0;
@@ -286,6 +307,14 @@
   return next;
 }
 
+// Gifts that a home holds go back to the store, where they outlast this
+// process; small ones wait for the next write.
+std::int64_t BudgetDesk::ReturnableGift(const Entry& entry,
+                                        coordination::TimePoint now) const {
+  if (now >= entry.home_until) return 0;
+  return std::max<std::int64_t>(0, entry.received - entry.gifts.Committed());
+}
+
 std::vector<BudgetRows> BudgetDesk::PlanWrite(coordination::TimePoint now) {
   if (this->needs_read || this->WriteOutstanding()) return {};
   if (now < this->next_write && !this->urgent && !this->stopping) return {};
@@ -317,9 +346,15 @@
                                committed + entry.lacking,
                                this->WantedLimit(entry, now)};
     const std::int64_t limit = NextLimit(request, total);
-    const bool due = this->IsDue(entry, limit, now);
+    const std::int64_t returning = this->ReturnableGift(entry, now);
+    const bool due = this->IsDue(entry, limit, now) ||
+                     returning > entry.prepaid / kReturnPart;
     if (due && this->pending.size() < kMostTenantsPerWrite) {
       this->pending.push_back(this->NextRows(entry, limit, now));
+      // They leave the account before the write is sent.
+      entry.received -= returning;
+      entry.returning = returning;
+      this->pending.back().total.committed -= returning;
       entry.in_doubt.push_back(this->pending.back().share);
     }
     entry.lacking = 0;
@@ -339,6 +374,7 @@
     // Earlier writes of unknown outcome can't be carried out any more: their
     // conditions no longer hold.
     entry.in_doubt.clear();
+    entry.returning = 0;
     entry.rows = rows;
   }
   this->pending.clear();
@@ -346,12 +382,18 @@
 
 void BudgetDesk::OnNotWritten() {
   for (const BudgetRows& rows : this->pending) {
-    this->EntryOf(rows).in_doubt.pop_back();
+    Entry& entry = this->EntryOf(rows);
+    entry.in_doubt.pop_back();
+    entry.received += std::exchange(entry.returning, 0);
   }
   this->pending.clear();
 }
 
 void BudgetDesk::OnUnknown() {
+  // Gifts on the way back may have arrived: they are not used again here.
+  for (const BudgetRows& rows : this->pending) {
+    this->EntryOf(rows).returning = 0;
+  }
   this->pending.clear();
   this->needs_read = true;
 }
--- a/policy/budget_desk.h
+++ b/policy/budget_desk.h
@@ -74,6 +74,8 @@
   // less than `needed`, or nothing. What is given counts as spent here.
   std::int64_t Give(std::string_view tenant, std::int64_t needed,
                     std::int64_t wanted, coordination::TimePoint now);
+  // Gives away all that this VM's share leaves it now.
+  std::int64_t GiveAll(std::string_view tenant, coordination::TimePoint now);
   // What stands in the way of giving `amount` now.
   BudgetVerdict VerdictFor(std::string_view tenant, std::int64_t amount,
                            coordination::TimePoint now);
@@ -89,6 +91,8 @@
 
   // This VM keeps the tenant's tokens: it holds a share until `until`.
   void KeepHome(std::string_view tenant, coordination::TimePoint until);
+  // From here on this VM keeps no tenant's tokens.
+  void LeaveHomes();
 
   // A request waits for tokens: a write is due at once.
   void NoteLacking(std::string_view tenant, std::int64_t amount);
@@ -127,6 +131,8 @@
     TenantAccount account;      // of this VM's share
     TenantAccount gifts;        // of what peers gave
     std::int64_t received = 0;  // tokens that peers gave, less given back
+    // Of these, on the way to the store with the outstanding write.
+    std::int64_t returning = 0;
     coordination::TimePoint home_until{};
     BudgetRows rows;           // as last known in the store
     std::int64_t lacking = 0;  // tokens that waiting requests need
@@ -148,6 +154,8 @@
              coordination::TimePoint now) const;
   BudgetRows NextRows(const Entry& entry, std::int64_t limit,
                       coordination::TimePoint now) const;
+  std::int64_t ReturnableGift(const Entry& entry,
+                              coordination::TimePoint now) const;
   Entry& EntryOf(const BudgetRows& rows);
 
   std::map<std::string, Entry, std::less<>> entries;
--- a/tests/budget_test.cc
+++ b/tests/budget_test.cc
@@ -188,6 +188,33 @@
   CHECK(taker.WithdrawIdleGift("t") == 0);
 }
 
+TEST_CASE("a home's gifts go back to the store, once") {
+  BudgetRows rows = Absent();
+  rows.total = {500'000, 0};
+  rows.total_version = 2;
+  BudgetDesk desk = KeptDesk(7, rows);
+  desk.TakeGift("t", 40'000);
+  const std::vector<BudgetRows> planned = desk.PlanWrite(At(1));
+  REQUIRE(planned.size() == 1);
+  CHECK(planned.front().total.committed ==
+        500'000 + planned.front().share.limit - 40'000);
+  // Until the outcome is known they can't be spent here, nor ever if it stays
+  // unknown; a write that was not done brings them back.
+  CHECK(desk.WithdrawFreeGift("t") == 0);
+  desk.OnNotWritten();
+  CHECK(desk.WithdrawFreeGift("t") == 40'000);
+}
+
+TEST_CASE("all that a share leaves can be given, and counts as spent") {
+  BudgetDesk desk = KeptDesk(7, Absent());
+  (void)desk.PlanWrite(At(1));
+  desk.OnWritten(1);
+  const std::int64_t limit = desk.AllFigures().front().limit;
+  CHECK(desk.GiveAll("t", At(2)) == limit);
+  CHECK(desk.GiveAll("t", At(2)) == 0);
+  CHECK(desk.AllFigures().front().spent == limit);
+}
+
 TEST_CASE("no schedule of kills, cuts and lost answers overspends") {
   std::int64_t served = 0;
   for (std::uint64_t seed = 1; seed <= kRuns; ++seed) {
