--- a/gateway/token_broker.cc
+++ b/gateway/token_broker.cc
@@ -302,19 +302,24 @@
   return {};
 }
 
-void TokenBroker::GiveBack(const std::string& tenant) {
-  const std::string vm = this->FirstOtherHome(tenant);
-  if (vm.empty()) return;
-  this->SendGift(vm, tenant,
-                 this->context.core->Budgets().WithdrawIdleGift(tenant));
-}
-
-// The store is away, and this VM holds tokens of a tenant whose home is
-// elsewhere: they go there, since nobody asks here for them.
-void TokenBroker::PassOn(const std::string& tenant) {
+// Sends idle gifts to the tenant's home; while the store is away also the share
+// of a tenant that is kept elsewhere, since nobody asks here for it. The home
+// is asked first: what goes to a VM that has died is lost.
+http::Task<void> TokenBroker::HandOver(std::string tenant) {
   BudgetDesk& desk = this->context.core->Budgets();
+  Search& search = this->searches[tenant];
   const std::string vm = this->FirstOtherHome(tenant);
-  if (vm.empty() || desk.Reachable()) return;
+  const bool passes_on = !desk.Reachable();
+  const std::int64_t idle = desk.IdleGift(tenant);
+  const std::int64_t share = passes_on ? desk.ShareRoom(tenant, Now()) : 0;
+  if (vm.empty() || search.asking || idle + share <= 0) co_return;
+  search.asking = true;
+  const bool alive = co_await this->AskPeer(vm, tenant, 0);
+  search.asking = false;
+  this->Wake(search);
+  if (!alive) co_return;
+  this->SendGift(vm, tenant, desk.WithdrawIdleGift(tenant));
+  if (!passes_on || desk.Reachable()) co_return;
   this->SendGift(vm, tenant, desk.GiveAll(tenant, Now()));
 }
 
@@ -326,7 +331,8 @@
 
 void TokenBroker::ReturnGifts() {
   for (const std::string& tenant : this->context.core->Budgets().Tenants()) {
-    this->GiveBack(tenant);
+    boost::asio::co_spawn(*this->context.io, this->HandOver(tenant),
+                          boost::asio::detached);
   }
 }
 
@@ -341,8 +347,8 @@
       if (homes.front() == this->channel->Vm() && !this->leaving) {
         desk.KeepHome(tenant, Now() + kHomeTime);
       } else {
-        this->GiveBack(tenant);
-        this->PassOn(tenant);
+        boost::asio::co_spawn(*this->context.io, this->HandOver(tenant),
+                              boost::asio::detached);
       }
     }
     timer.expires_after(kMaintainTime);
--- a/gateway/token_broker.h
+++ b/gateway/token_broker.h
@@ -70,8 +70,7 @@
   void Wake(Search& search);
   void SendGift(const std::string& vm, const std::string& tenant,
                 std::int64_t amount);
-  void GiveBack(const std::string& tenant);
-  void PassOn(const std::string& tenant);
+  http::Task<void> HandOver(std::string tenant);
   http::Task<void> SendAgain(std::string vm, transport::BudgetMessage gift);
   std::string FirstOtherHome(const std::string& tenant) const;
   std::uint64_t NewId();
--- a/policy/budget_desk.cc
+++ b/policy/budget_desk.cc
@@ -162,16 +162,22 @@
   return given;
 }
 
-std::int64_t BudgetDesk::GiveAll(std::string_view tenant,
-                                 coordination::TimePoint now) {
+std::int64_t BudgetDesk::ShareRoom(std::string_view tenant,
+                                   coordination::TimePoint now) const {
   const auto found = this->entries.find(tenant);
   if (found == this->entries.end()) return 0;
-  Entry& entry = found->second;
-  const std::int64_t bound = this->BoundOf(entry, now);
-  const std::int64_t room = bound - entry.account.Committed();
-  if (room <= 0) return 0;
-  entry.account.Reserve(room, bound);
-  entry.account.Settle(room, room);
+  const Entry& entry = found->second;
+  return std::max<std::int64_t>(
+      0, this->BoundOf(entry, now) - entry.account.Committed());
+}
+
+std::int64_t BudgetDesk::GiveAll(std::string_view tenant,
+                                 coordination::TimePoint now) {
+  const std::int64_t room = this->ShareRoom(tenant, now);
+  if (room == 0) return 0;
+  TenantAccount& account = this->entries.find(tenant)->second.account;
+  account.Reserve(room, account.Committed() + room);
+  account.Settle(room, room);
   return room;
 }
 
@@ -197,15 +203,19 @@
   return std::max<std::int64_t>(0, this->GiftTarget(entry) - free);
 }
 
-std::int64_t BudgetDesk::WithdrawIdleGift(std::string_view tenant) {
+std::int64_t BudgetDesk::IdleGift(std::string_view tenant) const {
   const auto found = this->entries.find(tenant);
   if (found == this->entries.end()) return 0;
-  Entry& entry = found->second;
+  const Entry& entry = found->second;
   const std::int64_t free = entry.received - entry.gifts.Committed();
   const std::int64_t target = this->stopping ? 0 : this->GiftTarget(entry);
-  if (free <= target * kIdleFactor) return 0;
-  entry.received -= free - target;
-  return free - target;
+  return free <= target * kIdleFactor ? 0 : free - target;
+}
+
+std::int64_t BudgetDesk::WithdrawIdleGift(std::string_view tenant) {
+  const std::int64_t idle = this->IdleGift(tenant);
+  if (idle > 0) this->entries.find(tenant)->second.received -= idle;
+  return idle;
 }
 
 void BudgetDesk::LeaveHomes() {
--- a/policy/budget_desk.h
+++ b/policy/budget_desk.h
@@ -74,6 +74,9 @@
   // less than `needed`, or nothing. What is given counts as spent here.
   std::int64_t Give(std::string_view tenant, std::int64_t needed,
                     std::int64_t wanted, coordination::TimePoint now);
+  // What this VM's share leaves it now.
+  std::int64_t ShareRoom(std::string_view tenant,
+                         coordination::TimePoint now) const;
   // Gives away all that this VM's share leaves it now.
   std::int64_t GiveAll(std::string_view tenant, coordination::TimePoint now);
   // What stands in the way of giving `amount` now.
@@ -83,7 +86,9 @@
   void TakeGift(std::string_view tenant, std::int64_t amount);
   // Tokens worth asking a peer for, besides those that a request needs now.
   std::int64_t WantedGift(std::string_view tenant) const;
-  // Gifts that are more than this VM needs; they leave the account here.
+  // Gifts that are more than this VM needs.
+  std::int64_t IdleGift(std::string_view tenant) const;
+  // The same; they leave the account here.
   std::int64_t WithdrawIdleGift(std::string_view tenant);
   // All gifts that no request holds: a home that has nothing left can then
   // serve the requests of other VMs.
