--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -48,6 +48,8 @@
 // Descriptors for files, the store and the balancer.
 constexpr std::int64_t kOwnDescriptors = 200;
 
+constexpr double kBytesPerMbit = 125'000;
+
 std::uint64_t RandomIncarnation() {
   std::random_device random;
   return (std::uint64_t{random()} << 32U) | random();
@@ -59,6 +61,8 @@
   options.retries.share = settings.retry_share;
   options.retries.extra = settings.retry_extra;
   options.retries.window = settings.retry_window;
+  options.link_bytes_per_second =
+      static_cast<std::int64_t>(settings.link_mbps * kBytesPerMbit);
   options.budgets.bridged_outage = settings.bridged_outage;
   return options;
 }
--- a/gateway/request_relay.cc
+++ b/gateway/request_relay.cc
@@ -45,6 +45,9 @@
 
 constexpr std::size_t kPieceBytes = 8 * 1024;
 
+// A message's head and its packets' headers, roughly.
+constexpr std::int64_t kHeadBytes = 700;
+
 std::string_view NameOf(SendOutcome outcome) {
   static constexpr std::array<std::string_view,
                               static_cast<std::size_t>(SendOutcome::kCount)>
@@ -197,10 +200,12 @@
   if (!ticket.route->MayRepeat()) options.longest_idle = kLongestIdleForOrders;
   options.max_connections = order.max_connections;
   options.canceller = &this->canceller;
-  const http::OpenResult opened = co_await this->context->client->Open(
-      order.server.address,
-      platform::BuildServerRequest(this->exchange->GetRequest(), headers),
-      options);
+  const http::Request sent =
+      platform::BuildServerRequest(this->exchange->GetRequest(), headers);
+  this->context->core->Link().Add(
+      kHeadBytes + static_cast<std::int64_t>(sent.body.size()), Now());
+  const http::OpenResult opened =
+      co_await this->context->client->Open(order.server.address, sent, options);
   if (opened.status == http::FetchStatus::kUnreachable) {
     co_return this->canceller.Cancelled() ? SendOutcome::kAbandoned
                                           : SendOutcome::kUnreachable;
@@ -269,6 +274,8 @@
   }
   // A resumed stream can't show a failure any more.
   if (this->ticket->started) co_return SendOutcome::kBroken;
+  this->context->core->Link().Add(
+      kHeadBytes + static_cast<std::int64_t>(answer.body.size()), Now());
   const bool sent = co_await this->exchange->Send(std::move(answer));
   co_return sent ? SendOutcome::kAnswered : SendOutcome::kAbandoned;
 }
--- a/gateway/stream_relay.cc
+++ b/gateway/stream_relay.cc
@@ -93,6 +93,7 @@
     if (!begun) co_return false;
   }
   this->ticket->events_delivered += std::exchange(this->due_events, 0);
+  this->core->Link().Add(static_cast<std::int64_t>(this->due.size()), Now());
   const bool sent = co_await this->exchange->Write(this->due);
   this->due.clear();
   co_return sent;
--- a/policy/gateway_core.cc
+++ b/policy/gateway_core.cc
@@ -15,6 +15,7 @@
 // is raised, after a server is free.
 constexpr Duration kRetryNotReady = std::chrono::milliseconds(500);
 constexpr Duration kRetryBudget = std::chrono::milliseconds(1000);
+constexpr Duration kRetryLink = std::chrono::milliseconds(300);
 constexpr Duration kRetryServer = std::chrono::milliseconds(700);
 
 // A send with less time than this is not worth the server's work.
@@ -29,6 +30,15 @@
 // server's connections.
 constexpr std::int64_t kMoreVms = 3;
 
+// A request may lose this part of its target latency at the VM's link, and no
+// more than the bound.
+constexpr std::int64_t kLinkPart = 4;
+constexpr Duration kMostLinkDelay = std::chrono::milliseconds(150);
+
+Duration LongestLinkDelay(const Route& route) {
+  return std::min(kMostLinkDelay, route.target_latency / kLinkPart);
+}
+
 // Spreads the callers' return over half of the time more.
 Duration Spread(Duration after, std::string_view request_id) {
   const std::uint64_t hash = coordination::StableHash(request_id);
@@ -42,7 +52,8 @@
 GatewayCore::GatewayCore(GatewayOptions options, std::uint64_t incarnation)
     : options(std::move(options)),
       board(this->options.availability_zone),
-      budgets(incarnation, this->options.budgets) {}
+      budgets(incarnation, this->options.budgets),
+      link(this->options.link_bytes_per_second) {}
 
 bool GatewayCore::SetConfig(GatewayConfig config) {
   if (this->table && config.version <= this->table->Config().version) {
@@ -83,7 +94,12 @@
     }
   }
 
-  // Step 3: the service, and the time that is left.
+  // Step 3: the VM's link. Another VM may have room.
+  if (this->link.Delay(now) > LongestLinkDelay(*ticket.route)) {
+    return Refusal{ErrorKind::kOverloaded, Spread(kRetryLink, request.id)};
+  }
+
+  // Step 4: the service, and the time that is left.
   ticket.service = this->ChooseService(*ticket.table, *ticket.route, request);
   if (ticket.service == nullptr) {
     return Refusal{ErrorKind::kNoUpstream, Spread(kRetryServer, request.id)};
--- a/policy/gateway_core.h
+++ b/policy/gateway_core.h
@@ -15,6 +15,7 @@
 #include "policy/budget_desk.h"
 #include "policy/error_kind.h"
 #include "policy/gateway_request.h"
+#include "policy/link_meter.h"
 #include "policy/retry_allowance.h"
 #include "policy/route_table.h"
 #include "policy/server_board.h"
@@ -64,6 +65,7 @@
   std::string availability_zone;
   RetryBounds retries;
   BudgetDeskOptions budgets;
+  std::int64_t link_bytes_per_second = 0;  // of this VM; 0: not known
 };
 
 class GatewayCore {
@@ -100,6 +102,7 @@
   ServerDirectory& Servers() { return this->servers; }
   ServerBoard& Board() { return this->board; }
   BudgetDesk& Budgets() { return this->budgets; }
+  LinkMeter& Link() { return this->link; }
   std::size_t InFlight() const { return this->in_flight; }
 
  private:
@@ -113,6 +116,7 @@
   ServerDirectory servers;
   ServerBoard board;
   BudgetDesk budgets;
+  LinkMeter link;
   std::map<std::string, RetryAllowance, std::less<>> allowances;  // by service
   std::size_t in_flight = 0;
   std::int64_t fleet_size = 1;
--- a/settings/gateway_settings.cc
+++ b/settings/gateway_settings.cc
@@ -12,6 +12,7 @@
 constexpr std::array<std::string_view, 4> kLogLevels{"debug", "info", "warn",
                                                      "error"};
 constexpr double kMostSeconds = 3600;
+constexpr double kMostMbps = 1e6;
 
 coordination::Duration SecondsOr(ObjectReader& reader, std::string_view key,
                                  double fallback) {
@@ -49,6 +50,7 @@
     });
     gateway.stop_time = SecondsOr(root, "stop_s", 8);
     gateway.bridged_outage = SecondsOr(root, "bridged_outage_s", 10);
+    gateway.link_mbps = root.NumberOr("link_mbps", 0, kMostMbps, 0);
     gateway.descriptors =
         root.IntegerOr("descriptors", IntegerRange{256, 1'000'000}, 4096);
     gateway.log_level =
--- a/tests/gateway_policy_test.cc
+++ b/tests/gateway_policy_test.cc
@@ -218,6 +218,30 @@
   CHECK(board.Choose(servers, {}, {}, At(2)) == &b);
 }
 
+TEST_CASE("pattern: narrow link, requests are refused before they queue") {
+  GatewayOptions options;
+  options.availability_zone = "z1";
+  options.retries = {0.2, 0, seconds(10)};
+  options.link_bytes_per_second = 1'250'000;
+  GatewayCore core(options, 1);
+  Prepare(core, {"s1"});
+  int refused = 0;
+  // 200 requests of 12,000 bytes in a second, twice what the link carries.
+  for (int i = 0; i < 200; ++i) {
+    const auto admission = core.Admit(MakeRequest("/x"), At(i * 5));
+    if (std::holds_alternative<Refusal>(admission)) {
+      CHECK(RefusedKind(admission) == ErrorKind::kOverloaded);
+      CHECK(std::get<Refusal>(admission).retry_after > milliseconds(0));
+      ++refused;
+      continue;
+    }
+    core.Link().Add(12'000, At(i * 5));
+    CHECK(core.Link().Delay(At(i * 5)) < milliseconds(170));
+  }
+  CHECK(refused > 60);
+  CHECK(refused < 110);
+}
+
 TEST_CASE("entries that lapse while the store is away are kept for a while") {
   ServerDirectory servers;
   servers.SetReachable(true, At(0));
