--- a/gateway/budget_keeper.cc
+++ b/gateway/budget_keeper.cc
@@ -43,7 +43,7 @@
 constexpr std::string_view kShares = "budget_shares";  // by VM and tenant
 
 // How often a look is taken whether a write is due.
-constexpr coordination::Duration kLook = std::chrono::milliseconds(100);
+constexpr coordination::Duration kLook = std::chrono::milliseconds(200);
 
 template <typename Value>
 std::string Encode(const Value& value) {
