A VM that reaches few upstreams is left out; its own bounds are no failure

Ruled out: the link's bytes (45% by count) and late timers (2 ms). Change: readiness follows the link's load, late timers, and the share of sends that do not arrive; answers end their connections then.

--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -26,6 +26,7 @@
 #include "platform/store_client.h"
 #include "policy/event.h"
 #include "policy/gateway_core.h"
+#include "policy/lag_meter.h"
 
 namespace hornbeamspool::gateway {
 namespace {
@@ -81,6 +82,7 @@
   bool Ready() const;
   http::Task<void> AnswerReadiness(http::Exchange& exchange);
   http::Task<void> AnswerMetrics(http::Exchange& exchange);
+  void LookAtLoad(Duration lateness);
   http::Task<void> ExpireServers();
   http::Task<void> Stop();
   http::ServerLimits LimitsOf(const policy::CallerLimits& limits) const;
@@ -104,7 +106,9 @@
   TableFollower operator_table;
   TableFollower server_table;
   boost::asio::signal_set signals;
+  policy::LagMeter lag;
   bool stopping = false;
+  bool crowded = false;  // callers are led to other VMs
   bool servers_known = false;
 };
 
@@ -252,7 +256,7 @@
 }
 
 bool Gateway::State::Ready() const {
-  return !this->stopping && this->core.Table() != nullptr &&
+  return !this->stopping && !this->crowded && this->core.Table() != nullptr &&
          this->servers_known;
 }
 
@@ -272,11 +276,35 @@
   co_await exchange.Send(std::move(response));
 }
 
+// A crowded VM can't be relieved by refusals, which take its link and its
+// processor too: the balancer is told to leave it out, and answers end their
+// connections, so that callers come back elsewhere.
+void Gateway::State::LookAtLoad(Duration lateness) {
+  this->lag.Add(lateness);
+  const bool link = this->core.Link().IsCrowded(Now());
+  const bool isolated = this->core.Reach().IsIsolated(Now());
+  const bool crowded = link || isolated || this->lag.IsBehind();
+  if (crowded == this->crowded || this->stopping) return;
+  this->crowded = crowded;
+  this->callers.CloseAfterAnswers(crowded);
+  this->log.Write(
+      LogKind::kDependency,
+      KeyValue("load", crowded ? "crowded" : "calm") + ' ' +
+          KeyValue("by", link       ? "link"
+                         : isolated ? "upstreams"
+                                    : "processor") +
+          ' ' +
+          KeyValue("late_us", static_cast<std::int64_t>(lateness.count())),
+      Now());
+}
+
 http::Task<void> Gateway::State::ExpireServers() {
   http::Timer timer(this->io);
   while (true) {
     timer.expires_after(kExpireEvery);
     co_await timer.async_wait(http::kAwait);
+    this->LookAtLoad(std::chrono::duration_cast<Duration>(
+        std::chrono::steady_clock::now() - timer.expiry()));
     for (const std::string& id : this->core.Servers().Expire(Now())) {
       this->core.Board().Forget(id);
       this->log.Write(
@@ -328,7 +356,7 @@
       LogKind::kStopping,
       KeyValue("in_flight", static_cast<std::int64_t>(this->core.InFlight())),
       begin);
-  this->callers.CloseAfterAnswers();
+  this->callers.CloseAfterAnswers(true);
   this->broker.Leave();
   boost::asio::co_spawn(this->io, this->channel.Leave(), boost::asio::detached);
   http::Timer timer(this->io);
--- a/gateway/request_relay.cc
+++ b/gateway/request_relay.cc
@@ -51,8 +51,9 @@
 std::string_view NameOf(SendOutcome outcome) {
   static constexpr std::array<std::string_view,
                               static_cast<std::size_t>(SendOutcome::kCount)>
-      kNames{"answered",    "server_error", "rejected", "misdirected",
-             "unreachable", "broken",       "silent",   "abandoned"};
+      kNames{"answered",    "server_error", "rejected",
+             "misdirected", "unreachable",  "no_room",
+             "broken",      "silent",       "abandoned"};
   return kNames.at(static_cast<std::size_t>(outcome));
 }
 
@@ -100,6 +101,10 @@
   }
   this->request_id = request->id;
   this->context->metrics->Add(Counter::kRequests);
+  this->context->core->Link().AddReceived(
+      kHeadBytes +
+          static_cast<std::int64_t>(this->exchange->GetRequest().body.size()),
+      this->arrived);
 
   // Step 2: route, key and budget.
   auto admission =
@@ -202,7 +207,7 @@
   options.canceller = &this->canceller;
   const http::Request sent =
       platform::BuildServerRequest(this->exchange->GetRequest(), headers);
-  this->context->core->Link().Add(
+  this->context->core->Link().AddSent(
       kHeadBytes + static_cast<std::int64_t>(sent.body.size()), Now());
   const http::OpenResult opened =
       co_await this->context->client->Open(order.server.address, sent, options);
@@ -210,6 +215,9 @@
     co_return this->canceller.Cancelled() ? SendOutcome::kAbandoned
                                           : SendOutcome::kUnreachable;
   }
+  if (opened.status == http::FetchStatus::kNoRoom) {
+    co_return SendOutcome::kNoRoom;
+  }
   if (opened.status == http::FetchStatus::kTimeout) {
     co_return SendOutcome::kSilent;
   }
@@ -266,6 +274,8 @@
   }
   http::Response answer = platform::BuildCallerAnswer(stream.Head());
   answer.body = std::move(*body);
+  this->context->core->Link().AddReceived(
+      kHeadBytes + static_cast<std::int64_t>(answer.body.size()), Now());
   const bool may_try_again =
       answer.status >= 500 && this->ticket->route->MayRepeat();
   if (may_try_again && !this->ticket->started) {
@@ -274,7 +284,7 @@
   }
   // A resumed stream can't show a failure any more.
   if (this->ticket->started) co_return SendOutcome::kBroken;
-  this->context->core->Link().Add(
+  this->context->core->Link().AddSent(
       kHeadBytes + static_cast<std::int64_t>(answer.body.size()), Now());
   const bool sent = co_await this->exchange->Send(std::move(answer));
   co_return sent ? SendOutcome::kAnswered : SendOutcome::kAbandoned;
--- a/gateway/stream_relay.cc
+++ b/gateway/stream_relay.cc
@@ -48,6 +48,8 @@
     }
     if (read.status != http::FetchStatus::kOk) co_return SendOutcome::kBroken;
     if (read.count == 0) break;
+    this->core->Link().AddReceived(static_cast<std::int64_t>(read.count),
+                                   Now());
     if (!this->events.Feed({piece.data(), read.count})) {
       co_return SendOutcome::kBroken;
     }
@@ -93,7 +95,8 @@
     if (!begun) co_return false;
   }
   this->ticket->events_delivered += std::exchange(this->due_events, 0);
-  this->core->Link().Add(static_cast<std::int64_t>(this->due.size()), Now());
+  this->core->Link().AddSent(static_cast<std::int64_t>(this->due.size()),
+                             Now());
   const bool sent = co_await this->exchange->Write(this->due);
   this->due.clear();
   co_return sent;
--- a/hornbeamctl/explain.cc
+++ b/hornbeamctl/explain.cc
@@ -14,7 +14,7 @@
   std::string_view text;
 };
 
-constexpr std::array<Cause, 16> kCauses{{
+constexpr std::array<Cause, 17> kCauses{{
     {"budget_exhausted",
      "the tenant's prepaid tokens can't cover the request at its most"},
     {"budget_unavailable",
@@ -35,6 +35,7 @@
     {"rejected", "the server did not run the request"},
     {"misdirected", "another server has the address"},
     {"unreachable", "the server could not be reached"},
+    {"no_room", "this VM has its share of the server's connections in use"},
     {"broken", "the server's answer broke off"},
     {"silent", "the server gave no answer in time"},
     {"abandoned", "the caller left"},
--- a/http/client.cc
+++ b/http/client.cc
@@ -337,7 +337,7 @@
     pooled = state->stream != nullptr;
     if (!pooled) {
       if (this->pool->OpenCount(address) >= options.max_connections) {
-        co_return OpenResult{};
+        co_return OpenResult{FetchStatus::kNoRoom, nullptr};
       }
       ++this->pool->open[state->address];
       state->stream = co_await Connect(*this->pool->io, address, options);
--- a/http/client.h
+++ b/http/client.h
@@ -19,6 +19,7 @@
 enum class FetchStatus : std::uint8_t {
   kOk,
   kUnreachable,  // no byte of the request was sent
+  kNoRoom,       // neither: the address has its most connections already
   kBroken,       // sent, and the connection failed
   kTimeout,      // sent, and no answer came in time
   kCount
--- a/http/server.cc
+++ b/http/server.cc
@@ -392,7 +392,9 @@
   this->state->limits = limits;
 }
 
-void Server::CloseAfterAnswers() { this->state->closing_after_answers = true; }
+void Server::CloseAfterAnswers(bool close) {
+  this->state->closing_after_answers = close;
+}
 
 void Server::Drain() {
   this->state->draining = true;
--- a/http/server.h
+++ b/http/server.h
@@ -54,9 +54,9 @@
   // Limits of the requests that are read from now on.
   void SetLimits(const ServerLimits& limits);
 
-  // Answers from now on end their connections; the listener stays open, so
-  // that callers who are still sent here are served.
-  void CloseAfterAnswers();
+  // Whether answers from now on end their connections; the listener stays open,
+  // so that callers who are still sent here are served.
+  void CloseAfterAnswers(bool close);
 
   // Stops accepting and closes idle connections. Requests in progress go on,
   // and their connections close after the answer.
--- a/policy/gateway_core.cc
+++ b/policy/gateway_core.cc
@@ -192,8 +192,12 @@
 bool GatewayCore::OnSendEnded(Ticket& ticket, const SendOrder& order,
                               SendOutcome outcome, TimePoint now) {
   this->board.OnEnded(order.record, outcome, now);
+  const bool tells =
+      outcome != SendOutcome::kAbandoned && outcome != SendOutcome::kNoRoom;
+  if (tells) this->reach.Add(outcome != SendOutcome::kUnreachable, now);
   const bool not_run = outcome == SendOutcome::kRejected ||
                        outcome == SendOutcome::kMisdirected ||
+                       outcome == SendOutcome::kNoRoom ||
                        outcome == SendOutcome::kUnreachable;
   if (!not_run) {
     ++ticket.runs;
--- a/policy/gateway_core.h
+++ b/policy/gateway_core.h
@@ -16,6 +16,7 @@
 #include "policy/error_kind.h"
 #include "policy/gateway_request.h"
 #include "policy/link_meter.h"
+#include "policy/reach_meter.h"
 #include "policy/retry_allowance.h"
 #include "policy/route_table.h"
 #include "policy/server_board.h"
@@ -103,6 +104,7 @@
   ServerBoard& Board() { return this->board; }
   BudgetDesk& Budgets() { return this->budgets; }
   LinkMeter& Link() { return this->link; }
+  ReachMeter& Reach() { return this->reach; }
   std::size_t InFlight() const { return this->in_flight; }
 
  private:
@@ -117,6 +119,7 @@
   ServerBoard board;
   BudgetDesk budgets;
   LinkMeter link;
+  ReachMeter reach;
   std::map<std::string, RetryAllowance, std::less<>> allowances;  // by service
   std::size_t in_flight = 0;
   std::int64_t fleet_size = 1;
--- a/policy/server_board.h
+++ b/policy/server_board.h
@@ -32,6 +32,7 @@
   kRejected,     // the server said that it did not run the request
   kMisdirected,  // another server has the address; the request has not run
   kUnreachable,  // no byte was sent
+  kNoRoom,       // not sent: this VM has its most connections to the server
   kBroken,       // sent; the answer failed or belongs to another request
   kSilent,       // sent; no answer came in time
   kAbandoned,    // the caller left
