--- a/gateway/budget_keeper.cc
+++ b/gateway/budget_keeper.cc
@@ -39,8 +39,8 @@
 using policy::BudgetRows;
 using policy::KeyValue;
 
-constexpr std::string_view kTotals = "budget_totals";  // by tenant
-constexpr std::string_view kShares = "budget_shares";  // by VM and tenant
+constexpr std::string_view kTotals = "budget_totals";  // by organisation
+constexpr std::string_view kShares = "budget_shares";  // by VM and organisation
 
 // How often a look is taken whether a write is due.
 constexpr coordination::Duration kLook = std::chrono::milliseconds(200);
@@ -72,8 +72,8 @@
   boost::asio::co_spawn(*this->context.io, this->Run(), boost::asio::detached);
 }
 
-std::string BudgetKeeper::ShareKey(std::string_view tenant) const {
-  return this->vm + '/' + std::string(tenant);
+std::string BudgetKeeper::ShareKey(std::string_view organisation) const {
+  return this->vm + '/' + std::string(organisation);
 }
 
 http::Task<void> BudgetKeeper::Run() {
@@ -104,24 +104,24 @@
   }
 }
 
-// The rows of each tenant among `rows`; absent ones have version 0.
+// The rows of each organisation among `rows`; absent ones have version 0.
 std::vector<BudgetRows> BudgetKeeper::Collect(
     std::span<const StoreRow> rows,
-    std::span<const std::string> tenants) const {
+    std::span<const std::string> organisations) const {
   std::map<std::string_view, const StoreRow*> totals;
   std::map<std::string_view, const StoreRow*> shares;
   for (const StoreRow& row : rows) {
     (row.table == kTotals ? totals : shares)[row.key] = &row;
   }
   std::vector<BudgetRows> collected;
-  for (const std::string& tenant : tenants) {
+  for (const std::string& organisation : organisations) {
     BudgetRows entry;
-    entry.tenant = tenant;
-    if (const auto found = totals.find(tenant); found != totals.end()) {
+    entry.organisation = organisation;
+    if (const auto found = totals.find(organisation); found != totals.end()) {
       entry.total = Decode<policy::BudgetTotal>(found->second->value);
       entry.total_version = found->second->version;
     }
-    const std::string share_key = this->ShareKey(tenant);
+    const std::string share_key = this->ShareKey(organisation);
     if (const auto found = shares.find(share_key); found != shares.end()) {
       entry.share = Decode<policy::BudgetShare>(found->second->value);
       entry.share_version = found->second->version;
@@ -133,8 +133,8 @@
 
 http::Task<bool> BudgetKeeper::ReadRows() {
   policy::BudgetDesk& desk = this->context.core->Budgets();
-  std::vector<std::string> tenants = desk.Tenants();
-  if (tenants.empty()) co_return true;
+  std::vector<std::string> organisations = desk.Organisations();
+  if (organisations.empty()) co_return true;
   const platform::KeyRange all;
   platform::StoreAnswer totals =
       co_await this->store->Read(std::string(kTotals), all);
@@ -148,13 +148,13 @@
   desk.OnStoreClock(shares.store_ms, Now());
   std::vector<StoreRow> rows = std::move(totals.rows);
   for (StoreRow& row : shares.rows) rows.push_back(std::move(row));
-  desk.OnRead(this->Collect(rows, tenants));
+  desk.OnRead(this->Collect(rows, organisations));
   co_return true;
 }
 
 void BudgetKeeper::LogLimits(const std::vector<BudgetRows>& rows) {
   for (const BudgetRows& row : rows) {
-    std::string pairs = KeyValue("tenant", row.tenant);
+    std::string pairs = KeyValue("organisation", row.organisation);
     pairs += ' ' + KeyValue("limit", row.share.limit);
     pairs += ' ' + KeyValue("spent", row.share.spent);
     pairs += ' ' + KeyValue("fleet_committed", row.total.committed);
@@ -166,12 +166,12 @@
 http::Task<bool> BudgetKeeper::WriteRows(std::vector<BudgetRows> rows) {
   policy::BudgetDesk& desk = this->context.core->Budgets();
   std::vector<StoreRow> puts;
-  std::vector<std::string> tenants;
+  std::vector<std::string> organisations;
   for (const BudgetRows& row : rows) {
-    tenants.push_back(row.tenant);
-    puts.push_back({std::string(kTotals), row.tenant, Encode(row.total),
+    organisations.push_back(row.organisation);
+    puts.push_back({std::string(kTotals), row.organisation, Encode(row.total),
                     row.total_version});
-    puts.push_back({std::string(kShares), this->ShareKey(row.tenant),
+    puts.push_back({std::string(kShares), this->ShareKey(row.organisation),
                     Encode(row.share), row.share_version});
   }
   platform::StoreAnswer answer = co_await this->store->Write(puts);
@@ -188,7 +188,7 @@
       co_return true;
     case StoreStatus::kConflict:
       desk.OnNotWritten();
-      desk.OnRead(this->Collect(answer.rows, tenants));
+      desk.OnRead(this->Collect(answer.rows, organisations));
       co_return true;
     case StoreStatus::kUnknown:
       desk.OnUnknown();
--- a/gateway/budget_keeper.h
+++ b/gateway/budget_keeper.h
@@ -30,9 +30,9 @@
   http::Task<bool> WriteRows(std::vector<policy::BudgetRows> rows);
   std::vector<policy::BudgetRows> Collect(
       std::span<const platform::StoreRow> rows,
-      std::span<const std::string> tenants) const;
+      std::span<const std::string> organisations) const;
   void LogLimits(const std::vector<policy::BudgetRows>& rows);
-  std::string ShareKey(std::string_view tenant) const;
+  std::string ShareKey(std::string_view organisation) const;
 
   Context context;
   platform::StoreClient* store;
--- a/gateway/event_log.cc
+++ b/gateway/event_log.cc
@@ -30,7 +30,7 @@
     {"stopping", 10, log4cplus::INFO_LOG_LEVEL},
     {"stopped", 10, log4cplus::INFO_LOG_LEVEL},
     {"config", 20, log4cplus::INFO_LOG_LEVEL},
-    {"server", 50, log4cplus::INFO_LOG_LEVEL},
+    {"upstream", 50, log4cplus::INFO_LOG_LEVEL},
     {"dependency", 20, log4cplus::WARN_LOG_LEVEL},
     {"budget", 20, log4cplus::INFO_LOG_LEVEL},
     {"refused", 50, log4cplus::WARN_LOG_LEVEL},
--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -43,7 +43,7 @@
 
 constexpr Duration kLook = std::chrono::milliseconds(100);
 
-// Servers whose doubt has passed are forgotten this often.
+// Upstreams whose doubt has passed are forgotten this often.
 constexpr Duration kExpireEvery = std::chrono::milliseconds(500);
 
 // Descriptors for files, the store and the balancer.
@@ -76,14 +76,14 @@
   std::string Listen();
   void FollowSignals();
   void OnOperatorRows(const std::vector<platform::StoreRow>& rows);
-  void OnServerRows(const std::vector<platform::StoreRow>& rows);
-  void OnAllServers(const std::vector<platform::StoreRow>& rows);
+  void OnUpstreamRows(const std::vector<platform::StoreRow>& rows);
+  void OnAllUpstreams(const std::vector<platform::StoreRow>& rows);
   void OnStore(std::string_view table, bool reachable);
   bool Ready() const;
   http::Task<void> AnswerReadiness(http::Exchange& exchange);
   http::Task<void> AnswerMetrics(http::Exchange& exchange);
   void LookAtLoad(Duration lateness);
-  http::Task<void> ExpireServers();
+  http::Task<void> ExpireUpstreams();
   http::Task<void> Stop();
   http::ServerLimits LimitsOf(const policy::CallerLimits& limits) const;
 
@@ -104,12 +104,12 @@
   http::Server readiness;
   http::Server metrics_page;
   TableFollower operator_table;
-  TableFollower server_table;
+  TableFollower upstream_table;
   boost::asio::signal_set signals;
   policy::LagMeter lag;
   bool stopping = false;
   bool crowded = false;  // callers are led to other VMs
-  bool servers_known = false;
+  bool upstreams_known = false;
 };
 
 Gateway::State::State(settings::GatewaySettings given, Reload reload)
@@ -155,26 +155,27 @@
                         this->core.SetConfigConfirmed(reachable);
                         this->OnStore(platform::kOperatorTable, reachable);
                       }}),
-      server_table(this->io, this->store, std::string(platform::kServerTable),
-                   {[this](const auto& rows) { this->OnAllServers(rows); },
-                    [this](const auto& rows) { this->OnServerRows(rows); },
-                    [this](bool reachable) {
-                      this->core.Servers().SetReachable(reachable, Now());
-                      this->OnStore(platform::kServerTable, reachable);
-                    }}),
+      upstream_table(this->io, this->store,
+                     std::string(platform::kUpstreamTable),
+                     {[this](const auto& rows) { this->OnAllUpstreams(rows); },
+                      [this](const auto& rows) { this->OnUpstreamRows(rows); },
+                      [this](bool reachable) {
+                        this->core.Upstreams().SetReachable(reachable, Now());
+                        this->OnStore(platform::kUpstreamTable, reachable);
+                      }}),
       signals(this->io, SIGTERM, SIGINT, SIGHUP) {}
 
 http::ServerLimits Gateway::State::LimitsOf(
     const policy::CallerLimits& limits) const {
-  http::ServerLimits server;
-  server.header_timeout = limits.header_timeout;
-  server.idle_timeout = limits.idle_timeout;
-  server.header_bytes = static_cast<std::uint32_t>(limits.header_bytes);
-  server.body_bytes = static_cast<std::uint64_t>(limits.body_bytes);
-  // A request may need a connection to a server besides its caller's.
-  server.connections = static_cast<std::size_t>(std::max<std::int64_t>(
+  http::ServerLimits own;
+  own.header_timeout = limits.header_timeout;
+  own.idle_timeout = limits.idle_timeout;
+  own.header_bytes = static_cast<std::uint32_t>(limits.header_bytes);
+  own.body_bytes = static_cast<std::uint64_t>(limits.body_bytes);
+  // A request may need a connection to a own besides its caller's.
+  own.connections = static_cast<std::size_t>(std::max<std::int64_t>(
       16, (this->settings.descriptors - kOwnDescriptors) / 2));
-  return server;
+  return own;
 }
 
 void Gateway::State::OnOperatorRows(
@@ -194,8 +195,9 @@
     const auto version = static_cast<std::int64_t>(config->version);
     const auto routes = static_cast<std::int64_t>(config->routes.size());
     std::int64_t prepaid = 0;
-    for (const policy::Tenant& tenant : config->tenants) {
-      prepaid += tenant.prepaid.value_or(0);
+    for (const policy::GatewayOrganisation& organisation :
+         config->organisations) {
+      prepaid += organisation.prepaid.value_or(0);
     }
     if (!this->core.SetConfig(std::move(*config))) continue;
     this->callers.SetLimits(
@@ -210,42 +212,45 @@
   }
 }
 
-void Gateway::State::OnServerRows(const std::vector<platform::StoreRow>& rows) {
+void Gateway::State::OnUpstreamRows(
+    const std::vector<platform::StoreRow>& rows) {
   const TimePoint now = Now();
   for (const platform::StoreRow& row : rows) {
-    std::optional<policy::ServerEntry> entry;
-    if (!row.removed) entry = platform::DecodeServer(row.key, row.value);
-    std::string pairs = KeyValue("server", row.key);
+    std::optional<policy::UpstreamEntry> entry;
+    if (!row.removed) entry = platform::DecodeUpstream(row.key, row.value);
+    std::string pairs = KeyValue("upstream", row.key);
     if (!entry) {
-      this->core.Servers().Remove(row.key, now);
+      this->core.Upstreams().Remove(row.key, now);
       pairs += ' ' + KeyValue("state", row.removed ? "removed" : "unreadable");
     } else {
-      const policy::ServerEntry* before = this->core.Servers().Find(row.key);
+      const policy::UpstreamEntry* before =
+          this->core.Upstreams().Find(row.key);
       const bool reborn = before && before->born_ms != entry->born_ms;
       if (reborn) this->core.Board().Forget(row.key);
       pairs += ' ' + KeyValue("service", entry->service);
       pairs += ' ' + KeyValue("state", entry->draining ? "draining" : "ready");
       pairs += ' ' + KeyValue("version", entry->version);
-      this->core.Servers().Put(std::move(*entry));
+      this->core.Upstreams().Put(std::move(*entry));
     }
-    this->log.Write(LogKind::kServer, pairs, now);
+    this->log.Write(LogKind::kUpstream, pairs, now);
   }
 }
 
-void Gateway::State::OnAllServers(const std::vector<platform::StoreRow>& rows) {
-  std::vector<policy::ServerEntry> entries;
+void Gateway::State::OnAllUpstreams(
+    const std::vector<platform::StoreRow>& rows) {
+  std::vector<policy::UpstreamEntry> entries;
   for (const platform::StoreRow& row : rows) {
-    if (auto entry = platform::DecodeServer(row.key, row.value)) {
+    if (auto entry = platform::DecodeUpstream(row.key, row.value)) {
       entries.push_back(std::move(*entry));
     }
   }
   this->log.Write(
-      LogKind::kServer,
+      LogKind::kUpstream,
       KeyValue("listed", static_cast<std::int64_t>(rows.size())) + ' ' +
           KeyValue("usable", static_cast<std::int64_t>(entries.size())),
       Now());
-  this->core.Servers().Replace(std::move(entries), Now());
-  this->servers_known = true;
+  this->core.Upstreams().Replace(std::move(entries), Now());
+  this->upstreams_known = true;
 }
 
 void Gateway::State::OnStore(std::string_view table, bool reachable) {
@@ -257,7 +262,7 @@
 
 bool Gateway::State::Ready() const {
   return !this->stopping && !this->crowded && this->core.Table() != nullptr &&
-         this->servers_known;
+         this->upstreams_known;
 }
 
 http::Task<void> Gateway::State::AnswerReadiness(http::Exchange& exchange) {
@@ -298,18 +303,19 @@
       Now());
 }
 
-http::Task<void> Gateway::State::ExpireServers() {
+http::Task<void> Gateway::State::ExpireUpstreams() {
   http::Timer timer(this->io);
   while (true) {
     timer.expires_after(kExpireEvery);
     co_await timer.async_wait(http::kAwait);
     this->LookAtLoad(std::chrono::duration_cast<Duration>(
         std::chrono::steady_clock::now() - timer.expiry()));
-    for (const std::string& id : this->core.Servers().Expire(Now())) {
+    for (const std::string& id : this->core.Upstreams().Expire(Now())) {
       this->core.Board().Forget(id);
       this->log.Write(
-          LogKind::kServer,
-          KeyValue("server", id) + ' ' + KeyValue("state", "not_back"), Now());
+          LogKind::kUpstream,
+          KeyValue("upstream", id) + ' ' + KeyValue("state", "not_back"),
+          Now());
     }
   }
 }
@@ -396,10 +402,11 @@
                   Now());
   state.FollowSignals();
   state.operator_table.Start();
-  state.server_table.Start();
+  state.upstream_table.Start();
   state.keeper.Start();
   state.broker.Start();
-  boost::asio::co_spawn(state.io, state.ExpireServers(), boost::asio::detached);
+  boost::asio::co_spawn(state.io, state.ExpireUpstreams(),
+                        boost::asio::detached);
   state.io.run();
   return {};
 }
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -1,6 +1,6 @@
-// The gateway daemon: a router that takes its routes, servers and budgets from
-// the platform's store. One thread: a VM has a quarter of a core, and handing
-// an event from thread to thread costs two system calls.
+// The gateway daemon: a router that takes its routes, upstreams and budgets
+// from the platform's store. One thread: a VM has a quarter of a core, and
+// handing an event from thread to thread costs two system calls.
 #pragma once
 
 #include <functional>
--- a/gateway/request_relay.cc
+++ b/gateway/request_relay.cc
@@ -39,7 +39,7 @@
 // 200 ms.
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(500);
 
-// A pooled connection that has been idle longer may be closed by its server
+// A pooled connection that has been idle longer may be closed by its upstream
 // without notice; a request that runs at most once is not risked on it.
 constexpr Duration kLongestIdleForOrders = std::chrono::seconds(1);
 
@@ -51,9 +51,9 @@
 std::string_view NameOf(SendOutcome outcome) {
   static constexpr std::array<std::string_view,
                               static_cast<std::size_t>(SendOutcome::kCount)>
-      kNames{"answered",    "server_error", "rejected",
-             "misdirected", "unreachable",  "no_room",
-             "broken",      "silent",       "abandoned"};
+      kNames{"answered",    "upstream_error", "rejected",
+             "misdirected", "unreachable",    "no_room",
+             "broken",      "silent",         "abandoned"};
   return kNames.at(static_cast<std::size_t>(outcome));
 }
 
@@ -86,7 +86,8 @@
   http::Canceller canceller;
   std::optional<Ticket> ticket;
   std::string request_id;
-  std::optional<http::Response> server_error;  // shown when no other try helps
+  std::optional<http::Response>
+      upstream_error;  // shown when no other try helps
 };
 
 http::Task<void> RequestRelay::Run() {
@@ -118,7 +119,7 @@
   if (const std::optional<Refusal> refusal = co_await this->Pay()) {
     co_await this->Refuse(*refusal);
   } else {
-    // Step 3: servers, one after the other.
+    // Step 3: upstreams, one after the other.
     co_await this->SendUntilAnswered();
   }
   this->exchange->OnGone(nullptr);
@@ -134,13 +135,13 @@
     BudgetVerdict verdict = core.Pay(*this->ticket, Now());
     if (verdict == BudgetVerdict::kReserved) {
       if (this->ticket->reserved > 0) {
-        broker.Replenish(this->ticket->tenant->name);
+        broker.Replenish(this->ticket->organisation->name);
       }
       co_return std::nullopt;
     }
     const bool waits = Now() < give_up && !this->canceller.Cancelled();
     if (waits) {
-      verdict = co_await broker.Find(this->ticket->tenant->name,
+      verdict = co_await broker.Find(this->ticket->organisation->name,
                                      this->ticket->request.demand->WorstCase(),
                                      give_up);
       if (verdict == BudgetVerdict::kReserved) continue;
@@ -180,8 +181,8 @@
     this->exchange->Abort();
     co_return;
   }
-  if (this->server_error) {
-    co_await this->exchange->Send(std::move(*this->server_error));
+  if (this->upstream_error) {
+    co_await this->exchange->Send(std::move(*this->upstream_error));
     co_return;
   }
   co_await this->Refuse(*last);
@@ -190,8 +191,8 @@
 http::Task<SendOutcome> RequestRelay::Send(SendOrder& order) {
   const Ticket& ticket = *this->ticket;
   platform::SendHeaders headers;
-  headers.server = order.server.id;
-  if (ticket.tenant) headers.tenant = ticket.tenant->name;
+  headers.upstream = order.upstream.id;
+  if (ticket.organisation) headers.organisation = ticket.organisation->name;
   headers.left = order.left;
   headers.urgency = order.urgency;
   headers.resume_after = ticket.last_event_id;
@@ -206,11 +207,11 @@
   options.max_connections = order.max_connections;
   options.canceller = &this->canceller;
   const http::Request sent =
-      platform::BuildServerRequest(this->exchange->GetRequest(), headers);
+      platform::BuildUpstreamRequest(this->exchange->GetRequest(), headers);
   this->context->core->Link().AddSent(
       kHeadBytes + static_cast<std::int64_t>(sent.body.size()), Now());
-  const http::OpenResult opened =
-      co_await this->context->client->Open(order.server.address, sent, options);
+  const http::OpenResult opened = co_await this->context->client->Open(
+      order.upstream.address, sent, options);
   if (opened.status == http::FetchStatus::kUnreachable) {
     co_return this->canceller.Cancelled() ? SendOutcome::kAbandoned
                                           : SendOutcome::kUnreachable;
@@ -234,7 +235,7 @@
     co_return SendOutcome::kBroken;
   }
   if (facts.load) {
-    this->context->core->Board().OnLoad(order.server.id, *facts.load, Now());
+    this->context->core->Board().OnLoad(order.upstream.id, *facts.load, Now());
   }
   if (facts.not_run) {
     const bool whole = (co_await this->ReadBody(stream)).has_value();
@@ -279,8 +280,8 @@
   const bool may_try_again =
       answer.status >= 500 && this->ticket->route->MayRepeat();
   if (may_try_again && !this->ticket->started) {
-    this->server_error = std::move(answer);
-    co_return SendOutcome::kServerError;
+    this->upstream_error = std::move(answer);
+    co_return SendOutcome::kUpstreamError;
   }
   // A resumed stream can't show a failure any more.
   if (this->ticket->started) co_return SendOutcome::kBroken;
@@ -299,8 +300,8 @@
   if (this->ticket) {
     pairs += ' ' + KeyValue("route", this->ticket->route->name);
     pairs += ' ' + KeyValue("sends", this->ticket->sends);
-    if (this->ticket->tenant) {
-      pairs += ' ' + KeyValue("tenant", this->ticket->tenant->name);
+    if (this->ticket->organisation) {
+      pairs += ' ' + KeyValue("organisation", this->ticket->organisation->name);
     }
   }
   this->context->log->Write(LogKind::kRefused, pairs, Now());
@@ -341,7 +342,7 @@
   if (this->ticket->sends > 1) this->context->metrics->Add(Counter::kRetries);
   std::string pairs = KeyValue("request", this->request_id);
   pairs += ' ' + KeyValue("route", this->ticket->route->name);
-  pairs += ' ' + KeyValue("server", order.server.id);
+  pairs += ' ' + KeyValue("upstream", order.upstream.id);
   pairs += ' ' + KeyValue("outcome", NameOf(outcome));
   pairs += ' ' + KeyValue("send", this->ticket->sends);
   pairs += ' ' + KeyValue("events", this->ticket->events_delivered);
--- a/gateway/request_relay.h
+++ b/gateway/request_relay.h
@@ -1,4 +1,4 @@
-// Serves one caller's request: asks the decisions, sends it to servers until
+// Serves one caller's request: asks the decisions, sends it to upstreams until
 // one answers, and relays the answer.
 #pragma once
 
--- a/gateway/stream_relay.h
+++ b/gateway/stream_relay.h
@@ -1,5 +1,5 @@
-// Relays an event stream from a server to a caller, whole events only, as they
-// arrive. Holds one piece of the stream: a slow caller stops the reading.
+// Relays an event stream from a upstream to a caller, whole events only, as
+// they arrive. Holds one piece of the stream: a slow caller stops the reading.
 #pragma once
 
 #include <string>
@@ -27,7 +27,7 @@
         stream(&stream) {}
 
   // kAnswered: the stream was relayed to its end. kAbandoned: the caller is
-  // gone. Otherwise the server broke off or fell silent.
+  // gone. Otherwise the upstream broke off or fell silent.
   http::Task<policy::SendOutcome> Run();
 
  private:
--- a/gateway/token_broker.cc
+++ b/gateway/token_broker.cc
@@ -24,7 +24,7 @@
 using transport::BudgetMessageKind;
 using transport::GiftNote;
 
-// VMs that keep a tenant's tokens, one after the other.
+// VMs that keep a organisation's tokens, one after the other.
 constexpr std::size_t kHomes = 2;
 
 // A VM keeps tokens for this long after it was last the first choice, or was
@@ -83,18 +83,18 @@
 }
 
 void TokenBroker::OnShareChanged() {
-  for (auto& [tenant, search] : this->searches) this->Wake(search);
+  for (auto& [organisation, search] : this->searches) this->Wake(search);
 }
 
-http::Task<BudgetVerdict> TokenBroker::Find(std::string tenant,
+http::Task<BudgetVerdict> TokenBroker::Find(std::string organisation,
                                             std::int64_t amount,
                                             TimePoint until) {
-  Search& search = this->searches[tenant];
+  Search& search = this->searches[organisation];
   const TimePoint now = Now();
   if (search.refused_until > now) co_return VerdictOf(search.note);
   if (!search.asking) {
     search.asking = true;
-    boost::asio::co_spawn(*this->context.io, this->Ask(tenant, amount),
+    boost::asio::co_spawn(*this->context.io, this->Ask(organisation, amount),
                           boost::asio::detached);
   }
   http::Timer timer(*this->context.io);
@@ -107,42 +107,43 @@
   co_return BudgetVerdict::kReserved;
 }
 
-void TokenBroker::Replenish(const std::string& tenant) {
-  Search& search = this->searches[tenant];
+void TokenBroker::Replenish(const std::string& organisation) {
+  Search& search = this->searches[organisation];
   if (search.asking || search.refused_until > Now()) return;
   const TimePoint now = Now();
   const std::vector<std::string> homes =
-      this->channel->Directory().HomesOf(tenant, kHomes, now);
+      this->channel->Directory().HomesOf(organisation, kHomes, now);
   if (homes.front() == this->channel->Vm() && !this->leaving) {
-    this->context.core->Budgets().KeepHome(tenant, now + kHomeTime);
+    this->context.core->Budgets().KeepHome(organisation, now + kHomeTime);
     return;
   }
-  if (this->context.core->Budgets().WantedGift(tenant) <= 0) return;
+  if (this->context.core->Budgets().WantedGift(organisation) <= 0) return;
   search.asking = true;
-  boost::asio::co_spawn(*this->context.io, this->Ask(tenant, 0),
+  boost::asio::co_spawn(*this->context.io, this->Ask(organisation, 0),
                         boost::asio::detached);
 }
 
-// Asks the tenant's homes in turn; this VM is the last resort.
-http::Task<void> TokenBroker::Ask(std::string tenant, std::int64_t needed) {
-  Search& search = this->searches[tenant];
+// Asks the organisation's homes in turn; this VM is the last resort.
+http::Task<void> TokenBroker::Ask(std::string organisation,
+                                  std::int64_t needed) {
+  Search& search = this->searches[organisation];
   BudgetDesk& desk = this->context.core->Budgets();
   const std::vector<std::string> homes =
-      this->channel->Directory().HomesOf(tenant, kHomes, Now());
+      this->channel->Directory().HomesOf(organisation, kHomes, Now());
   bool found = false;
   for (const std::string& vm : homes) {
     if (vm == this->channel->Vm() && this->leaving) continue;
     if (vm == this->channel->Vm()) break;
-    found = co_await this->AskPeer(vm, tenant, needed);
+    found = co_await this->AskPeer(vm, organisation, needed);
     if (found) break;
   }
   if (!found && needed > 0) {
     const TimePoint give_up = Now() + kAskTime;
-    desk.KeepHome(tenant, Now() + kHomeTime);
-    BudgetVerdict verdict = desk.VerdictFor(tenant, needed, Now());
+    desk.KeepHome(organisation, Now() + kHomeTime);
+    BudgetVerdict verdict = desk.VerdictFor(organisation, needed, Now());
     if (verdict == BudgetVerdict::kLacking && desk.Reachable()) {
       http::Timer timer(*this->context.io);
-      desk.NoteLacking(tenant, needed);
+      desk.NoteLacking(organisation, needed);
       this->context.budget_keeper->Kick();
       timer.expires_at(give_up);
       search.waiters.insert(&timer);
@@ -161,17 +162,17 @@
 
 // True when the peer gave something, or said for good that nothing is left.
 http::Task<bool> TokenBroker::AskPeer(const std::string& vm,
-                                      const std::string& tenant,
+                                      const std::string& organisation,
                                       std::int64_t needed) {
-  Search& search = this->searches[tenant];
+  Search& search = this->searches[organisation];
   BudgetDesk& desk = this->context.core->Budgets();
   BudgetMessage ask;
   ask.kind = BudgetMessageKind::kAsk;
   ask.id = this->NewId();
   ask.sender = this->channel->Vm();
-  ask.tenant = tenant;
+  ask.organisation = organisation;
   ask.needed = needed;
-  ask.amount = needed + desk.WantedGift(tenant);
+  ask.amount = needed + desk.WantedGift(organisation);
   search.ask_id = ask.id;
   search.answered = false;
   http::Timer timer(*this->context.io);
@@ -190,7 +191,7 @@
   if (search.note == GiftNote::kGiven) co_return true;
   // What is left here is too little for this request; at the home it may add
   // up to enough for another.
-  this->SendGift(vm, tenant, desk.WithdrawFreeGift(tenant));
+  this->SendGift(vm, organisation, desk.WithdrawFreeGift(organisation));
   if (search.note == GiftNote::kUnavailable) co_return false;
   search.refused_until = Now() + kRefusalTime;
   co_return true;
@@ -219,10 +220,10 @@
   if (!known && gift.amount > 0) {
     this->taken.push_back(gift.id);
     if (this->taken.size() > kRemembered) this->taken.pop_front();
-    this->context.core->Budgets().TakeGift(gift.tenant, gift.amount);
+    this->context.core->Budgets().TakeGift(gift.organisation, gift.amount);
     this->context.metrics->Add(Counter::kTokensReceived, gift.amount);
   }
-  Search& search = this->searches[gift.tenant];
+  Search& search = this->searches[gift.organisation];
   if (search.ask_id == gift.id) {
     search.answered = true;
     search.note = gift.note;
@@ -233,19 +234,19 @@
 http::Task<void> TokenBroker::Answer(BudgetMessage ask) {
   BudgetDesk& desk = this->context.core->Budgets();
   const TimePoint give_up = Now() + kAnswerTime;
-  if (!this->leaving) desk.KeepHome(ask.tenant, Now() + kHomeTime);
+  if (!this->leaving) desk.KeepHome(ask.organisation, Now() + kHomeTime);
   BudgetMessage gift;
   gift.kind = BudgetMessageKind::kGift;
   gift.id = ask.id;
   gift.sender = this->channel->Vm();
-  gift.tenant = ask.tenant;
+  gift.organisation = ask.organisation;
   http::Timer timer(*this->context.io);
   while (true) {
-    gift.amount = desk.Give(ask.tenant, ask.needed, ask.amount, Now());
+    gift.amount = desk.Give(ask.organisation, ask.needed, ask.amount, Now());
     const bool enough = gift.amount > 0 || ask.needed == 0;
     if (enough) break;
     const BudgetVerdict verdict =
-        desk.VerdictFor(ask.tenant, ask.needed, Now());
+        desk.VerdictFor(ask.organisation, ask.needed, Now());
     const bool waits = verdict == BudgetVerdict::kLacking && desk.Reachable() &&
                        Now() < give_up;
     if (!waits) {
@@ -253,7 +254,7 @@
       break;
     }
     if (!desk.WriteOutstanding()) {
-      desk.NoteLacking(ask.tenant, ask.needed);
+      desk.NoteLacking(ask.organisation, ask.needed);
       this->context.budget_keeper->Kick();
     }
     timer.expires_after(kAnswerLook);
@@ -267,17 +268,18 @@
 }
 
 // Tokens that can't be sent stay here.
-void TokenBroker::SendGift(const std::string& vm, const std::string& tenant,
+void TokenBroker::SendGift(const std::string& vm,
+                           const std::string& organisation,
                            std::int64_t amount) {
   if (amount <= 0) return;
   BudgetMessage gift;
   gift.kind = BudgetMessageKind::kGift;
   gift.id = this->NewId();
   gift.sender = this->channel->Vm();
-  gift.tenant = tenant;
+  gift.organisation = organisation;
   gift.amount = amount;
   if (!this->channel->Send(vm, gift)) {
-    this->context.core->Budgets().TakeGift(tenant, amount);
+    this->context.core->Budgets().TakeGift(organisation, amount);
     return;
   }
   boost::asio::co_spawn(*this->context.io, this->SendAgain(vm, gift),
@@ -294,33 +296,34 @@
 }
 
 // Empty when this VM is alone.
-std::string TokenBroker::FirstOtherHome(const std::string& tenant) const {
+std::string TokenBroker::FirstOtherHome(const std::string& organisation) const {
   for (std::string& vm :
-       this->channel->Directory().HomesOf(tenant, kHomes, Now())) {
+       this->channel->Directory().HomesOf(organisation, kHomes, Now())) {
     if (vm != this->channel->Vm()) return std::move(vm);
   }
   return {};
 }
 
-// Sends idle gifts to the tenant's home; while the store is away also the share
-// of a tenant that is kept elsewhere, since nobody asks here for it. The home
-// is asked first: what goes to a VM that has died is lost.
-http::Task<void> TokenBroker::HandOver(std::string tenant) {
+// Sends idle gifts to the organisation's home; while the store is away also the
+// share of a organisation that is kept elsewhere, since nobody asks here for
+// it. The home is asked first: what goes to a VM that has died is lost.
+http::Task<void> TokenBroker::HandOver(std::string organisation) {
   BudgetDesk& desk = this->context.core->Budgets();
-  Search& search = this->searches[tenant];
-  const std::string vm = this->FirstOtherHome(tenant);
+  Search& search = this->searches[organisation];
+  const std::string vm = this->FirstOtherHome(organisation);
   const bool passes_on = !desk.Reachable();
-  const std::int64_t idle = desk.IdleGift(tenant);
-  const std::int64_t share = passes_on ? desk.ShareRoom(tenant, Now()) : 0;
+  const std::int64_t idle = desk.IdleGift(organisation);
+  const std::int64_t share =
+      passes_on ? desk.ShareRoom(organisation, Now()) : 0;
   if (vm.empty() || search.asking || idle + share <= 0) co_return;
   search.asking = true;
-  const bool alive = co_await this->AskPeer(vm, tenant, 0);
+  const bool alive = co_await this->AskPeer(vm, organisation, 0);
   search.asking = false;
   this->Wake(search);
   if (!alive) co_return;
-  this->SendGift(vm, tenant, desk.WithdrawIdleGift(tenant));
+  this->SendGift(vm, organisation, desk.WithdrawIdleGift(organisation));
   if (!passes_on || desk.Reachable()) co_return;
-  this->SendGift(vm, tenant, desk.GiveAll(tenant, Now()));
+  this->SendGift(vm, organisation, desk.GiveAll(organisation, Now()));
 }
 
 void TokenBroker::Leave() {
@@ -330,8 +333,9 @@
 }
 
 void TokenBroker::ReturnGifts() {
-  for (const std::string& tenant : this->context.core->Budgets().Tenants()) {
-    boost::asio::co_spawn(*this->context.io, this->HandOver(tenant),
+  for (const std::string& organisation :
+       this->context.core->Budgets().Organisations()) {
+    boost::asio::co_spawn(*this->context.io, this->HandOver(organisation),
                           boost::asio::detached);
   }
 }
@@ -341,13 +345,13 @@
   http::Timer timer(*this->context.io);
   while (true) {
     BudgetDesk& desk = this->context.core->Budgets();
-    for (const std::string& tenant : desk.Tenants()) {
+    for (const std::string& organisation : desk.Organisations()) {
       const std::vector<std::string> homes =
-          this->channel->Directory().HomesOf(tenant, 1, Now());
+          this->channel->Directory().HomesOf(organisation, 1, Now());
       if (homes.front() == this->channel->Vm() && !this->leaving) {
-        desk.KeepHome(tenant, Now() + kHomeTime);
+        desk.KeepHome(organisation, Now() + kHomeTime);
       } else {
-        boost::asio::co_spawn(*this->context.io, this->HandOver(tenant),
+        boost::asio::co_spawn(*this->context.io, this->HandOver(organisation),
                               boost::asio::detached);
       }
     }
--- a/gateway/token_broker.h
+++ b/gateway/token_broker.h
@@ -1,5 +1,6 @@
-// Finds tokens for requests: from this VM's share where it keeps a tenant's
-// tokens, from the VM that does otherwise. Answers peers that ask.
+// Finds tokens for requests: from this VM's share where it keeps a
+// organisation's tokens, from the VM that does otherwise. Answers peers that
+// ask.
 #pragma once
 
 #include <deque>
@@ -28,24 +29,25 @@
 
   void Start();
 
-  // Waits until tokens may have come for `amount` of the tenant, or the reason
-  // is known why they don't: kReserved says to try again.
-  http::Task<policy::BudgetVerdict> Find(std::string tenant,
+  // Waits until tokens may have come for `amount` of the organisation, or the
+  // reason is known why they don't: kReserved says to try again.
+  http::Task<policy::BudgetVerdict> Find(std::string organisation,
                                          std::int64_t amount,
                                          coordination::TimePoint until);
   // Asks ahead of the next requests where gifts run low.
-  void Replenish(const std::string& tenant);
+  void Replenish(const std::string& organisation);
 
   void OnMessage(const transport::BudgetMessage& message);
   // The store has answered a write: requests that wait may go on.
   void OnShareChanged();
-  // This VM is about to stop: others keep the tenants' tokens from here on.
+  // This VM is about to stop: others keep the organisations' tokens from here
+  // on.
   void Leave();
   // Gives every gift back.
   void ReturnGifts();
 
  private:
-  // What is known of one tenant's search.
+  // What is known of one organisation's search.
   struct Search {
     bool asking = false;
     std::uint64_t ask_id = 0;
@@ -61,18 +63,19 @@
     transport::BudgetMessage message;
   };
 
-  http::Task<void> Ask(std::string tenant, std::int64_t needed);
-  http::Task<bool> AskPeer(const std::string& vm, const std::string& tenant,
+  http::Task<void> Ask(std::string organisation, std::int64_t needed);
+  http::Task<bool> AskPeer(const std::string& vm,
+                           const std::string& organisation,
                            std::int64_t needed);
   http::Task<void> Answer(transport::BudgetMessage ask);
   http::Task<void> Maintain();
   void OnGift(const transport::BudgetMessage& gift);
   void Wake(Search& search);
-  void SendGift(const std::string& vm, const std::string& tenant,
+  void SendGift(const std::string& vm, const std::string& organisation,
                 std::int64_t amount);
-  http::Task<void> HandOver(std::string tenant);
+  http::Task<void> HandOver(std::string organisation);
   http::Task<void> SendAgain(std::string vm, transport::BudgetMessage gift);
-  std::string FirstOtherHome(const std::string& tenant) const;
+  std::string FirstOtherHome(const std::string& organisation) const;
   std::uint64_t NewId();
 
   Context context;
--- a/hornbeamctl/explain.cc
+++ b/hornbeamctl/explain.cc
@@ -16,28 +16,29 @@
 
 constexpr std::array<Cause, 17> kCauses{{
     {"budget_exhausted",
-     "the tenant's prepaid tokens can't cover the request at its most"},
+     "the organisation's prepaid tokens can't cover the request at its most"},
     {"budget_unavailable",
-     "no tokens of the tenant could be had here in time: see the store's and "
+     "no tokens of the organisation could be had here in time: see the store's "
+     "and "
      "the budget's lines above"},
     {"not_ready", "the VM had no configuration, or could not confirm it"},
     {"not_found", "no route of the host has this path"},
-    {"unauthenticated", "no tenant holds the key"},
-    {"no_upstream", "no server could take the request"},
+    {"unauthenticated", "no organisation holds the key"},
+    {"no_upstream", "no upstream could take the request"},
     {"upstream_failed",
-     "a server may have run the request, and its answer "
+     "a upstream may have run the request, and its answer "
      "was lost, broken, or another request's"},
     {"upstream_timeout",
-     "a server may have run the request, and gave no "
+     "a upstream may have run the request, and gave no "
      "answer in time"},
-    {"answered", "the server's answer was relayed to its end"},
-    {"server_error", "the server answered that it had failed"},
-    {"rejected", "the server did not run the request"},
-    {"misdirected", "another server has the address"},
-    {"unreachable", "the server could not be reached"},
-    {"no_room", "this VM has its share of the server's connections in use"},
-    {"broken", "the server's answer broke off"},
-    {"silent", "the server gave no answer in time"},
+    {"answered", "the upstream's answer was relayed to its end"},
+    {"upstream_error", "the upstream answered that it had failed"},
+    {"rejected", "the upstream did not run the request"},
+    {"misdirected", "another upstream has the address"},
+    {"unreachable", "the upstream could not be reached"},
+    {"no_room", "this VM has its share of the upstream's connections in use"},
+    {"broken", "the upstream's answer broke off"},
+    {"silent", "the upstream gave no answer in time"},
     {"abandoned", "the caller left"},
 }};
 
@@ -53,15 +54,15 @@
   return line.substr(0, line.find(' '));
 }
 
-// What the request depended on: the store, the configuration, its servers and
-// its tenant's budget, at the same VM.
+// What the request depended on: the store, the configuration, its upstreams and
+// its organisation's budget, at the same VM.
 bool Concerns(std::string_view line, std::string_view vm,
-              std::string_view server, std::string_view tenant) {
+              std::string_view upstream, std::string_view organisation) {
   if (LogValue(line, "vm") != vm) return false;
   const std::string_view event = LogValue(line, "event");
   if (event == "dependency" || event == "config") return true;
-  if (event == "server") return LogValue(line, "server") == server;
-  return event == "budget" && LogValue(line, "tenant") == tenant;
+  if (event == "upstream") return LogValue(line, "upstream") == upstream;
+  return event == "budget" && LogValue(line, "organisation") == organisation;
 }
 
 }  // namespace
@@ -99,14 +100,14 @@
   for (const std::string& line : lines) {
     if (TimeOf(line) > TimeOf(last)) continue;
     const bool concerns =
-        Concerns(line, LogValue(last, "vm"), LogValue(last, "server"),
-                 LogValue(last, "tenant"));
+        Concerns(line, LogValue(last, "vm"), LogValue(last, "upstream"),
+                 LogValue(last, "organisation"));
     if (concerns) before.push_back(line);
   }
   std::stable_sort(before.begin(), before.end(), earlier);
   std::vector<std::string> story;
   for (const std::string_view event :
-       {"config", "dependency", "server", "budget"}) {
+       {"config", "dependency", "upstream", "budget"}) {
     std::vector<std::string> latest;
     for (const std::string& line : before) {
       if (LogValue(line, "event") == event) latest.push_back(line);
--- a/policy/budget_desk.cc
+++ b/policy/budget_desk.cc
@@ -8,8 +8,8 @@
 namespace hornbeamspool::policy {
 namespace {
 
-// Until a tenant's demand is known, its home holds this part of its budget: a
-// few seconds of a day's spending.
+// Until a organisation's demand is known, its home holds this part of its
+// budget: a few seconds of a day's spending.
 constexpr std::int64_t kFirstPart = 12;
 
 // Gifts cover a peer's demand for this long; a wish that no request waits for
@@ -43,8 +43,8 @@
 constexpr std::int64_t kBurstPart = 2;
 constexpr std::int64_t kOldCheckpointMs = 450;
 
-// Rows of one transaction: two for each tenant, at most 100 entries.
-constexpr std::size_t kMostTenantsPerWrite = 24;
+// Rows of one transaction: two for each organisation, at most 100 entries.
+constexpr std::size_t kMostOrganisationsPerWrite = 24;
 
 // The clocks of a process and of the store may drift by one part in this many,
 // and a successor reads the store's clock in whole milliseconds.
@@ -53,11 +53,12 @@
 
 }  // namespace
 
-void BudgetDesk::SetPrepaid(std::string_view tenant, std::int64_t prepaid) {
-  auto [found, added] = this->entries.try_emplace(std::string(tenant));
+void BudgetDesk::SetPrepaid(std::string_view organisation,
+                            std::int64_t prepaid) {
+  auto [found, added] = this->entries.try_emplace(std::string(organisation));
   found->second.prepaid = prepaid;
   if (!added) return;
-  found->second.rows.tenant = std::string(tenant);
+  found->second.rows.organisation = std::string(organisation);
   this->needs_read = true;
 }
 
@@ -93,10 +94,11 @@
   return bound;
 }
 
-BudgetVerdict BudgetDesk::Reserve(std::string_view tenant, std::int64_t amount,
+BudgetVerdict BudgetDesk::Reserve(std::string_view organisation,
+                                  std::int64_t amount,
                                   coordination::TimePoint now,
                                   BudgetSource& source) {
-  const auto found = this->entries.find(tenant);
+  const auto found = this->entries.find(organisation);
   if (found == this->entries.end()) return BudgetVerdict::kLacking;
   Entry& entry = found->second;
   if (entry.gifts.Reserve(amount, entry.received)) {
@@ -107,13 +109,13 @@
     source = BudgetSource::kShare;
     return BudgetVerdict::kReserved;
   }
-  return this->VerdictFor(tenant, amount, now);
+  return this->VerdictFor(organisation, amount, now);
 }
 
-BudgetVerdict BudgetDesk::VerdictFor(std::string_view tenant,
+BudgetVerdict BudgetDesk::VerdictFor(std::string_view organisation,
                                      std::int64_t amount,
                                      coordination::TimePoint now) {
-  const auto found = this->entries.find(tenant);
+  const auto found = this->entries.find(organisation);
   if (found == this->entries.end()) return BudgetVerdict::kLacking;
   const Entry& entry = found->second;
   if (!entry.read) return BudgetVerdict::kLacking;
@@ -137,19 +139,19 @@
   return BudgetVerdict::kHeld;
 }
 
-void BudgetDesk::Settle(std::string_view tenant, std::int64_t amount,
+void BudgetDesk::Settle(std::string_view organisation, std::int64_t amount,
                         std::int64_t used, BudgetSource source) {
-  const auto found = this->entries.find(tenant);
+  const auto found = this->entries.find(organisation);
   if (found == this->entries.end()) return;
   Entry& entry = found->second;
   (source == BudgetSource::kGift ? entry.gifts : entry.account)
       .Settle(amount, used);
 }
 
-std::int64_t BudgetDesk::Give(std::string_view tenant, std::int64_t needed,
-                              std::int64_t wanted,
+std::int64_t BudgetDesk::Give(std::string_view organisation,
+                              std::int64_t needed, std::int64_t wanted,
                               coordination::TimePoint now) {
-  const auto found = this->entries.find(tenant);
+  const auto found = this->entries.find(organisation);
   if (found == this->entries.end()) return 0;
   Entry& entry = found->second;
   const std::int64_t room =
@@ -162,32 +164,32 @@
   return given;
 }
 
-std::int64_t BudgetDesk::ShareRoom(std::string_view tenant,
+std::int64_t BudgetDesk::ShareRoom(std::string_view organisation,
                                    coordination::TimePoint now) const {
-  const auto found = this->entries.find(tenant);
+  const auto found = this->entries.find(organisation);
   if (found == this->entries.end()) return 0;
   const Entry& entry = found->second;
   return std::max<std::int64_t>(
       0, this->BoundOf(entry, now) - entry.account.Committed());
 }
 
-std::int64_t BudgetDesk::GiveAll(std::string_view tenant,
+std::int64_t BudgetDesk::GiveAll(std::string_view organisation,
                                  coordination::TimePoint now) {
-  const std::int64_t room = this->ShareRoom(tenant, now);
+  const std::int64_t room = this->ShareRoom(organisation, now);
   if (room == 0) return 0;
-  TenantAccount& account = this->entries.find(tenant)->second.account;
+  BudgetAccount& account = this->entries.find(organisation)->second.account;
   account.Reserve(room, account.Committed() + room);
   account.Settle(room, room);
   return room;
 }
 
-void BudgetDesk::TakeGift(std::string_view tenant, std::int64_t amount) {
-  const auto found = this->entries.find(tenant);
+void BudgetDesk::TakeGift(std::string_view organisation, std::int64_t amount) {
+  const auto found = this->entries.find(organisation);
   if (found != this->entries.end()) found->second.received += amount;
 }
 
-// A VM with few requests of a tenant asks for each of them; others keep what
-// they need until the next answer of the home.
+// A VM with few requests of a organisation asks for each of them; others keep
+// what they need until the next answer of the home.
 std::int64_t BudgetDesk::GiftTarget(const Entry& entry) const {
   const auto expected =
       static_cast<std::int64_t>(entry.gifts.DemandPerSecond() * kGiftSeconds);
@@ -195,16 +197,16 @@
   return expected * kFewRequests < typical ? 0 : std::max(expected, typical);
 }
 
-std::int64_t BudgetDesk::WantedGift(std::string_view tenant) const {
-  const auto found = this->entries.find(tenant);
+std::int64_t BudgetDesk::WantedGift(std::string_view organisation) const {
+  const auto found = this->entries.find(organisation);
   if (found == this->entries.end() || this->stopping) return 0;
   const Entry& entry = found->second;
   const std::int64_t free = entry.received - entry.gifts.Committed();
   return std::max<std::int64_t>(0, this->GiftTarget(entry) - free);
 }
 
-std::int64_t BudgetDesk::IdleGift(std::string_view tenant) const {
-  const auto found = this->entries.find(tenant);
+std::int64_t BudgetDesk::IdleGift(std::string_view organisation) const {
+  const auto found = this->entries.find(organisation);
   if (found == this->entries.end()) return 0;
   const Entry& entry = found->second;
   const std::int64_t free = entry.received - entry.gifts.Committed();
@@ -212,19 +214,19 @@
   return free <= target * kIdleFactor ? 0 : free - target;
 }
 
-std::int64_t BudgetDesk::WithdrawIdleGift(std::string_view tenant) {
-  const std::int64_t idle = this->IdleGift(tenant);
-  if (idle > 0) this->entries.find(tenant)->second.received -= idle;
+std::int64_t BudgetDesk::WithdrawIdleGift(std::string_view organisation) {
+  const std::int64_t idle = this->IdleGift(organisation);
+  if (idle > 0) this->entries.find(organisation)->second.received -= idle;
   return idle;
 }
 
 void BudgetDesk::LeaveHomes() {
-  for (auto& [tenant, entry] : this->entries) entry.home_until = {};
+  for (auto& [organisation, entry] : this->entries) entry.home_until = {};
   this->urgent = true;
 }
 
-std::int64_t BudgetDesk::WithdrawFreeGift(std::string_view tenant) {
-  const auto found = this->entries.find(tenant);
+std::int64_t BudgetDesk::WithdrawFreeGift(std::string_view organisation) {
+  const auto found = this->entries.find(organisation);
   if (found == this->entries.end()) return 0;
   Entry& entry = found->second;
   const std::int64_t free = entry.received - entry.gifts.Committed();
@@ -232,14 +234,15 @@
   return std::max<std::int64_t>(0, free);
 }
 
-void BudgetDesk::KeepHome(std::string_view tenant,
+void BudgetDesk::KeepHome(std::string_view organisation,
                           coordination::TimePoint until) {
-  const auto found = this->entries.find(tenant);
+  const auto found = this->entries.find(organisation);
   if (found != this->entries.end()) found->second.home_until = until;
 }
 
-void BudgetDesk::NoteLacking(std::string_view tenant, std::int64_t amount) {
-  const auto found = this->entries.find(tenant);
+void BudgetDesk::NoteLacking(std::string_view organisation,
+                             std::int64_t amount) {
+  const auto found = this->entries.find(organisation);
   if (found == this->entries.end()) return;
   found->second.lacking += amount;
   this->urgent = true;
@@ -247,7 +250,7 @@
 
 std::int64_t BudgetDesk::WantedLimit(const Entry& entry,
                                      coordination::TimePoint now) const {
-  const TenantAccount& account = entry.account;
+  const BudgetAccount& account = entry.account;
   const bool holds = !this->stopping && now < entry.home_until;
   if (!holds) return account.Committed();
   const double outage =
@@ -282,7 +285,7 @@
 
 BudgetRows BudgetDesk::NextRows(const Entry& entry, std::int64_t limit,
                                 coordination::TimePoint now) const {
-  const TenantAccount& account = entry.account;
+  const BudgetAccount& account = entry.account;
   const std::int64_t store_ms = this->StoreTime(now);
   BudgetRows next = entry.rows;
   next.share.incarnation = this->incarnation;
@@ -329,7 +332,7 @@
   if (this->needs_read || this->WriteOutstanding()) return {};
   if (now < this->next_write && !this->urgent && !this->stopping) return {};
   if (this->last_sample != coordination::TimePoint{}) {
-    for (auto& [tenant, entry] : this->entries) {
+    for (auto& [organisation, entry] : this->entries) {
       entry.account.SampleDemand(now - this->last_sample);
       entry.gifts.SampleDemand(now - this->last_sample);
     }
@@ -342,7 +345,7 @@
     this->next_write = now;
     return {};
   }
-  for (auto& [tenant, entry] : this->entries) {
+  for (auto& [organisation, entry] : this->entries) {
     const std::int64_t committed = entry.account.Committed();
     BudgetTotal total = entry.rows.total;
     std::int64_t held = this->LimitOf(entry);
@@ -359,7 +362,7 @@
     const std::int64_t returning = this->ReturnableGift(entry, now);
     const bool due = this->IsDue(entry, limit, now) ||
                      returning > entry.prepaid / kReturnPart;
-    if (due && this->pending.size() < kMostTenantsPerWrite) {
+    if (due && this->pending.size() < kMostOrganisationsPerWrite) {
       this->pending.push_back(this->NextRows(entry, limit, now));
       // They leave the account before the write is sent.
       entry.received -= returning;
@@ -373,7 +376,7 @@
 }
 
 BudgetDesk::Entry& BudgetDesk::EntryOf(const BudgetRows& rows) {
-  return this->entries.find(rows.tenant)->second;
+  return this->entries.find(rows.organisation)->second;
 }
 
 void BudgetDesk::OnWritten(std::uint64_t version) {
@@ -410,7 +413,7 @@
 
 void BudgetDesk::OnRead(std::span<const BudgetRows> rows) {
   for (const BudgetRows& row : rows) {
-    const auto found = this->entries.find(row.tenant);
+    const auto found = this->entries.find(row.organisation);
     if (found == this->entries.end()) continue;
     found->second.rows = row;
     found->second.read = true;
@@ -419,15 +422,16 @@
   this->urgent = true;
 }
 
-std::vector<std::string> BudgetDesk::Tenants() const {
-  std::vector<std::string> tenants;
-  for (const auto& [tenant, entry] : this->entries) tenants.push_back(tenant);
-  return tenants;
+std::vector<std::string> BudgetDesk::Organisations() const {
+  std::vector<std::string> organisations;
+  for (const auto& [organisation, entry] : this->entries)
+    organisations.push_back(organisation);
+  return organisations;
 }
 
 bool BudgetDesk::AllReturned() const {
   if (this->WriteOutstanding()) return false;
-  for (const auto& [tenant, entry] : this->entries) {
+  for (const auto& [organisation, entry] : this->entries) {
     if (!entry.in_doubt.empty()) return false;
     if (this->LimitOf(entry) > entry.account.Committed()) return false;
   }
@@ -436,8 +440,8 @@
 
 std::vector<BudgetDeskFigures> BudgetDesk::AllFigures() const {
   std::vector<BudgetDeskFigures> figures;
-  for (const auto& [tenant, entry] : this->entries) {
-    figures.push_back({tenant, entry.prepaid, this->LimitOf(entry),
+  for (const auto& [organisation, entry] : this->entries) {
+    figures.push_back({organisation, entry.prepaid, this->LimitOf(entry),
                        entry.account.Spent(), entry.account.Reserved()});
   }
   return figures;
--- a/policy/budget_desk.h
+++ b/policy/budget_desk.h
@@ -1,4 +1,4 @@
-// The budgets of all tenants at one VM: reservations by requests, and the
+// The budgets of all organisations at one VM: reservations by requests, and the
 // writes that keep the VM's limits in the store.
 //
 // At most one write is outstanding. A reservation keeps within the share that
@@ -15,13 +15,14 @@
 #include <vector>
 
 #include "coordination/time.h"
-#include "policy/tenant_budget.h"
+#include "policy/budget_share.h"
 
 namespace hornbeamspool::policy {
 
-// The rows of one tenant's budget, and their versions in the store (0: absent).
+// The rows of one organisation's budget, and their versions in the store (0:
+// absent).
 struct BudgetRows {
-  std::string tenant;
+  std::string organisation;
   BudgetTotal total;
   std::uint64_t total_version = 0;
   BudgetShare share;
@@ -49,7 +50,7 @@
 
 // A budget's figures at one VM, for operators.
 struct BudgetDeskFigures {
-  std::string tenant;
+  std::string organisation;
   std::int64_t prepaid = 0;
   std::int64_t limit = 0;
   std::int64_t spent = 0;
@@ -61,46 +62,47 @@
   BudgetDesk(std::uint64_t incarnation, BudgetDeskOptions options)
       : incarnation(incarnation), options(options) {}
 
-  // The prepaid tokens of a tenant, by the configuration in force.
-  void SetPrepaid(std::string_view tenant, std::int64_t prepaid);
+  // The prepaid tokens of a organisation, by the configuration in force.
+  void SetPrepaid(std::string_view organisation, std::int64_t prepaid);
 
   // Sets `amount` tokens aside, of what peers gave or of this VM's own share.
-  BudgetVerdict Reserve(std::string_view tenant, std::int64_t amount,
+  BudgetVerdict Reserve(std::string_view organisation, std::int64_t amount,
                         coordination::TimePoint now, BudgetSource& source);
-  void Settle(std::string_view tenant, std::int64_t amount, std::int64_t used,
-              BudgetSource source);
+  void Settle(std::string_view organisation, std::int64_t amount,
+              std::int64_t used, BudgetSource source);
 
   // Gives tokens of this VM's share away: all of `wanted`, or less but not
   // less than `needed`, or nothing. What is given counts as spent here.
-  std::int64_t Give(std::string_view tenant, std::int64_t needed,
+  std::int64_t Give(std::string_view organisation, std::int64_t needed,
                     std::int64_t wanted, coordination::TimePoint now);
   // What this VM's share leaves it now.
-  std::int64_t ShareRoom(std::string_view tenant,
+  std::int64_t ShareRoom(std::string_view organisation,
                          coordination::TimePoint now) const;
   // Gives away all that this VM's share leaves it now.
-  std::int64_t GiveAll(std::string_view tenant, coordination::TimePoint now);
+  std::int64_t GiveAll(std::string_view organisation,
+                       coordination::TimePoint now);
   // What stands in the way of giving `amount` now.
-  BudgetVerdict VerdictFor(std::string_view tenant, std::int64_t amount,
+  BudgetVerdict VerdictFor(std::string_view organisation, std::int64_t amount,
                            coordination::TimePoint now);
   // Takes tokens that a peer gave, or gives back.
-  void TakeGift(std::string_view tenant, std::int64_t amount);
+  void TakeGift(std::string_view organisation, std::int64_t amount);
   // Tokens worth asking a peer for, besides those that a request needs now.
-  std::int64_t WantedGift(std::string_view tenant) const;
+  std::int64_t WantedGift(std::string_view organisation) const;
   // Gifts that are more than this VM needs.
-  std::int64_t IdleGift(std::string_view tenant) const;
+  std::int64_t IdleGift(std::string_view organisation) const;
   // The same; they leave the account here.
-  std::int64_t WithdrawIdleGift(std::string_view tenant);
+  std::int64_t WithdrawIdleGift(std::string_view organisation);
   // All gifts that no request holds: a home that has nothing left can then
   // serve the requests of other VMs.
-  std::int64_t WithdrawFreeGift(std::string_view tenant);
+  std::int64_t WithdrawFreeGift(std::string_view organisation);
 
-  // This VM keeps the tenant's tokens: it holds a share until `until`.
-  void KeepHome(std::string_view tenant, coordination::TimePoint until);
-  // From here on this VM keeps no tenant's tokens.
+  // This VM keeps the organisation's tokens: it holds a share until `until`.
+  void KeepHome(std::string_view organisation, coordination::TimePoint until);
+  // From here on this VM keeps no organisation's tokens.
   void LeaveHomes();
 
   // A request waits for tokens: a write is due at once.
-  void NoteLacking(std::string_view tenant, std::int64_t amount);
+  void NoteLacking(std::string_view organisation, std::int64_t amount);
 
   // The rows to write now, all in one transaction; empty when none is due, a
   // write is outstanding, or the rows must be read first.
@@ -111,14 +113,14 @@
   void OnNotWritten();
   // Nobody knows whether the write was done: the rows must be read again.
   void OnUnknown();
-  // Rows as they are in the store; tenants without rows have none.
+  // Rows as they are in the store; organisations without rows have none.
   void OnRead(std::span<const BudgetRows> rows);
   // The store's clock, as an answer that came now told it.
   void OnStoreClock(std::int64_t store_ms, coordination::TimePoint now);
   // The store did not answer, or does again.
   void SetReachable(bool reachable) { this->reachable = reachable; }
 
-  std::vector<std::string> Tenants() const;
+  std::vector<std::string> Organisations() const;
   bool NeedsRead() const { return this->needs_read; }
   bool Reachable() const { return this->reachable; }
   bool WriteOutstanding() const { return !this->pending.empty(); }
@@ -133,8 +135,8 @@
  private:
   struct Entry {
     std::int64_t prepaid = 0;
-    TenantAccount account;      // of this VM's share
-    TenantAccount gifts;        // of what peers gave
+    BudgetAccount account;      // of this VM's share
+    BudgetAccount gifts;        // of what peers gave
     std::int64_t received = 0;  // tokens that peers gave, less given back
     // Of these, on the way to the store with the outstanding write.
     std::int64_t returning = 0;
--- a/policy/tenant_budget.cc
+++ b/policy/budget_share.cc
@@ -1,4 +1,4 @@
-#include "policy/tenant_budget.h"
+#include "policy/budget_share.h"
 
 #include <algorithm>
 #include <chrono>
@@ -7,7 +7,7 @@
 namespace hornbeamspool::policy {
 namespace {
 
-// Demand rises at once and decays with this time, so that a hot tenant's
+// Demand rises at once and decays with this time, so that a hot organisation's
 // limits stay large for the length of an outage.
 constexpr double kDemandDecaySeconds = 6.0;
 
@@ -45,7 +45,7 @@
   return std::min(this->limit, this->committed + this->burst + paced);
 }
 
-bool TenantAccount::Reserve(std::int64_t amount, std::int64_t bound) {
+bool BudgetAccount::Reserve(std::int64_t amount, std::int64_t bound) {
   const double weight = this->typical == 0 ? 1 : kTypicalWeight;
   this->typical += weight * (static_cast<double>(amount) - this->typical);
   if (this->Committed() + amount > bound) return false;
@@ -53,12 +53,12 @@
   return true;
 }
 
-void TenantAccount::Settle(std::int64_t amount, std::int64_t used) {
+void BudgetAccount::Settle(std::int64_t amount, std::int64_t used) {
   this->reserved -= amount;
   this->spent += std::clamp<std::int64_t>(used, 0, amount);
 }
 
-void TenantAccount::SampleDemand(coordination::Duration elapsed) {
+void BudgetAccount::SampleDemand(coordination::Duration elapsed) {
   const double seconds = std::chrono::duration<double>(elapsed).count();
   if (seconds <= 0) return;
   const std::int64_t committed = this->Committed();
--- a/policy/tenant_budget.h
+++ b/policy/budget_share.h
@@ -1,5 +1,5 @@
-// A tenant's prepaid tokens, split into spending limits. A VM may spend up to
-// its limit without any message; the limits of all VMs, those of ended
+// A organisation's prepaid tokens, split into spending limits. A VM may spend
+// up to its limit without any message; the limits of all VMs, those of ended
 // processes included, never add up to more than what was prepaid. What a limit
 // leaves unspent when its process dies without a word stays stranded.
 #pragma once
@@ -49,7 +49,7 @@
 std::int64_t NextLimit(const LimitRequest& request, const BudgetTotal& total);
 
 // A process's spending of one budget.
-class TenantAccount {
+class BudgetAccount {
  public:
   // Sets aside `amount` tokens. False, and nothing changes, when that would
   // pass `bound`.
--- a/policy/gateway_config.h
+++ b/policy/gateway_config.h
@@ -1,5 +1,5 @@
 // The configuration of a gateway: routes by host and path to services, the
-// tenants' keys and budgets, and what callers may send.
+// organisations' keys and budgets, and what callers may send.
 #pragma once
 
 #include <cstdint>
@@ -36,9 +36,9 @@
   coordination::Duration target_pause{};    // of a stream: between its events
   std::int64_t priority = 0;                // 0 is the most urgent
   std::vector<ServiceShare> shares;
-  std::int64_t attempts = 1;  // servers that one request may be sent to
+  std::int64_t attempts = 1;  // upstreams that one request may be sent to
   bool open = false;          // needs no key
-  bool resumable = false;     // a stream that another server can go on with
+  bool resumable = false;     // a stream that another upstream can go on with
 
   // True when a request may run again after an unknown outcome.
   bool MayRepeat() const {
@@ -57,12 +57,12 @@
 struct Service {
   std::string name;
   std::string health_path;
-  std::int64_t max_connections = 0;  // to one server, from all callers
+  std::int64_t max_connections = 0;  // to one upstream, from all callers
   std::optional<EngineTraits> engine;
 };
 
 // An organisation with its keys.
-struct Tenant {
+struct GatewayOrganisation {
   std::string name;
   std::vector<std::string> keys;
   std::optional<std::int64_t> priority;  // goes before the route's
@@ -81,7 +81,8 @@
   std::uint64_t version = 0;
   std::vector<Route> routes;
   std::map<std::string, Service, std::less<>> services;
-  std::vector<Tenant> tenants;  // empty: no request needs a key
+  std::vector<GatewayOrganisation>
+      organisations;  // empty: no request needs a key
   CallerLimits limits;
 };
 
--- a/policy/gateway_core.cc
+++ b/policy/gateway_core.cc
@@ -12,22 +12,22 @@
 using coordination::TimePoint;
 
 // When callers may come back: after the configuration is read, after a limit
-// is raised, after a server is free.
+// is raised, after a upstream is free.
 constexpr Duration kRetryNotReady = std::chrono::milliseconds(500);
 constexpr Duration kRetryBudget = std::chrono::milliseconds(1000);
 constexpr Duration kRetryLink = std::chrono::milliseconds(300);
-constexpr Duration kRetryServer = std::chrono::milliseconds(700);
+constexpr Duration kRetryUpstream = std::chrono::milliseconds(700);
 
-// A send with less time than this is not worth the server's work.
+// A send with less time than this is not worth the upstream's work.
 constexpr Duration kLeastTime = std::chrono::milliseconds(20);
 
-// Sends that servers reject don't run; still, each costs the caller time.
+// Sends that upstreams reject don't run; still, each costs the caller time.
 constexpr std::int64_t kMostRejectedSends = 3;
 
 constexpr std::int64_t kLeastUrgent = 9;
 
 // VMs that may have been added and are not known yet, for the share of a
-// server's connections.
+// upstream's connections.
 constexpr std::int64_t kMoreVms = 3;
 
 // A request may lose this part of its target latency at the VM's link, and no
@@ -60,9 +60,10 @@
     return false;
   }
   this->table = std::make_shared<const RouteTable>(std::move(config));
-  for (const Tenant& tenant : this->table->Config().tenants) {
-    if (!tenant.prepaid) continue;
-    this->budgets.SetPrepaid(tenant.name, *tenant.prepaid);
+  for (const GatewayOrganisation& organisation :
+       this->table->Config().organisations) {
+    if (!organisation.prepaid) continue;
+    this->budgets.SetPrepaid(organisation.name, *organisation.prepaid);
   }
   return true;
 }
@@ -86,8 +87,8 @@
 
   // Step 2: the key.
   if (ticket.table->NeedsKeys() && !ticket.route->open) {
-    ticket.tenant = ticket.table->FindTenant(request.key);
-    if (ticket.tenant == nullptr) {
+    ticket.organisation = ticket.table->FindOrganisation(request.key);
+    if (ticket.organisation == nullptr) {
       const bool final = this->confirmed || request.key.empty();
       if (final) return Refusal{ErrorKind::kUnauthenticated, {}};
       return Refusal{ErrorKind::kNotReady, Spread(kRetryNotReady, request.id)};
@@ -102,7 +103,7 @@
   // Step 4: the service, and the time that is left.
   ticket.service = this->ChooseService(*ticket.table, *ticket.route, request);
   if (ticket.service == nullptr) {
-    return Refusal{ErrorKind::kNoUpstream, Spread(kRetryServer, request.id)};
+    return Refusal{ErrorKind::kNoUpstream, Spread(kRetryUpstream, request.id)};
   }
   ticket.deadline = now + std::min(request.patience, ticket.route->timeout);
   ticket.request = std::move(request);
@@ -128,12 +129,12 @@
 }
 
 BudgetVerdict GatewayCore::Pay(Ticket& ticket, TimePoint now) {
-  const bool free = ticket.tenant == nullptr || !ticket.tenant->prepaid ||
-                    !ticket.request.demand;
+  const bool free = ticket.organisation == nullptr ||
+                    !ticket.organisation->prepaid || !ticket.request.demand;
   if (free) return BudgetVerdict::kReserved;
   const std::int64_t amount = ticket.request.demand->WorstCase();
-  const BudgetVerdict verdict =
-      this->budgets.Reserve(ticket.tenant->name, amount, now, ticket.source);
+  const BudgetVerdict verdict = this->budgets.Reserve(
+      ticket.organisation->name, amount, now, ticket.source);
   if (verdict == BudgetVerdict::kReserved) ticket.reserved = amount;
   return verdict;
 }
@@ -149,43 +150,44 @@
   if (left < kLeastTime) {
     const ErrorKind kind =
         ticket.runs > 0 ? ErrorKind::kUpstreamTimeout : ErrorKind::kNoUpstream;
-    return Refusal{kind, Spread(kRetryServer, ticket.request.id)};
+    return Refusal{kind, Spread(kRetryUpstream, ticket.request.id)};
   }
-  const std::vector<const ServerEntry*> servers =
-      this->servers.Usable(ticket.service->name);
+  const std::vector<const UpstreamEntry*> upstreams =
+      this->upstreams.Usable(ticket.service->name);
   ChoiceRequest choice;
   if (ticket.request.demand) choice.demand = &*ticket.request.demand;
   if (ticket.service->engine) {
     choice.memory_tokens = ticket.service->engine->memory_tokens;
   }
   choice.target_pause = ticket.route->target_pause;
-  const ServerEntry* server =
-      this->board.Choose(servers, choice, ticket.failed_servers, now);
-  if (server == nullptr) {
+  const UpstreamEntry* upstream =
+      this->board.Choose(upstreams, choice, ticket.failed_upstreams, now);
+  if (upstream == nullptr) {
     const ErrorKind kind =
         ticket.runs > 0 ? ErrorKind::kUpstreamFailed : ErrorKind::kNoUpstream;
-    return Refusal{kind, Spread(kRetryServer, ticket.request.id)};
+    return Refusal{kind, Spread(kRetryUpstream, ticket.request.id)};
   }
   if (ticket.sends > 0 &&
       !this->AllowanceOf(ticket.service->name).Take(this->fleet_size, now)) {
     const ErrorKind kind =
         ticket.runs > 0 ? ErrorKind::kUpstreamFailed : ErrorKind::kNoUpstream;
-    return Refusal{kind, Spread(kRetryServer, ticket.request.id)};
+    return Refusal{kind, Spread(kRetryUpstream, ticket.request.id)};
   }
   ++ticket.sends;
   SendOrder order;
-  order.server = *server;
+  order.upstream = *upstream;
   order.left = left;
-  const std::int64_t priority = ticket.tenant && ticket.tenant->priority
-                                    ? *ticket.tenant->priority
-                                    : ticket.route->priority;
+  const std::int64_t priority =
+      ticket.organisation && ticket.organisation->priority
+          ? *ticket.organisation->priority
+          : ticket.route->priority;
   order.urgency = std::clamp<std::int64_t>(priority, 0, kLeastUrgent);
   order.max_connections = ticket.service->max_connections <= 0
                               ? SIZE_MAX
                               : static_cast<std::size_t>(std::max<std::int64_t>(
                                     1, ticket.service->max_connections /
                                            (this->fleet_size + kMoreVms)));
-  order.record = this->board.OnSent(*server, choice.demand, now);
+  order.record = this->board.OnSent(*upstream, choice.demand, now);
   return order;
 }
 
@@ -207,7 +209,7 @@
                      outcome == SendOutcome::kAbandoned ||
                      outcome == SendOutcome::kSilent;
   if (final) return false;
-  ticket.failed_servers.push_back(order.server.id);
+  ticket.failed_upstreams.push_back(order.upstream.id);
   if (!not_run && !ticket.route->MayRepeat()) return false;
   if (ticket.runs >= ticket.route->attempts) return false;
   return ticket.sends - ticket.runs < kMostRejectedSends;
@@ -216,13 +218,13 @@
 Refusal GatewayCore::FinalRefusal(const Ticket& ticket,
                                   SendOutcome outcome) const {
   if (ticket.runs == 0) {
-    return {ErrorKind::kNoUpstream, Spread(kRetryServer, ticket.request.id)};
+    return {ErrorKind::kNoUpstream, Spread(kRetryUpstream, ticket.request.id)};
   }
   if (outcome == SendOutcome::kSilent) return {ErrorKind::kUpstreamTimeout, {}};
   return {ErrorKind::kUpstreamFailed, {}};
 }
 
-// The prompt counts once, as soon as a server may have read it; output counts
+// The prompt counts once, as soon as a upstream may have read it; output counts
 // as delivered, each event with the most tokens that it may hold.
 std::int64_t GatewayCore::TokensUsed(const Ticket& ticket) const {
   if (!ticket.prompt_read || !ticket.request.demand) return 0;
@@ -235,7 +237,7 @@
 void GatewayCore::Finish(Ticket& ticket) {
   --this->in_flight;
   if (ticket.reserved == 0) return;
-  this->budgets.Settle(ticket.tenant->name, ticket.reserved,
+  this->budgets.Settle(ticket.organisation->name, ticket.reserved,
                        this->TokensUsed(ticket), ticket.source);
   ticket.reserved = 0;
 }
--- a/policy/gateway_core.h
+++ b/policy/gateway_core.h
@@ -1,5 +1,5 @@
-// The decisions of a gateway: routes, keys, budgets, the choice of servers and
-// what follows when a send fails. No I/O; each call takes the present time.
+// The decisions of a gateway: routes, keys, budgets, the choice of upstreams
+// and what follows when a send fails. No I/O; each call takes the present time.
 #pragma once
 
 #include <cstdint>
@@ -19,8 +19,8 @@
 #include "policy/reach_meter.h"
 #include "policy/retry_allowance.h"
 #include "policy/route_table.h"
-#include "policy/server_board.h"
-#include "policy/server_directory.h"
+#include "policy/upstream_board.h"
+#include "policy/upstream_directory.h"
 
 namespace hornbeamspool::policy {
 
@@ -34,31 +34,31 @@
 struct Ticket {
   std::shared_ptr<const RouteTable> table;  // keeps what is pointed to
   const Route* route = nullptr;
-  const Tenant* tenant = nullptr;    // null on open routes
+  const GatewayOrganisation* organisation = nullptr;  // null on open routes
   const Service* service = nullptr;  // chosen once for all sends
   GatewayRequest request;
   coordination::TimePoint arrived{};
   coordination::TimePoint deadline{};  // the answer has ended by then
   std::int64_t reserved = 0;           // tokens set aside
   BudgetSource source = BudgetSource::kShare;
-  bool prompt_read = false;  // a server may have read the prompt
+  bool prompt_read = false;  // a upstream may have read the prompt
   std::int64_t events_delivered = 0;
   std::int64_t sends = 0;
-  std::int64_t runs = 0;  // sends that a server may have run
+  std::int64_t runs = 0;  // sends that a upstream may have run
   bool started = false;   // the caller has been sent the answer's head
   std::optional<std::int64_t> last_event_id;   // the last one delivered
   coordination::TimePoint last_event_at{};     // zero before the first
   coordination::Duration first_event_after{};  // the arrival
   coordination::Duration longest_pause{};      // between events
-  std::vector<std::string> failed_servers;
+  std::vector<std::string> failed_upstreams;
 };
 
 // Where to send a request now.
 struct SendOrder {
-  ServerEntry server;
+  UpstreamEntry upstream;
   coordination::Duration left{};  // until the deadline
   std::int64_t urgency = 0;
-  std::size_t max_connections = 0;  // of this VM to this server
+  std::size_t max_connections = 0;  // of this VM to this upstream
   SendRecord record;
 };
 
@@ -100,8 +100,8 @@
   // Ends the request and settles its budget.
   void Finish(Ticket& ticket);
 
-  ServerDirectory& Servers() { return this->servers; }
-  ServerBoard& Board() { return this->board; }
+  UpstreamDirectory& Upstreams() { return this->upstreams; }
+  UpstreamBoard& Board() { return this->board; }
   BudgetDesk& Budgets() { return this->budgets; }
   LinkMeter& Link() { return this->link; }
   ReachMeter& Reach() { return this->reach; }
@@ -115,8 +115,8 @@
 
   GatewayOptions options;
   std::shared_ptr<const RouteTable> table;
-  ServerDirectory servers;
-  ServerBoard board;
+  UpstreamDirectory upstreams;
+  UpstreamBoard board;
   BudgetDesk budgets;
   LinkMeter link;
   ReachMeter reach;
--- a/policy/peer_directory.cc
+++ b/policy/peer_directory.cc
@@ -56,9 +56,9 @@
 }
 
 std::vector<std::string> PeerDirectory::HomesOf(
-    std::string_view tenant, std::size_t most,
+    std::string_view organisation, std::size_t most,
     coordination::TimePoint now) const {
-  const std::uint64_t seed = coordination::StableHash(tenant);
+  const std::uint64_t seed = coordination::StableHash(organisation);
   std::vector<std::pair<std::uint64_t, std::string_view>> ranked;
   ranked.emplace_back(coordination::StableHash(this->self, seed), this->self);
   for (const auto& [vm, known] : this->peers) {
--- a/policy/peer_directory.h
+++ b/policy/peer_directory.h
@@ -1,6 +1,6 @@
-// The gateways of a fleet, and which of them keep a tenant's tokens. Peers are
-// found dead by use: one that does not answer is left out for a while, longer
-// each time, and asked again after.
+// The gateways of a fleet, and which of them keep a organisation's tokens.
+// Peers are found dead by use: one that does not answer is left out for a
+// while, longer each time, and asked again after.
 #pragma once
 
 #include <map>
@@ -29,9 +29,10 @@
   void OnAnswer(std::string_view vm);
   void OnSilence(std::string_view vm, coordination::TimePoint now);
 
-  // The VMs that keep the tenant's tokens, the first choice first: at most
-  // `most`, and this VM counts as one.
-  std::vector<std::string> HomesOf(std::string_view tenant, std::size_t most,
+  // The VMs that keep the organisation's tokens, the first choice first: at
+  // most `most`, and this VM counts as one.
+  std::vector<std::string> HomesOf(std::string_view organisation,
+                                   std::size_t most,
                                    coordination::TimePoint now) const;
   // Empty when the VM is not known.
   std::string AddressOf(std::string_view vm) const;
--- a/policy/route_table.cc
+++ b/policy/route_table.cc
@@ -15,8 +15,9 @@
                        return a->prefix.size() > b->prefix.size();
                      });
   }
-  for (const Tenant& tenant : this->config.tenants) {
-    for (const std::string& key : tenant.keys) this->tenants[key] = &tenant;
+  for (const GatewayOrganisation& organisation : this->config.organisations) {
+    for (const std::string& key : organisation.keys)
+      this->organisations[key] = &organisation;
   }
 }
 
@@ -30,9 +31,10 @@
   return nullptr;
 }
 
-const Tenant* RouteTable::FindTenant(std::string_view key) const {
-  const auto found = this->tenants.find(key);
-  return found == this->tenants.end() ? nullptr : found->second;
+const GatewayOrganisation* RouteTable::FindOrganisation(
+    std::string_view key) const {
+  const auto found = this->organisations.find(key);
+  return found == this->organisations.end() ? nullptr : found->second;
 }
 
 const Service* RouteTable::FindService(std::string_view name) const {
--- a/policy/server_board.cc
+++ b/policy/upstream_board.cc
@@ -1,4 +1,4 @@
-#include "policy/server_board.h"
+#include "policy/upstream_board.h"
 
 #include <algorithm>
 #include <array>
@@ -27,7 +27,7 @@
 constexpr double kRereadFactor = 4;
 // Each running request slows the others' tokens.
 constexpr double kRunningMs = 2;
-// A request that waits at the server.
+// A request that waits at the upstream.
 constexpr double kWaitingMs = 15;
 // What a stream loses when a prompt read beside it fills its target pause.
 constexpr double kPauseMs = 60;
@@ -35,9 +35,9 @@
 constexpr double kMostPauses = 1.5;
 // Crossing availability zones: a little delay, and bytes are priced.
 constexpr double kZoneMs = 3;
-// A server whose answers all fail.
+// A upstream whose answers all fail.
 constexpr double kFailureMs = 1000;
-// A server that is full, by its slots or its memory.
+// A upstream that is full, by its slots or its memory.
 constexpr double kFullMs = 500;
 
 // How fast the time for a token follows observations below and above it: close
@@ -47,13 +47,13 @@
 // Prompts too short to tell the engine's speed.
 constexpr std::int64_t kLeastObserved = 2000;
 
-// A report is believed for this long; servers answer several times a second.
+// A report is believed for this long; upstreams answer several times a second.
 constexpr Duration kLoadAge = std::chrono::milliseconds(1000);
 
 // Recent failures count by this weight each.
 constexpr double kFailureWeight = 0.15;
 
-// A server that can't be reached is left alone, longer each time.
+// A upstream that can't be reached is left alone, longer each time.
 constexpr Duration kFirstSuspension = std::chrono::milliseconds(300);
 constexpr std::int64_t kMostDoublings = 4;
 // So is one that fails more often than this in a row.
@@ -63,7 +63,7 @@
 // are taken as evicted. Used where an engine's memory isn't known.
 constexpr std::int64_t kCacheTokens = 200'000;
 
-// A part that the home server has surely read when other VMs send it there,
+// A part that the home upstream has surely read when other VMs send it there,
 // but may have evicted.
 constexpr double kHomeTrust = 0.8;
 
@@ -82,20 +82,21 @@
   return demand->parts[demand->parts.size() - 2].id;
 }
 
-const ServerEntry* HomeOf(std::uint64_t key,
-                          std::span<const ServerEntry* const> servers) {
+const UpstreamEntry* HomeOf(std::uint64_t key,
+                            std::span<const UpstreamEntry* const> upstreams) {
   std::vector<std::string_view> members;
-  members.reserve(servers.size());
-  for (const ServerEntry* server : servers) members.push_back(server->id);
+  members.reserve(upstreams.size());
+  for (const UpstreamEntry* upstream : upstreams)
+    members.push_back(upstream->id);
   const auto bytes = BytesOf(key);
   const auto owner =
       coordination::RendezvousOwner({bytes.data(), bytes.size()}, members);
-  return owner ? servers[*owner] : nullptr;
+  return owner ? upstreams[*owner] : nullptr;
 }
 
 }  // namespace
 
-class ServerBoard::PartCache {
+class UpstreamBoard::PartCache {
  public:
   bool Holds(std::uint64_t part) const { return this->places.contains(part); }
 
@@ -121,21 +122,21 @@
   std::int64_t tokens = 0;
 };
 
-ServerBoard::ServerBoard(std::string availability_zone)
+UpstreamBoard::UpstreamBoard(std::string availability_zone)
     : availability_zone(std::move(availability_zone)),
       ms_per_token(kFirstMsPerToken) {}
 
-ServerBoard::State& ServerBoard::StateOf(std::string_view server) {
-  State& state = this->states[std::string(server)];
+UpstreamBoard::State& UpstreamBoard::StateOf(std::string_view upstream) {
+  State& state = this->states[std::string(upstream)];
   if (!state.cache) state.cache = std::make_shared<PartCache>();
   return state;
 }
 
-// Prompt tokens that the server would have to read: the request's own, and
+// Prompt tokens that the upstream would have to read: the request's own, and
 // shared ones that it does not hold.
-ServerBoard::Unread ServerBoard::UnreadOf(const State& state,
-                                          const ModelDemand& demand,
-                                          bool home) const {
+UpstreamBoard::Unread UpstreamBoard::UnreadOf(const State& state,
+                                              const ModelDemand& demand,
+                                              bool home) const {
   Unread unread;
   std::int64_t shared = 0;
   bool known = true;
@@ -153,14 +154,14 @@
 }
 
 // What a running stream loses while prompts of this time are read beside it.
-double ServerBoard::PauseLoss(double prefill_ms, double target_ms) const {
+double UpstreamBoard::PauseLoss(double prefill_ms, double target_ms) const {
   const double pauses = std::min(kMostPauses, prefill_ms / target_ms);
   return kPauseMs * pauses * pauses;
 }
 
-double ServerBoard::Cost(const State& state, const ServerEntry& server,
-                         const ChoiceRequest& request, bool home,
-                         TimePoint now) const {
+double UpstreamBoard::Cost(const State& state, const UpstreamEntry& upstream,
+                           const ChoiceRequest& request, bool home,
+                           TimePoint now) const {
   const bool reported = now - state.load_at < kLoadAge;
   std::int64_t running = state.in_flight;
   std::int64_t waiting = 0;
@@ -172,8 +173,8 @@
   double cost = streams * kRunningMs +
                 static_cast<double>(waiting) * kWaitingMs +
                 state.failure_rate * kFailureMs;
-  if (server.availability_zone != this->availability_zone) cost += kZoneMs;
-  const std::int64_t slots = std::max<std::int64_t>(1, server.slots);
+  if (upstream.availability_zone != this->availability_zone) cost += kZoneMs;
+  const std::int64_t slots = std::max<std::int64_t>(1, upstream.slots);
   if (running >= slots) {
     cost += kFullMs * (1 + static_cast<double>(running - slots + waiting) /
                                static_cast<double>(slots));
@@ -199,41 +200,42 @@
   return cost;
 }
 
-const ServerEntry* ServerBoard::Choose(
-    std::span<const ServerEntry* const> servers, const ChoiceRequest& request,
-    std::span<const std::string> avoid, TimePoint now) {
-  // Step 1: the server where the request's shared parts are at home.
+const UpstreamEntry* UpstreamBoard::Choose(
+    std::span<const UpstreamEntry* const> upstreams,
+    const ChoiceRequest& request, std::span<const std::string> avoid,
+    TimePoint now) {
+  // Step 1: the upstream where the request's shared parts are at home.
   const std::optional<std::uint64_t> key = HomeKey(request.demand);
-  const ServerEntry* home = key ? HomeOf(*key, servers) : nullptr;
+  const UpstreamEntry* home = key ? HomeOf(*key, upstreams) : nullptr;
 
-  // Step 2: the cheapest server; suspended ones only when no other is left.
-  const ServerEntry* best = nullptr;
+  // Step 2: the cheapest upstream; suspended ones only when no other is left.
+  const UpstreamEntry* best = nullptr;
   double best_cost = std::numeric_limits<double>::infinity();
   bool best_suspended = true;
-  for (const ServerEntry* server : servers) {
-    if (std::find(avoid.begin(), avoid.end(), server->id) != avoid.end()) {
+  for (const UpstreamEntry* upstream : upstreams) {
+    if (std::find(avoid.begin(), avoid.end(), upstream->id) != avoid.end()) {
       continue;
     }
-    const State& state = this->StateOf(server->id);
+    const State& state = this->StateOf(upstream->id);
     const bool suspended = state.suspended_until > now;
     if (best != nullptr && suspended && !best_suspended) continue;
     const double cost =
-        this->Cost(state, *server, request, server == home, now);
+        this->Cost(state, *upstream, request, upstream == home, now);
     const bool better =
         best == nullptr || (best_suspended && !suspended) || cost < best_cost;
     if (!better) continue;
-    best = server;
+    best = upstream;
     best_cost = cost;
     best_suspended = suspended;
   }
   return best;
 }
 
-SendRecord ServerBoard::OnSent(const ServerEntry& server,
-                               const ModelDemand* demand, TimePoint now) {
-  State& state = this->StateOf(server.id);
+SendRecord UpstreamBoard::OnSent(const UpstreamEntry& upstream,
+                                 const ModelDemand* demand, TimePoint now) {
+  State& state = this->StateOf(upstream.id);
   SendRecord record;
-  record.server = server.id;
+  record.upstream = upstream.id;
   record.sent_at = now;
   ++state.in_flight;
   ++state.sent_since_load;
@@ -250,10 +252,10 @@
   return record;
 }
 
-void ServerBoard::OnStarted(SendRecord& record, TimePoint now) {
+void UpstreamBoard::OnStarted(SendRecord& record, TimePoint now) {
   if (record.started) return;
   record.started = true;
-  this->StateOf(record.server).unread_tokens -= record.unread_tokens;
+  this->StateOf(record.upstream).unread_tokens -= record.unread_tokens;
   if (record.unread_tokens < kLeastObserved) return;
   const double elapsed_ms =
       std::chrono::duration<double, std::milli>(now - record.sent_at).count();
@@ -265,17 +267,17 @@
   this->ms_per_token += weight * (observed - this->ms_per_token);
 }
 
-void ServerBoard::OnLoad(std::string_view server, const ServerLoad& load,
-                         TimePoint now) {
-  State& state = this->StateOf(server);
+void UpstreamBoard::OnLoad(std::string_view upstream, const UpstreamLoad& load,
+                           TimePoint now) {
+  State& state = this->StateOf(upstream);
   state.load = load;
   state.load_at = now;
   state.sent_since_load = 0;
 }
 
-void ServerBoard::OnEnded(const SendRecord& record, SendOutcome outcome,
-                          TimePoint now) {
-  State& state = this->StateOf(record.server);
+void UpstreamBoard::OnEnded(const SendRecord& record, SendOutcome outcome,
+                            TimePoint now) {
+  State& state = this->StateOf(record.upstream);
   --state.in_flight;
   state.held_tokens -= record.held_tokens;
   if (!record.started) state.unread_tokens -= record.unread_tokens;
@@ -297,14 +299,15 @@
   state.suspended_until = now + kFirstSuspension * (1U << doublings) / 2;
 }
 
-void ServerBoard::Forget(std::string_view server) {
-  const auto found = this->states.find(std::string(server));
+void UpstreamBoard::Forget(std::string_view upstream) {
+  const auto found = this->states.find(std::string(upstream));
   if (found == this->states.end() || found->second.in_flight > 0) return;
   this->states.erase(found);
 }
 
-ServerBoard::Figures ServerBoard::FiguresOf(std::string_view server) const {
-  const auto found = this->states.find(std::string(server));
+UpstreamBoard::Figures UpstreamBoard::FiguresOf(
+    std::string_view upstream) const {
+  const auto found = this->states.find(std::string(upstream));
   if (found == this->states.end()) return {};
   return {found->second.in_flight, found->second.failure_rate};
 }
--- a/policy/server_board.h
+++ b/policy/upstream_board.h
@@ -1,5 +1,5 @@
-// What one VM knows of each server's load, cached prompt parts and failures,
-// and the choice of the server for a request.
+// What one VM knows of each upstream's load, cached prompt parts and failures,
+// and the choice of the upstream for a request.
 #pragma once
 
 #include <cstdint>
@@ -14,12 +14,12 @@
 
 #include "coordination/time.h"
 #include "policy/gateway_request.h"
-#include "policy/server_directory.h"
+#include "policy/upstream_directory.h"
 
 namespace hornbeamspool::policy {
 
-// A server's own word of its load.
-struct ServerLoad {
+// A upstream's own word of its load.
+struct UpstreamLoad {
   std::int64_t running = 0;
   std::int64_t waiting = 0;
   std::int64_t slots = 0;
@@ -27,21 +27,22 @@
 
 // How a send ended.
 enum class SendOutcome : std::uint8_t {
-  kAnswered,     // the server's whole answer
-  kServerError,  // the server's whole answer, which tells of its own failure
-  kRejected,     // the server said that it did not run the request
-  kMisdirected,  // another server has the address; the request has not run
-  kUnreachable,  // no byte was sent
-  kNoRoom,       // not sent: this VM has its most connections to the server
-  kBroken,       // sent; the answer failed or belongs to another request
-  kSilent,       // sent; no answer came in time
-  kAbandoned,    // the caller left
+  kAnswered,       // the upstream's whole answer
+  kUpstreamError,  // the upstream's whole answer, which tells of its own
+                   // failure
+  kRejected,       // the upstream said that it did not run the request
+  kMisdirected,    // another upstream has the address; the request has not run
+  kUnreachable,    // no byte was sent
+  kNoRoom,         // not sent: this VM has its most connections to the upstream
+  kBroken,         // sent; the answer failed or belongs to another request
+  kSilent,         // sent; no answer came in time
+  kAbandoned,      // the caller left
   kCount
 };
 
-// One request at one server.
+// One request at one upstream.
 struct SendRecord {
-  std::string server;
+  std::string upstream;
   std::int64_t unread_tokens = 0;  // of the prompt, until the first event
   std::int64_t held_tokens = 0;    // of the engine's memory
   std::int64_t tokens_before = 0;  // unread there when it was sent
@@ -49,50 +50,50 @@
   bool started = false;  // the first event has come
 };
 
-// What the choice of a server depends on.
+// What the choice of a upstream depends on.
 struct ChoiceRequest {
   const ModelDemand* demand = nullptr;    // null: no model request
   std::int64_t memory_tokens = 0;         // of an engine; 0: not known
   coordination::Duration target_pause{};  // of streams
 };
 
-class ServerBoard {
+class UpstreamBoard {
  public:
-  explicit ServerBoard(std::string availability_zone);
+  explicit UpstreamBoard(std::string availability_zone);
 
-  // The server to send to among `servers`, leaving out the ids in `avoid`; null
-  // when none can take the request now.
-  const ServerEntry* Choose(std::span<const ServerEntry* const> servers,
-                            const ChoiceRequest& request,
-                            std::span<const std::string> avoid,
-                            coordination::TimePoint now);
+  // The upstream to send to among `upstreams`, leaving out the ids in `avoid`;
+  // null when none can take the request now.
+  const UpstreamEntry* Choose(std::span<const UpstreamEntry* const> upstreams,
+                              const ChoiceRequest& request,
+                              std::span<const std::string> avoid,
+                              coordination::TimePoint now);
 
-  SendRecord OnSent(const ServerEntry& server, const ModelDemand* demand,
+  SendRecord OnSent(const UpstreamEntry& upstream, const ModelDemand* demand,
                     coordination::TimePoint now);
   // The answer's head, or a stream's first event, has come.
   void OnStarted(SendRecord& record, coordination::TimePoint now);
-  void OnLoad(std::string_view server, const ServerLoad& load,
+  void OnLoad(std::string_view upstream, const UpstreamLoad& load,
               coordination::TimePoint now);
   // Ends the record.
   void OnEnded(const SendRecord& record, SendOutcome outcome,
                coordination::TimePoint now);
-  void Forget(std::string_view server);
+  void Forget(std::string_view upstream);
 
   struct Figures {
     std::int64_t in_flight = 0;
     double failure_rate = 0;
   };
-  Figures FiguresOf(std::string_view server) const;
+  Figures FiguresOf(std::string_view upstream) const;
 
  private:
-  // The prompt parts that a server has read lately, the latest first.
+  // The prompt parts that a upstream has read lately, the latest first.
   class PartCache;
 
   struct State {
     std::int64_t in_flight = 0;
     std::int64_t unread_tokens = 0;
     std::int64_t held_tokens = 0;
-    ServerLoad load;  // as last reported
+    UpstreamLoad load;  // as last reported
     coordination::TimePoint load_at{};
     std::int64_t sent_since_load = 0;
     double failure_rate = 0;  // 0 to 1, recent
@@ -101,8 +102,8 @@
     std::shared_ptr<PartCache> cache;
   };
 
-  State& StateOf(std::string_view server);
-  // Prompt tokens that a server would have to read.
+  State& StateOf(std::string_view upstream);
+  // Prompt tokens that a upstream would have to read.
   struct Unread {
     std::int64_t own = 0;
     std::int64_t shared = 0;
@@ -110,7 +111,7 @@
   Unread UnreadOf(const State& state, const ModelDemand& demand,
                   bool home) const;
   double PauseLoss(double prefill_ms, double target_ms) const;
-  double Cost(const State& state, const ServerEntry& server,
+  double Cost(const State& state, const UpstreamEntry& upstream,
               const ChoiceRequest& request, bool home,
               coordination::TimePoint now) const;
 
--- a/policy/server_directory.cc
+++ b/policy/upstream_directory.cc
@@ -1,24 +1,24 @@
-#include "policy/server_directory.h"
+#include "policy/upstream_directory.h"
 
 #include <set>
 #include <utility>
 
 namespace hornbeamspool::policy {
 
-void ServerDirectory::Put(ServerEntry entry) {
+void UpstreamDirectory::Put(UpstreamEntry entry) {
   std::string id = entry.id;
   this->entries[std::move(id)] = Kept{std::move(entry), false};
 }
 
-bool ServerDirectory::InDoubt(coordination::TimePoint now) const {
+bool UpstreamDirectory::InDoubt(coordination::TimePoint now) const {
   return !this->reachable ||
          (this->returned_at && now - *this->returned_at < kReturnGrace);
 }
 
-void ServerDirectory::Drop(
+void UpstreamDirectory::Drop(
     std::map<std::string, Kept, std::less<>>::iterator found,
     coordination::TimePoint now) {
-  // A server that had said it leaves is not expected back.
+  // A upstream that had said it leaves is not expected back.
   if (this->InDoubt(now) && !found->second.entry.draining) {
     found->second.missing = true;
     return;
@@ -26,15 +26,16 @@
   this->entries.erase(found);
 }
 
-void ServerDirectory::Remove(std::string_view id, coordination::TimePoint now) {
+void UpstreamDirectory::Remove(std::string_view id,
+                               coordination::TimePoint now) {
   const auto found = this->entries.find(id);
   if (found != this->entries.end()) this->Drop(found, now);
 }
 
-void ServerDirectory::Replace(std::vector<ServerEntry> entries,
-                              coordination::TimePoint now) {
+void UpstreamDirectory::Replace(std::vector<UpstreamEntry> entries,
+                                coordination::TimePoint now) {
   std::set<std::string, std::less<>> present;
-  for (ServerEntry& entry : entries) {
+  for (UpstreamEntry& entry : entries) {
     present.insert(entry.id);
     this->Put(std::move(entry));
   }
@@ -44,13 +45,14 @@
   }
 }
 
-void ServerDirectory::SetReachable(bool reachable,
-                                   coordination::TimePoint now) {
+void UpstreamDirectory::SetReachable(bool reachable,
+                                     coordination::TimePoint now) {
   if (reachable && !this->reachable) this->returned_at = now;
   this->reachable = reachable;
 }
 
-std::vector<std::string> ServerDirectory::Expire(coordination::TimePoint now) {
+std::vector<std::string> UpstreamDirectory::Expire(
+    coordination::TimePoint now) {
   std::vector<std::string> gone;
   if (this->InDoubt(now)) return gone;
   for (auto it = this->entries.begin(); it != this->entries.end();) {
@@ -62,9 +64,9 @@
   return gone;
 }
 
-std::vector<const ServerEntry*> ServerDirectory::Usable(
+std::vector<const UpstreamEntry*> UpstreamDirectory::Usable(
     std::string_view service) const {
-  std::vector<const ServerEntry*> usable;
+  std::vector<const UpstreamEntry*> usable;
   for (const auto& [id, kept] : this->entries) {
     if (kept.entry.service != service || kept.entry.draining) continue;
     usable.push_back(&kept.entry);
@@ -72,7 +74,7 @@
   return usable;
 }
 
-const ServerEntry* ServerDirectory::Find(std::string_view id) const {
+const UpstreamEntry* UpstreamDirectory::Find(std::string_view id) const {
   const auto found = this->entries.find(id);
   return found == this->entries.end() ? nullptr : &found->second.entry;
 }
--- a/policy/server_directory.h
+++ b/policy/upstream_directory.h
@@ -1,6 +1,6 @@
-// The servers of every service, as their registry tells. Entries that lapse
+// The upstreams of every service, as their registry tells. Entries that lapse
 // while the registry's store is away are kept for a while after its return:
-// their servers live, and register again.
+// their upstreams live, and register again.
 #pragma once
 
 #include <cstdint>
@@ -14,8 +14,8 @@
 
 namespace hornbeamspool::policy {
 
-struct ServerEntry {
-  std::string id;  // one start of the server; mostly new at each start
+struct UpstreamEntry {
+  std::string id;  // one start of the upstream; mostly new at each start
   std::string service;
   std::string address;  // ip:port
   std::string availability_zone;
@@ -25,21 +25,21 @@
   bool draining = false;
 };
 
-class ServerDirectory {
+class UpstreamDirectory {
  public:
   // How long a missing entry is kept after the store's return: entries of live
-  // servers are back within about 2 s.
+  // upstreams are back within about 2 s.
   static constexpr coordination::Duration kReturnGrace =
       std::chrono::milliseconds(2300);
 
   // An entry was written. Ends any doubt about it.
-  void Put(ServerEntry entry);
+  void Put(UpstreamEntry entry);
 
   // An entry was removed, or can't be read any more.
   void Remove(std::string_view id, coordination::TimePoint now);
 
   // All entries that there are, read at one moment: what is missing is removed.
-  void Replace(std::vector<ServerEntry> entries, coordination::TimePoint now);
+  void Replace(std::vector<UpstreamEntry> entries, coordination::TimePoint now);
 
   // The registry stopped or began to answer.
   void SetReachable(bool reachable, coordination::TimePoint now);
@@ -47,14 +47,14 @@
   // Forgets entries whose grace has passed. Returns their ids.
   std::vector<std::string> Expire(coordination::TimePoint now);
 
-  // Servers of a service that may get new work.
-  std::vector<const ServerEntry*> Usable(std::string_view service) const;
-  const ServerEntry* Find(std::string_view id) const;
+  // Upstreams of a service that may get new work.
+  std::vector<const UpstreamEntry*> Usable(std::string_view service) const;
+  const UpstreamEntry* Find(std::string_view id) const;
   std::size_t Size() const { return this->entries.size(); }
 
  private:
   struct Kept {
-    ServerEntry entry;
+    UpstreamEntry entry;
     bool missing = false;  // lapsed while the store was away
   };
 
--- a/transport/budget_message.cc
+++ b/transport/budget_message.cc
@@ -20,7 +20,8 @@
   auto kind = static_cast<std::uint8_t>(message.kind);
   auto note = static_cast<std::uint8_t>(message.note);
   archive(kind, message.id, ShortText{&message.sender},
-          ShortText{&message.tenant}, message.needed, message.amount, note);
+          ShortText{&message.organisation}, message.needed, message.amount,
+          note);
   message.kind = static_cast<BudgetMessageKind>(kind);
   message.note = static_cast<GiftNote>(note);
 }
--- a/transport/budget_message.h
+++ b/transport/budget_message.h
@@ -25,7 +25,7 @@
   BudgetMessageKind kind = BudgetMessageKind::kAsk;
   std::uint64_t id = 0;  // of the ask, repeated in its gift; random
   std::string sender;    // VM
-  std::string tenant;
+  std::string organisation;
   std::int64_t needed = 0;  // of an ask: less is of no use
   std::int64_t amount = 0;  // of an ask: wanted; of a gift: given
   GiftNote note = GiftNote::kGiven;
