--- a/bench/budget_fleet.cc
+++ b/bench/budget_fleet.cc
@@ -270,8 +270,8 @@
   for (std::size_t i = 0; i < this->organisations.size(); ++i) {
     const bool holds = this->options.strategy == HoldStrategy::kEachVm ||
                        this->HomeOf(i) == vm;
-    if (holds)
-      desk->KeepHome(this->organisations[i].name, this->now + kHomeTime);
+    if (!holds) continue;
+    desk->KeepHome(this->organisations[i].name, this->now + kHomeTime);
   }
   if (desk->NeedsRead()) {
     if (!this->Reaches(vm)) return;
@@ -336,8 +336,8 @@
     for (const Vm& vm : this->vms) {
       if (!vm.up) continue;
       for (const auto& figures : vm.desk->AllFigures()) {
-        if (figures.organisation == organisation.name)
-          held += figures.limit - figures.spent;
+        if (figures.organisation != organisation.name) continue;
+        held += figures.limit - figures.spent;
       }
     }
     this->result.stranded += this->store[organisation.name].total.committed -
--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -172,7 +172,7 @@
   own.idle_timeout = limits.idle_timeout;
   own.header_bytes = static_cast<std::uint32_t>(limits.header_bytes);
   own.body_bytes = static_cast<std::uint64_t>(limits.body_bytes);
-  // A request may need a connection to a own besides its caller's.
+  // A request may need a connection to an upstream besides its caller's.
   own.connections = static_cast<std::size_t>(std::max<std::int64_t>(
       16, (this->settings.descriptors - kOwnDescriptors) / 2));
   return own;
