A gift counts for the process it was meant for; one log set-up, one datagram codec

Cause, found by reading: a gift that nobody asked for is sent three times; a giver paused between two of them sends it to a receiver that has meanwhile been killed and replaced, whose predecessor may have spent it: the tokens would count twice. Besides, taken gifts were remembered by number and not by time. Change: gifts name the receiver's incarnation; GiftLedger decides, with a test. hornbeamctl config check knows gateway settings. The set-up of the log and the codec of datagrams stood twice.

--- a/gateway/event_log.cc
+++ b/gateway/event_log.cc
@@ -1,7 +1,5 @@
 #include "gateway/event_log.h"
 
-#include <log4cplus/consoleappender.h>
-#include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
 
@@ -9,6 +7,7 @@
 #include <memory>
 #include <utility>
 
+#include "hornbeamspool/console_log.h"
 #include "policy/event.h"
 
 namespace hornbeamspool::gateway {
@@ -39,24 +38,10 @@
     {"served", 50, log4cplus::DEBUG_LOG_LEVEL},
 }};
 
-log4cplus::LogLevel LevelOf(std::string_view name) {
-  if (name == "debug") return log4cplus::DEBUG_LOG_LEVEL;
-  if (name == "warn") return log4cplus::WARN_LOG_LEVEL;
-  if (name == "error") return log4cplus::ERROR_LOG_LEVEL;
-  return log4cplus::INFO_LOG_LEVEL;
-}
-
 }  // namespace
 
 EventLog::EventLog(std::string vm, std::string_view level) : vm(std::move(vm)) {
-  log4cplus::SharedAppenderPtr console(
-      new log4cplus::ConsoleAppender(false, true));
-  console->setLayout(std::make_unique<log4cplus::PatternLayout>(
-      LOG4CPLUS_TEXT("%D{%Y-%m-%dT%H:%M:%S.%qZ} level=%p %m%n")));
-  log4cplus::Logger root = log4cplus::Logger::getRoot();
-  root.removeAllAppenders();
-  root.addAppender(console);
-  root.setLogLevel(LevelOf(level));
+  StartConsoleLog(level, LogStream::kOutput);
 }
 
 void EventLog::Emit(LogKind kind, std::string_view pairs) {
--- a/gateway/event_log.h
+++ b/gateway/event_log.h
@@ -18,11 +18,11 @@
   kStopping,
   kStopped,
   kConfig,      // a configuration is in force, or can't be read
-  kUpstream,    // a upstream came, changed or went
+  kUpstream,    // an upstream came, changed or went
   kDependency,  // the store was lost or regained
   kBudget,      // limits were written, or could not be
   kRefused,     // a request was answered by the gateway itself
-  kSendFailed,  // a send to a upstream failed
+  kSendFailed,  // a send to an upstream failed
   kBroken,      // an answer broke off after it had begun
   kServed,
   kCount
--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -89,6 +89,7 @@
 
   settings::GatewaySettings settings;
   Reload reload;
+  std::uint64_t incarnation = RandomIncarnation();
   boost::asio::io_context io{1};
   EventLog log;
   Metrics metrics;
@@ -119,7 +120,7 @@
       client(this->io),
       store_http(this->io),
       store(this->store_http, this->settings.store_address),
-      core(OptionsOf(this->settings), RandomIncarnation()),
+      core(OptionsOf(this->settings), this->incarnation),
       context{&this->io,     &this->core, &this->client, &this->keeper,
               &this->broker, &this->log,  &this->metrics},
       keeper(this->context, this->store, this->settings.vm),
@@ -128,7 +129,7 @@
               [this](const transport::BudgetMessage& message) {
                 this->broker.OnMessage(message);
               }),
-      broker(this->context, this->channel),
+      broker(this->context, this->channel, this->incarnation),
       callers(
           this->io, this->LimitsOf({}),
           [this](http::Exchange& exchange) {
--- a/gateway/stream_relay.h
+++ b/gateway/stream_relay.h
@@ -1,4 +1,4 @@
-// Relays an event stream from a upstream to a caller, whole events only, as
+// Relays an event stream from an upstream to a caller, whole events only, as
 // they arrive. Holds one piece of the stream: a slow caller stops the reading.
 #pragma once
 
--- a/gateway/token_broker.cc
+++ b/gateway/token_broker.cc
@@ -24,7 +24,7 @@
 using transport::BudgetMessageKind;
 using transport::GiftNote;
 
-// VMs that keep a organisation's tokens, one after the other.
+// VMs that keep an organisation's tokens, one after the other.
 constexpr std::size_t kHomes = 2;
 
 // A VM keeps tokens for this long after it was last the first choice, or was
@@ -52,7 +52,7 @@
 constexpr int kGiftSends = 3;
 constexpr Duration kGiftPause = std::chrono::milliseconds(60);
 
-// Memory of gifts sent and taken, against datagrams that come twice.
+// Gifts that are remembered, for asks that come twice.
 constexpr std::size_t kRemembered = 512;
 
 GiftNote NoteFor(BudgetVerdict verdict, bool reachable) {
@@ -68,8 +68,13 @@
 
 }  // namespace
 
-TokenBroker::TokenBroker(const Context& context, PeerChannel& channel)
-    : context(context), channel(&channel), random(std::random_device{}()) {}
+TokenBroker::TokenBroker(const Context& context, PeerChannel& channel,
+                         std::uint64_t incarnation)
+    : context(context),
+      channel(&channel),
+      random(std::random_device{}()),
+      incarnation(incarnation),
+      taken(incarnation) {}
 
 void TokenBroker::Start() {
   boost::asio::co_spawn(*this->context.io, this->Maintain(),
@@ -78,6 +83,17 @@
 
 std::uint64_t TokenBroker::NewId() { return this->random(); }
 
+BudgetMessage TokenBroker::NewMessage(BudgetMessageKind kind, std::uint64_t id,
+                                      const std::string& organisation) const {
+  BudgetMessage message;
+  message.kind = kind;
+  message.id = id;
+  message.sender = this->channel->Vm();
+  message.sender_incarnation = this->incarnation;
+  message.organisation = organisation;
+  return message;
+}
+
 void TokenBroker::Wake(Search& search) {
   for (http::Timer* timer : search.waiters) timer->cancel();
 }
@@ -166,11 +182,8 @@
                                       std::int64_t needed) {
   Search& search = this->searches[organisation];
   BudgetDesk& desk = this->context.core->Budgets();
-  BudgetMessage ask;
-  ask.kind = BudgetMessageKind::kAsk;
-  ask.id = this->NewId();
-  ask.sender = this->channel->Vm();
-  ask.organisation = organisation;
+  BudgetMessage ask =
+      this->NewMessage(BudgetMessageKind::kAsk, this->NewId(), organisation);
   ask.needed = needed;
   ask.amount = needed + desk.WantedGift(organisation);
   search.ask_id = ask.id;
@@ -191,7 +204,8 @@
   if (search.note == GiftNote::kGiven) co_return true;
   // What is left here is too little for this request; at the home it may add
   // up to enough for another.
-  this->SendGift(vm, organisation, desk.WithdrawFreeGift(organisation));
+  this->SendGift(vm, search.answered_by, organisation,
+                 desk.WithdrawFreeGift(organisation));
   if (search.note == GiftNote::kUnavailable) co_return false;
   search.refused_until = Now() + kRefusalTime;
   co_return true;
@@ -212,20 +226,20 @@
                         boost::asio::detached);
 }
 
-// Each gift counts once, also when its datagram comes twice, and also when
-// nobody waits for it any more.
+// A gift counts also when nobody waits for it any more.
 void TokenBroker::OnGift(const BudgetMessage& gift) {
-  const bool known = std::find(this->taken.begin(), this->taken.end(),
-                               gift.id) != this->taken.end();
-  if (!known && gift.amount > 0) {
-    this->taken.push_back(gift.id);
-    if (this->taken.size() > kRemembered) this->taken.pop_front();
+  if (gift.receiver_incarnation != this->incarnation) return;
+  const bool counts =
+      gift.amount > 0 &&
+      this->taken.Take(gift.id, gift.receiver_incarnation, Now());
+  if (counts) {
     this->context.core->Budgets().TakeGift(gift.organisation, gift.amount);
     this->context.metrics->Add(Counter::kTokensReceived, gift.amount);
   }
   Search& search = this->searches[gift.organisation];
   if (search.ask_id == gift.id) {
     search.answered = true;
+    search.answered_by = gift.sender_incarnation;
     search.note = gift.note;
   }
   this->Wake(search);
@@ -235,11 +249,9 @@
   BudgetDesk& desk = this->context.core->Budgets();
   const TimePoint give_up = Now() + kAnswerTime;
   if (!this->leaving) desk.KeepHome(ask.organisation, Now() + kHomeTime);
-  BudgetMessage gift;
-  gift.kind = BudgetMessageKind::kGift;
-  gift.id = ask.id;
-  gift.sender = this->channel->Vm();
-  gift.organisation = ask.organisation;
+  BudgetMessage gift =
+      this->NewMessage(BudgetMessageKind::kGift, ask.id, ask.organisation);
+  gift.receiver_incarnation = ask.sender_incarnation;
   http::Timer timer(*this->context.io);
   while (true) {
     gift.amount = desk.Give(ask.organisation, ask.needed, ask.amount, Now());
@@ -268,15 +280,13 @@
 }
 
 // Tokens that can't be sent stay here.
-void TokenBroker::SendGift(const std::string& vm,
+void TokenBroker::SendGift(const std::string& vm, std::uint64_t receiver,
                            const std::string& organisation,
                            std::int64_t amount) {
   if (amount <= 0) return;
-  BudgetMessage gift;
-  gift.kind = BudgetMessageKind::kGift;
-  gift.id = this->NewId();
-  gift.sender = this->channel->Vm();
-  gift.organisation = organisation;
+  BudgetMessage gift =
+      this->NewMessage(BudgetMessageKind::kGift, this->NewId(), organisation);
+  gift.receiver_incarnation = receiver;
   gift.amount = amount;
   if (!this->channel->Send(vm, gift)) {
     this->context.core->Budgets().TakeGift(organisation, amount);
@@ -305,7 +315,7 @@
 }
 
 // Sends idle gifts to the organisation's home; while the store is away also the
-// share of a organisation that is kept elsewhere, since nobody asks here for
+// share of an organisation that is kept elsewhere, since nobody asks here for
 // it. The home is asked first: what goes to a VM that has died is lost.
 http::Task<void> TokenBroker::HandOver(std::string organisation) {
   BudgetDesk& desk = this->context.core->Budgets();
@@ -321,9 +331,11 @@
   search.asking = false;
   this->Wake(search);
   if (!alive) co_return;
-  this->SendGift(vm, organisation, desk.WithdrawIdleGift(organisation));
+  const std::uint64_t receiver = search.answered_by;
+  this->SendGift(vm, receiver, organisation,
+                 desk.WithdrawIdleGift(organisation));
   if (!passes_on || desk.Reachable()) co_return;
-  this->SendGift(vm, organisation, desk.GiveAll(organisation, Now()));
+  this->SendGift(vm, receiver, organisation, desk.GiveAll(organisation, Now()));
 }
 
 void TokenBroker::Leave() {
--- a/gateway/token_broker.h
+++ b/gateway/token_broker.h
@@ -15,6 +15,7 @@
 #include "gateway/context.h"
 #include "http/task.h"
 #include "policy/budget_desk.h"
+#include "policy/gift_ledger.h"
 #include "transport/budget_message.h"
 
 namespace hornbeamspool::gateway {
@@ -23,7 +24,8 @@
 
 class TokenBroker {
  public:
-  TokenBroker(const Context& context, PeerChannel& channel);
+  TokenBroker(const Context& context, PeerChannel& channel,
+              std::uint64_t incarnation);
   TokenBroker(const TokenBroker&) = delete;
   TokenBroker& operator=(const TokenBroker&) = delete;
 
@@ -52,6 +54,7 @@
     bool asking = false;
     std::uint64_t ask_id = 0;
     bool answered = false;
+    std::uint64_t answered_by = 0;  // incarnation
     transport::GiftNote note = transport::GiftNote::kGiven;
     coordination::TimePoint refused_until{};  // `note` holds until then
     std::set<http::Timer*> waiters;
@@ -71,8 +74,11 @@
   http::Task<void> Maintain();
   void OnGift(const transport::BudgetMessage& gift);
   void Wake(Search& search);
-  void SendGift(const std::string& vm, const std::string& organisation,
-                std::int64_t amount);
+  void SendGift(const std::string& vm, std::uint64_t receiver,
+                const std::string& organisation, std::int64_t amount);
+  transport::BudgetMessage NewMessage(transport::BudgetMessageKind kind,
+                                      std::uint64_t id,
+                                      const std::string& organisation) const;
   http::Task<void> HandOver(std::string organisation);
   http::Task<void> SendAgain(std::string vm, transport::BudgetMessage gift);
   std::string FirstOtherHome(const std::string& organisation) const;
@@ -82,9 +88,10 @@
   PeerChannel* channel;
   std::map<std::string, Search, std::less<>> searches;
   std::deque<SentGift> sent;          // the latest, for repeated asks
-  std::deque<std::uint64_t> taken;    // ids of the latest gifts received
   std::set<std::uint64_t> answering;  // asks in progress
   std::mt19937_64 random;
+  std::uint64_t incarnation;
+  policy::GiftLedger taken;
   bool leaving = false;
 };
 
--- a/hornbeamctl/explain.cc
+++ b/hornbeamctl/explain.cc
@@ -27,10 +27,10 @@
     {"unauthenticated", "no organisation holds the key"},
     {"no_upstream", "no upstream could take the request"},
     {"upstream_failed",
-     "a upstream may have run the request, and its answer "
+     "an upstream may have run the request, and its answer "
      "was lost, broken, or another request's"},
     {"upstream_timeout",
-     "a upstream may have run the request, and gave no "
+     "an upstream may have run the request, and gave no "
      "answer in time"},
     {"answered", "the upstream's answer was relayed to its end"},
     {"upstream_error", "the upstream answered that it had failed"},
--- a/hornbeamspool/recorder.cc
+++ b/hornbeamspool/recorder.cc
@@ -1,13 +1,12 @@
 #include "hornbeamspool/recorder.h"
 
-#include <log4cplus/consoleappender.h>
-#include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
 
 #include <utility>
 
 #include "hornbeamspool/clock.h"
+#include "hornbeamspool/console_log.h"
 
 namespace hornbeamspool {
 namespace {
@@ -48,13 +47,6 @@
   return wanted.empty() || wanted == value;
 }
 
-log4cplus::LogLevel LevelOf(std::string_view name) {
-  if (name == "debug") return log4cplus::DEBUG_LOG_LEVEL;
-  if (name == "warn") return log4cplus::WARN_LOG_LEVEL;
-  if (name == "error") return log4cplus::ERROR_LOG_LEVEL;
-  return log4cplus::INFO_LOG_LEVEL;
-}
-
 }  // namespace
 
 EventSink::EventSink(std::size_t capacity, Recorder& recorder)
@@ -70,15 +62,8 @@
 Recorder::Recorder(std::string node, std::string_view log_level,
                    Metrics& metrics)
     : node(std::move(node)), metrics(&metrics) {
-  // Lines go to standard error; standard output stays for what was asked.
-  log4cplus::SharedAppenderPtr console(
-      new log4cplus::ConsoleAppender(true, true));
-  console->setLayout(std::make_unique<log4cplus::PatternLayout>(
-      LOG4CPLUS_TEXT("%D{%Y-%m-%dT%H:%M:%S.%qZ} level=%p %m%n")));
-  log4cplus::Logger root = log4cplus::Logger::getRoot();
-  root.removeAllAppenders();
-  root.addAppender(console);
-  root.setLogLevel(LevelOf(log_level));
+  // Standard output stays for what was asked.
+  StartConsoleLog(log_level, LogStream::kError);
 }
 
 Recorder::~Recorder() { this->Stop(); }
--- a/policy/budget_desk.cc
+++ b/policy/budget_desk.cc
@@ -8,7 +8,7 @@
 namespace hornbeamspool::policy {
 namespace {
 
-// Until a organisation's demand is known, its home holds this part of its
+// Until an organisation's demand is known, its home holds this part of its
 // budget: a few seconds of a day's spending.
 constexpr std::int64_t kFirstPart = 12;
 
@@ -188,7 +188,7 @@
   if (found != this->entries.end()) found->second.received += amount;
 }
 
-// A VM with few requests of a organisation asks for each of them; others keep
+// A VM with few requests of an organisation asks for each of them; others keep
 // what they need until the next answer of the home.
 std::int64_t BudgetDesk::GiftTarget(const Entry& entry) const {
   const auto expected =
--- a/policy/budget_desk.h
+++ b/policy/budget_desk.h
@@ -62,7 +62,7 @@
   BudgetDesk(std::uint64_t incarnation, BudgetDeskOptions options)
       : incarnation(incarnation), options(options) {}
 
-  // The prepaid tokens of a organisation, by the configuration in force.
+  // The prepaid tokens of an organisation, by the configuration in force.
   void SetPrepaid(std::string_view organisation, std::int64_t prepaid);
 
   // Sets `amount` tokens aside, of what peers gave or of this VM's own share.
--- a/policy/budget_share.h
+++ b/policy/budget_share.h
@@ -1,4 +1,4 @@
-// A organisation's prepaid tokens, split into spending limits. A VM may spend
+// An organisation's prepaid tokens, split into spending limits. A VM may spend
 // up to its limit without any message; the limits of all VMs, those of ended
 // processes included, never add up to more than what was prepaid. What a limit
 // leaves unspent when its process dies without a word stays stranded.
--- a/policy/gateway_core.cc
+++ b/policy/gateway_core.cc
@@ -223,8 +223,8 @@
   return {ErrorKind::kUpstreamFailed, {}};
 }
 
-// The prompt counts once, as soon as a upstream may have read it; output counts
-// as delivered, each event with the most tokens that it may hold.
+// The prompt counts once, as soon as an upstream may have read it; output
+// counts as delivered, each event with the most tokens that it may hold.
 std::int64_t GatewayCore::TokensUsed(const Ticket& ticket) const {
   if (!ticket.prompt_read || !ticket.request.demand) return 0;
   const std::int64_t per_event =
--- a/policy/gateway_core.h
+++ b/policy/gateway_core.h
@@ -41,10 +41,10 @@
   coordination::TimePoint deadline{};  // the answer has ended by then
   std::int64_t reserved = 0;           // tokens set aside
   BudgetSource source = BudgetSource::kShare;
-  bool prompt_read = false;  // a upstream may have read the prompt
+  bool prompt_read = false;  // an upstream may have read the prompt
   std::int64_t events_delivered = 0;
   std::int64_t sends = 0;
-  std::int64_t runs = 0;  // sends that a upstream may have run
+  std::int64_t runs = 0;  // sends that an upstream may have run
   bool started = false;   // the caller has been sent the answer's head
   std::optional<std::int64_t> last_event_id;   // the last one delivered
   coordination::TimePoint last_event_at{};     // zero before the first
--- a/policy/peer_directory.h
+++ b/policy/peer_directory.h
@@ -1,4 +1,4 @@
-// The gateways of a fleet, and which of them keep a organisation's tokens.
+// The gateways of a fleet, and which of them keep an organisation's tokens.
 // Peers are found dead by use: one that does not answer is left out for a
 // while, longer each time, and asked again after.
 #pragma once
--- a/policy/upstream_board.cc
+++ b/policy/upstream_board.cc
@@ -35,9 +35,9 @@
 constexpr double kMostPauses = 1.5;
 // Crossing availability zones: a little delay, and bytes are priced.
 constexpr double kZoneMs = 3;
-// A upstream whose answers all fail.
+// An upstream whose answers all fail.
 constexpr double kFailureMs = 1000;
-// A upstream that is full, by its slots or its memory.
+// An upstream that is full, by its slots or its memory.
 constexpr double kFullMs = 500;
 
 // How fast the time for a token follows observations below and above it: close
@@ -53,7 +53,7 @@
 // Recent failures count by this weight each.
 constexpr double kFailureWeight = 0.15;
 
-// A upstream that can't be reached is left alone, longer each time.
+// An upstream that can't be reached is left alone, longer each time.
 constexpr Duration kFirstSuspension = std::chrono::milliseconds(300);
 constexpr std::int64_t kMostDoublings = 4;
 // So is one that fails more often than this in a row.
--- a/policy/upstream_board.h
+++ b/policy/upstream_board.h
@@ -18,7 +18,7 @@
 
 namespace hornbeamspool::policy {
 
-// A upstream's own word of its load.
+// An upstream's own word of its load.
 struct UpstreamLoad {
   std::int64_t running = 0;
   std::int64_t waiting = 0;
@@ -50,7 +50,7 @@
   bool started = false;  // the first event has come
 };
 
-// What the choice of a upstream depends on.
+// What the choice of an upstream depends on.
 struct ChoiceRequest {
   const ModelDemand* demand = nullptr;    // null: no model request
   std::int64_t memory_tokens = 0;         // of an engine; 0: not known
@@ -86,7 +86,7 @@
   Figures FiguresOf(std::string_view upstream) const;
 
  private:
-  // The prompt parts that a upstream has read lately, the latest first.
+  // The prompt parts that an upstream has read lately, the latest first.
   class PartCache;
 
   struct State {
@@ -103,7 +103,7 @@
   };
 
   State& StateOf(std::string_view upstream);
-  // Prompt tokens that a upstream would have to read.
+  // Prompt tokens that an upstream would have to read.
   struct Unread {
     std::int64_t own = 0;
     std::int64_t shared = 0;
--- a/policy/upstream_directory.cc
+++ b/policy/upstream_directory.cc
@@ -18,7 +18,7 @@
 void UpstreamDirectory::Drop(
     std::map<std::string, Kept, std::less<>>::iterator found,
     coordination::TimePoint now) {
-  // A upstream that had said it leaves is not expected back.
+  // An upstream that had said it leaves is not expected back.
   if (this->InDoubt(now) && !found->second.entry.draining) {
     found->second.missing = true;
     return;
--- a/settings/check.cc
+++ b/settings/check.cc
@@ -5,6 +5,7 @@
 #include <boost/leaf/result.hpp>
 
 #include "settings/fleet_settings.h"
+#include "settings/gateway_settings.h"
 #include "settings/json_text.h"
 #include "settings/node_settings.h"
 
@@ -23,13 +24,15 @@
   return found;
 }
 
-boost::leaf::result<void> CheckEither(std::string_view text) {
+boost::leaf::result<void> CheckByKind(std::string_view text) {
   BOOST_LEAF_AUTO(document, ParseJsonText(text));
   const boost::json::object* object = document.if_object();
   const boost::json::value* kind =
       object == nullptr ? nullptr : object->if_contains("kind");
   if (kind != nullptr && *kind == "node") {
     BOOST_LEAF_CHECK(ParseNodeSettings(text));
+  } else if (kind != nullptr && *kind == "gateway") {
+    BOOST_LEAF_CHECK(ParseGatewaySettings(text));
   } else {
     BOOST_LEAF_CHECK(ParseFleetConfig(text));
   }
@@ -46,7 +49,7 @@
 }
 
 FaultList FaultsOf(std::string_view text) {
-  return FaultsFrom([&] { return CheckEither(text); });
+  return FaultsFrom([&] { return CheckByKind(text); });
 }
 
 }  // namespace hornbeamspool::settings
--- a/settings/check.h
+++ b/settings/check.h
@@ -1,4 +1,4 @@
-// Checks a settings text of either kind.
+// Checks a settings text of any kind.
 #pragma once
 
 #include <string_view>
@@ -10,7 +10,7 @@
 // Every fault of a fleet configuration; empty when it is sound.
 FaultList FaultsOfFleet(std::string_view text);
 
-// The same for a text of either kind, as its member `kind` says.
+// The same for a text of any kind, as its member `kind` says.
 FaultList FaultsOf(std::string_view text);
 
 }  // namespace hornbeamspool::settings
--- a/tests/budget_test.cc
+++ b/tests/budget_test.cc
@@ -9,6 +9,7 @@
 #include "bench/budget_fleet.h"
 #include "policy/budget_desk.h"
 #include "policy/budget_share.h"
+#include "policy/gift_ledger.h"
 
 namespace hornbeamspool {
 namespace {
@@ -188,6 +189,19 @@
   CHECK(taker.WithdrawIdleGift("t") == 0);
 }
 
+TEST_CASE("a gift counts once, and only for the process it was meant for") {
+  policy::GiftLedger ledger(7);
+  CHECK(ledger.Take(100, 7, At(0)));
+  CHECK_FALSE(ledger.Take(100, 7, At(10)));
+  // A paused giver sends again what a predecessor had taken and spent.
+  CHECK_FALSE(ledger.Take(200, 6, At(20)));
+  CHECK(ledger.Take(200, 7, At(30)));
+  for (std::uint64_t id = 1'000; id < 20'000; ++id) {
+    CHECK(ledger.Take(id, 7, At(40)));
+  }
+  CHECK_FALSE(ledger.Take(100, 7, At(59'000)));
+}
+
 TEST_CASE("a home's gifts go back to the store, once") {
   BudgetRows rows = Absent();
   rows.total = {500'000, 0};
--- a/tests/gateway_policy_test.cc
+++ b/tests/gateway_policy_test.cc
@@ -212,7 +212,7 @@
   CHECK(taken <= 4);
 }
 
-TEST_CASE("a upstream whose address another one has is left alone") {
+TEST_CASE("an upstream whose address another one has is left alone") {
   UpstreamBoard board("z1");
   const UpstreamEntry a = MakeUpstream("a");
   const UpstreamEntry b = MakeUpstream("b", "z2");
@@ -355,7 +355,7 @@
   CHECK(std::min(to_a, kSends - to_a) >= kSends / 5);
 }
 
-TEST_CASE("a upstream that can't be reached is left alone, then tried again") {
+TEST_CASE("an upstream that can't be reached is left alone, then tried again") {
   UpstreamBoard board("z1");
   const UpstreamEntry a = MakeUpstream("a");
   const UpstreamEntry b = MakeUpstream("b", "z2");
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -202,6 +202,8 @@
   message.kind = transport::BudgetMessageKind::kGift;
   message.id = 42;
   message.sender = "vm";
+  message.sender_incarnation = 5;
+  message.receiver_incarnation = 6;
   message.organisation = "t";
   message.amount = 99;
   message.note = transport::GiftNote::kHeld;
@@ -211,6 +213,8 @@
   CHECK(read->id == 42);
   CHECK(read->organisation == "t");
   CHECK(read->note == transport::GiftNote::kHeld);
+  CHECK(read->sender_incarnation == 5);
+  CHECK(read->receiver_incarnation == 6);
   for (std::size_t length = 0; length < bytes.size(); ++length) {
     CHECK_FALSE(transport::DecodeBudgetMessage(
         std::string_view(bytes).substr(0, length)));
--- a/transport/budget_message.h
+++ b/transport/budget_message.h
@@ -25,6 +25,10 @@
   BudgetMessageKind kind = BudgetMessageKind::kAsk;
   std::uint64_t id = 0;  // of the ask, repeated in its gift; random
   std::string sender;    // VM
+  std::uint64_t sender_incarnation = 0;
+  // Of the process that a gift is meant for: its successor, which can't know
+  // what of it was spent, does not take it.
+  std::uint64_t receiver_incarnation = 0;
   std::string organisation;
   std::int64_t needed = 0;  // of an ask: less is of no use
   std::int64_t amount = 0;  // of an ask: wanted; of a gift: given
--- a/transport/heartbeat.cc
+++ b/transport/heartbeat.cc
@@ -1,10 +1,8 @@
 #include "transport/heartbeat.h"
 
-#include <cereal/archives/portable_binary.hpp>
 #include <cereal/cereal.hpp>
-#include <exception>
-#include <sstream>
 
+#include "transport/datagram.h"
 #include "transport/short_text.h"
 
 namespace hornbeamspool::coordination {
@@ -52,28 +50,11 @@
 }
 
 std::string EncodeHeartbeat(const Heartbeat& heartbeat) {
-  std::ostringstream out;
-  {
-    cereal::PortableBinaryOutputArchive archive(out);
-    archive(kFormat, heartbeat);
-  }
-  return out.str();
+  return EncodeDatagram(kFormat, heartbeat);
 }
 
 std::optional<Heartbeat> DecodeHeartbeat(std::string_view bytes) {
-  if (bytes.size() > kMaxDatagramBytes) return std::nullopt;
-  try {
-    std::istringstream in{std::string(bytes)};
-    cereal::PortableBinaryInputArchive archive(in);
-    std::uint32_t format = 0;
-    archive(format);
-    if (format != kFormat) return std::nullopt;
-    Heartbeat heartbeat;
-    archive(heartbeat);
-    return heartbeat;
-  } catch (const std::exception&) {
-    return std::nullopt;
-  }
+  return DecodeDatagram<Heartbeat>(kFormat, bytes);
 }
 
 }  // namespace hornbeamspool::transport
--- a/transport/heartbeat.h
+++ b/transport/heartbeat.h
@@ -9,6 +9,7 @@
 
 #include "coordination/hybrid_clock.h"
 #include "coordination/member_view.h"
+#include "transport/datagram.h"
 
 namespace hornbeamspool::transport {
 
@@ -18,9 +19,6 @@
   std::vector<coordination::MemberReport> sample;  // of the sender's view
 };
 
-// Largest datagram sent; fits an Ethernet frame.
-inline constexpr std::size_t kMaxDatagramBytes = 1400;
-
 std::string EncodeHeartbeat(const Heartbeat& heartbeat);
 
 // Empty when the bytes are not a heartbeat.
