An upstream that leaves just after the store's return gets nothing for long

Ruled out: late news (the removal was logged 5 ms after it). Change: what is removed after the first news of the return is kept for 1.4 s at most, by the time and not by the look. A test of that fails before.

--- a/policy/gateway_core.cc
+++ b/policy/gateway_core.cc
@@ -152,7 +152,7 @@
     return Refusal{kind, Spread(kRetryUpstream, ticket.request.id)};
   }
   const std::vector<const UpstreamEntry*> upstreams =
-      this->upstreams.Usable(ticket.service->name);
+      this->upstreams.Usable(ticket.service->name, now);
   ChoiceRequest choice;
   if (ticket.request.demand) choice.demand = &*ticket.request.demand;
   if (ticket.service->engine) {
--- a/policy/upstream_directory.cc
+++ b/policy/upstream_directory.cc
@@ -1,5 +1,6 @@
 #include "policy/upstream_directory.h"
 
+#include <algorithm>
 #include <set>
 #include <utility>
 
@@ -15,12 +16,22 @@
          (this->returned_at && now - *this->returned_at < kReturnGrace);
 }
 
+coordination::TimePoint UpstreamDirectory::DropTime(
+    coordination::TimePoint now) const {
+  if (!this->reachable || !this->returned_at) return now + kReturnGrace;
+  const coordination::TimePoint grace_ends = *this->returned_at + kReturnGrace;
+  if (now - *this->returned_at <= kFirstNews) return grace_ends;
+  return std::min(grace_ends, now + kLateRemoval);
+}
+
 void UpstreamDirectory::Drop(
     std::map<std::string, Kept, std::less<>>::iterator found,
     coordination::TimePoint now) {
   // An upstream that had said it leaves is not expected back.
   if (this->InDoubt(now) && !found->second.entry.draining) {
+    if (found->second.missing) return;
     found->second.missing = true;
+    found->second.drop_at = this->DropTime(now);
     return;
   }
   this->entries.erase(found);
@@ -54,10 +65,9 @@
 std::vector<std::string> UpstreamDirectory::Expire(
     coordination::TimePoint now) {
   std::vector<std::string> gone;
-  if (this->InDoubt(now)) return gone;
   for (auto it = this->entries.begin(); it != this->entries.end();) {
     const auto here = it++;
-    if (!here->second.missing) continue;
+    if (!here->second.missing || now < here->second.drop_at) continue;
     gone.push_back(here->first);
     this->entries.erase(here);
   }
@@ -65,10 +75,11 @@
 }
 
 std::vector<const UpstreamEntry*> UpstreamDirectory::Usable(
-    std::string_view service) const {
+    std::string_view service, coordination::TimePoint now) const {
   std::vector<const UpstreamEntry*> usable;
   for (const auto& [id, kept] : this->entries) {
     if (kept.entry.service != service || kept.entry.draining) continue;
+    if (kept.missing && now >= kept.drop_at) continue;
     usable.push_back(&kept.entry);
   }
   return usable;
--- a/policy/upstream_directory.h
+++ b/policy/upstream_directory.h
@@ -30,7 +30,13 @@
   // How long a missing entry is kept after the store's return: entries of live
   // upstreams are back within about 2 s.
   static constexpr coordination::Duration kReturnGrace =
-      std::chrono::milliseconds(2300);
+      std::chrono::milliseconds(2100);
+
+  // How long one is kept whose removal comes in that time, but was not among
+  // the first news after the return: its upstream may be leaving, and gets
+  // nothing more within 2 s of that.
+  static constexpr coordination::Duration kLateRemoval =
+      std::chrono::milliseconds(1400);
 
   // An entry was written. Ends any doubt about it.
   void Put(UpstreamEntry entry);
@@ -48,17 +54,24 @@
   std::vector<std::string> Expire(coordination::TimePoint now);
 
   // Upstreams of a service that may get new work.
-  std::vector<const UpstreamEntry*> Usable(std::string_view service) const;
+  std::vector<const UpstreamEntry*> Usable(std::string_view service,
+                                           coordination::TimePoint now) const;
   const UpstreamEntry* Find(std::string_view id) const;
   std::size_t Size() const { return this->entries.size(); }
 
  private:
   struct Kept {
     UpstreamEntry entry;
-    bool missing = false;  // lapsed while the store was away
+    bool missing = false;               // lapsed while the store was away
+    coordination::TimePoint drop_at{};  // of a missing one
   };
 
+  // News that comes this soon after the return was waiting for it.
+  static constexpr coordination::Duration kFirstNews =
+      std::chrono::milliseconds(100);
+
   bool InDoubt(coordination::TimePoint now) const;
+  coordination::TimePoint DropTime(coordination::TimePoint now) const;
   void Drop(std::map<std::string, Kept, std::less<>>::iterator found,
             coordination::TimePoint now);
 
--- a/tests/gateway_policy_test.cc
+++ b/tests/gateway_policy_test.cc
@@ -304,10 +304,24 @@
   upstreams.SetReachable(false, At(10'000));
   upstreams.SetReachable(true, At(15'000));
   upstreams.Replace({MakeUpstream("s2")}, At(15'010));
-  CHECK(upstreams.Usable("engines").size() == 2);
+  CHECK(upstreams.Usable("engines", At(17'000)).size() == 2);
   CHECK(upstreams.Expire(At(16'000)).empty());
+  CHECK(upstreams.Usable("engines", At(17'200)).size() == 1);
   CHECK(upstreams.Expire(At(18'000)) == std::vector<std::string>{"s1"});
-  CHECK(upstreams.Usable("engines").size() == 1);
+  CHECK(upstreams.Usable("engines", At(18'000)).size() == 1);
+}
+
+TEST_CASE(
+    "one that leaves just after the store's return gets nothing for long") {
+  UpstreamDirectory upstreams;
+  upstreams.SetReachable(true, At(0));
+  upstreams.Put(MakeUpstream("s1"));
+  upstreams.Put(MakeUpstream("s2"));
+  upstreams.SetReachable(false, At(10'000));
+  upstreams.SetReachable(true, At(15'000));
+  upstreams.Remove("s1", At(15'800));
+  CHECK(upstreams.Usable("engines", At(16'000)).size() == 2);
+  CHECK(upstreams.Usable("engines", At(17'200)).size() == 1);
 }
 
 TEST_CASE("a removed or draining upstream gets nothing at once") {
@@ -317,9 +331,9 @@
   UpstreamEntry leaving = MakeUpstream("s2");
   leaving.draining = true;
   upstreams.Put(leaving);
-  CHECK(upstreams.Usable("engines").size() == 1);
+  CHECK(upstreams.Usable("engines", At(0)).size() == 1);
   upstreams.Remove("s1", At(10'000));
-  CHECK(upstreams.Usable("engines").empty());
+  CHECK(upstreams.Usable("engines", At(10'000)).empty());
 }
 
 TEST_CASE("requests that share a prompt part go where it was read") {
