--- a/bench/fake_table.h
+++ b/bench/fake_table.h
@@ -1,4 +1,4 @@
-// A fake of the table service at the interface of commands and replies, with
+// A fake of the store at the interface of commands and replies, with
 // switches that break its conditions on purpose.
 #pragma once
 
--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -15,7 +15,6 @@
 #include "gateway/event_log.h"
 #include "gateway/peer_channel.h"
 #include "gateway/request_relay.h"
-#include "gateway/table_follower.h"
 #include "gateway/token_broker.h"
 #include "hornbeamspool/clock.h"
 #include "hornbeamspool/error_response.h"
@@ -24,6 +23,7 @@
 #include "http/server.h"
 #include "platform/documents.h"
 #include "platform/store_client.h"
+#include "platform/table_follower.h"
 #include "policy/event.h"
 #include "policy/gateway_core.h"
 #include "policy/lag_meter.h"
@@ -104,8 +104,8 @@
   http::Server callers;
   http::Server readiness;
   http::Server metrics_page;
-  TableFollower operator_table;
-  TableFollower upstream_table;
+  platform::TableFollower operator_table;
+  platform::TableFollower upstream_table;
   boost::asio::signal_set signals;
   policy::LagMeter lag;
   bool stopping = false;
--- a/gateway/peer_channel.cc
+++ b/gateway/peer_channel.cc
@@ -12,6 +12,7 @@
 #include "gateway/event_log.h"
 #include "hornbeamspool/clock.h"
 #include "http/address.h"
+#include "platform/own_row.h"
 #include "policy/gateway_core.h"
 #include "transport/heartbeat.h"
 #include "transport/seal.h"
@@ -115,32 +116,16 @@
   co_return !this->key.empty();
 }
 
-// Writes this VM's address, unless it stands there already.
 http::Task<bool> PeerChannel::Announce() {
   if (this->leaving) co_return true;
-  const platform::KeyRange mine{this->vm, this->vm + '\0'};
-  const platform::StoreAnswer read =
-      co_await this->store->Read(std::string(kPeerTable), mine);
-  if (read.status != StoreStatus::kOk) co_return false;
-  std::vector<StoreRow> rows{
-      {std::string(kPeerTable), this->vm, this->address}};
-  if (!read.rows.empty()) {
-    if (read.rows.front().value == this->address) co_return true;
-    rows.front().version = read.rows.front().version;
-  }
-  const platform::StoreAnswer written = co_await this->store->Write(rows);
-  co_return written.status == StoreStatus::kOk;
+  co_return co_await platform::WriteOwnRow(
+      *this->store, std::string(kPeerTable), this->vm, this->address);
 }
 
 http::Task<void> PeerChannel::Leave() {
   this->leaving = true;
-  const platform::KeyRange mine{this->vm, this->vm + '\0'};
-  const platform::StoreAnswer read =
-      co_await this->store->Read(std::string(kPeerTable), mine);
-  if (read.status != StoreStatus::kOk || read.rows.empty()) co_return;
-  std::vector<StoreRow> rows{read.rows.front()};
-  rows.front().removed = true;
-  co_await this->store->Write(rows);
+  co_await platform::RemoveOwnRow(*this->store, std::string(kPeerTable),
+                                  this->vm);
 }
 
 bool PeerChannel::Send(std::string_view vm,
--- a/gateway/peer_channel.h
+++ b/gateway/peer_channel.h
@@ -9,9 +9,9 @@
 #include <string_view>
 
 #include "gateway/context.h"
-#include "gateway/table_follower.h"
 #include "http/task.h"
 #include "platform/store_client.h"
+#include "platform/table_follower.h"
 #include "policy/peer_directory.h"
 #include "transport/budget_message.h"
 
@@ -51,7 +51,7 @@
   std::string address;
   Receiver receiver;
   policy::PeerDirectory directory;
-  TableFollower table;
+  platform::TableFollower table;
   std::unique_ptr<http::UdpSocket> socket;
   std::string key;
   bool leaving = false;
--- a/hornbeamspool/budget_admin.cc
+++ b/hornbeamspool/budget_admin.cc
@@ -17,7 +17,7 @@
 constexpr int kMaxTries = 20;
 
 // Drawing nodes write the budget row too, so a conflict is tried again.
-http::Task<TableOutcome> TryAdd(platform::TableClient& table,
+http::Task<TableOutcome> TryAdd(platform::ItemTable& table,
                                 const std::string& budget, std::int64_t tokens,
                                 const std::string& id,
                                 const platform::Item* row) {
@@ -45,7 +45,7 @@
 
 }  // namespace
 
-http::Task<AdminOutcome> AddToBudget(platform::TableClient& table,
+http::Task<AdminOutcome> AddToBudget(platform::ItemTable& table,
                                      std::string budget, std::int64_t tokens,
                                      std::string id, bool create) {
   for (int i = 0; i < kMaxTries; ++i) {
@@ -72,7 +72,7 @@
   co_return AdminOutcome::kConflict;
 }
 
-http::Task<BudgetReport> ShowBudget(platform::TableClient& table,
+http::Task<BudgetReport> ShowBudget(platform::ItemTable& table,
                                     std::string budget) {
   BudgetReport report;
   const auto query =
@@ -81,7 +81,7 @@
   report.outcome = AdminOutcome::kNotFound;
   std::map<std::string, HolderGrant> holders;
   for (const platform::Item& item : query.items) {
-    const std::string sort = item.Text(platform::kSortName);
+    const std::string& sort = item.key.sort;
     const std::size_t mark = sort.find('#');
     const std::string kind = sort.substr(0, mark);
     if (kind == "budget") {
@@ -105,7 +105,7 @@
   co_return report;
 }
 
-http::Task<BillReport> ShowBills(platform::TableClient& table,
+http::Task<BillReport> ShowBills(platform::ItemTable& table,
                                  std::string organisation, std::string key) {
   BillReport report;
   policy::Bill probe;
--- a/hornbeamspool/budget_admin.h
+++ b/hornbeamspool/budget_admin.h
@@ -8,7 +8,7 @@
 
 #include "coordination/escrow.h"
 #include "http/task.h"
-#include "platform/table_client.h"
+#include "platform/item_table.h"
 
 namespace hornbeamspool {
 
@@ -51,15 +51,15 @@
 };
 
 // Adds `tokens` to a budget; creates it first when `create`.
-http::Task<AdminOutcome> AddToBudget(platform::TableClient& table,
+http::Task<AdminOutcome> AddToBudget(platform::ItemTable& table,
                                      std::string budget, std::int64_t tokens,
                                      std::string id, bool create);
 
-http::Task<BudgetReport> ShowBudget(platform::TableClient& table,
+http::Task<BudgetReport> ShowBudget(platform::ItemTable& table,
                                     std::string budget);
 
 // Bills of an organisation whose request key starts with `key`.
-http::Task<BillReport> ShowBills(platform::TableClient& table,
+http::Task<BillReport> ShowBills(platform::ItemTable& table,
                                  std::string organisation, std::string key);
 
 }  // namespace hornbeamspool
--- a/hornbeamspool/config_store.cc
+++ b/hornbeamspool/config_store.cc
@@ -16,23 +16,23 @@
 }  // namespace
 
 http::Task<std::optional<StoredConfig>> ReadStoredConfig(
-    platform::TableClient& table, platform::ObjectStore& objects) {
+    platform::ItemTable& table, platform::StoreClient& store) {
   const auto row = co_await table.Get(rows::EpochKey());
   if (row.outcome != TableOutcome::kOk) co_return std::nullopt;
   StoredConfig stored;
   if (!row.item) co_return stored;
-  auto text = co_await objects.Get(row.item->Text("object"));
+  auto text = co_await store.GetObject(row.item->Text("object"));
   if (!text) co_return std::nullopt;
   stored.epoch = static_cast<std::uint64_t>(row.item->Number("epoch"));
   stored.text = std::move(*text);
   co_return stored;
 }
 
-http::Task<PutOutcome> PutConfig(platform::TableClient& table,
-                                 platform::ObjectStore& objects,
-                                 std::string text, std::uint64_t base) {
-  const std::string object = "config/" + transport::Sha256Hex(text);
-  if (!co_await objects.Put(object, std::move(text))) {
+http::Task<PutOutcome> PutConfig(platform::ItemTable& table,
+                                 platform::StoreClient& store, std::string text,
+                                 std::uint64_t base) {
+  const std::string object = "config-" + transport::Sha256Hex(text);
+  if (!co_await store.PutObject(object, std::move(text))) {
     co_return PutOutcome::kUnavailable;
   }
   const auto epoch = static_cast<std::int64_t>(base);
--- a/hornbeamspool/config_store.h
+++ b/hornbeamspool/config_store.h
@@ -1,5 +1,5 @@
-// The accepted configuration in the platform: its content in the object store,
-// its epoch in the table.
+// The accepted configuration in the platform: its content as an object, its
+// epoch in the table.
 #pragma once
 
 #include <cstdint>
@@ -7,8 +7,8 @@
 #include <string>
 
 #include "http/task.h"
-#include "platform/object_store.h"
-#include "platform/table_client.h"
+#include "platform/item_table.h"
+#include "platform/store_client.h"
 
 namespace hornbeamspool {
 
@@ -19,7 +19,7 @@
 
 // Empty when the platform did not answer.
 http::Task<std::optional<StoredConfig>> ReadStoredConfig(
-    platform::TableClient& table, platform::ObjectStore& objects);
+    platform::ItemTable& table, platform::StoreClient& store);
 
 enum class PutOutcome : std::uint8_t {
   kAccepted,
@@ -29,8 +29,8 @@
 };
 
 // Accepts `text` as the epoch after `base`.
-http::Task<PutOutcome> PutConfig(platform::TableClient& table,
-                                 platform::ObjectStore& objects,
-                                 std::string text, std::uint64_t base);
+http::Task<PutOutcome> PutConfig(platform::ItemTable& table,
+                                 platform::StoreClient& store, std::string text,
+                                 std::uint64_t base);
 
 }  // namespace hornbeamspool
--- a/hornbeamspool/daemon.cc
+++ b/hornbeamspool/daemon.cc
@@ -60,8 +60,8 @@
       decisions(OptionsOf(settings),
                 CallerServer::RingCapacity(settings.callers), this->metrics,
                 *this->decision_sink),
-      platform(settings.platform, HolderName(settings, this->incarnation),
-               this->metrics, *this->platform_sink),
+      platform(settings, HolderName(settings, this->incarnation), this->metrics,
+               *this->platform_sink),
       callers(settings.callers, RequestPrefix(settings, this->incarnation),
               this->metrics, *this->listener_sink, this->decisions.Ready()),
       peers(settings, this->incarnation, this->metrics, *this->peer_sink,
@@ -106,6 +106,7 @@
   const coordination::TimePoint deadline = Now() + this->settings.drain_timeout;
   // Step 1: the platform's balancer and the peers are told.
   this->peers.BeginLeave();
+  this->platform.Leave();
   this->callers.Drain();
   // Step 2: wait for the callers that were being answered.
   while (Now() < deadline && this->callers.OpenConnections() > 0) {
--- a/hornbeamspool/embedded.cc
+++ b/hornbeamspool/embedded.cc
@@ -1,7 +1,6 @@
 #include "hornbeamspool/embedded.h"
 
 #include <boost/asio/io_context.hpp>
-#include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 #include <list>
@@ -10,8 +9,8 @@
 #include <thread>
 
 #include "standin/engine_standin.h"
-#include "standin/platform_standin.h"
 #include "standin/service_standin.h"
+#include "standin/store_standin.h"
 
 namespace hornbeamspool {
 namespace {
@@ -24,14 +23,15 @@
   return "127.0.0.1:" + std::to_string(port);
 }
 
-json::object VmLine(std::string_view name, std::string_view service,
-                    std::string_view version, std::uint16_t port) {
-  return {{"name", name},
-          {"service", service},
-          {"version", version},
-          {"availability_zone", "zone-a"},
-          {"address", LoopbackAddress(port)},
-          {"state", "live"}};
+// What an upstream writes to the store about itself.
+std::string UpstreamRow(std::string_view service, std::string_view version,
+                        std::uint16_t port) {
+  return json::serialize(json::object{{"service", service},
+                                      {"version", version},
+                                      {"zone", "zone-a"},
+                                      {"address", LoopbackAddress(port)},
+                                      {"slot_count", 8},
+                                      {"state", "ready"}});
 }
 
 }  // namespace
@@ -40,8 +40,8 @@
   boost::asio::io_context io{1};
   std::list<standin::EngineStandin> engines;
   std::unique_ptr<standin::ServiceStandin> service;
-  std::unique_ptr<standin::PlatformStandin> platform;
-  std::string platform_address;
+  std::unique_ptr<standin::StoreStandin> store;
+  std::string store_address;
   std::thread thread;
 };
 
@@ -54,33 +54,30 @@
 
 bool Embedded::Start() {
   Parts& parts = *this->parts;
-  json::array vms;
+  parts.store = std::make_unique<standin::StoreStandin>(parts.io);
+  const std::uint16_t store_port = parts.store->Listen(kAnyPort);
+  if (store_port == 0) return false;
+  parts.store_address = LoopbackAddress(store_port);
   for (const char* name : {"engine-1", "engine-2"}) {
     standin::EngineOptions options;
     options.name = name;
     auto& engine = parts.engines.emplace_back(parts.io, options);
     const std::uint16_t port = engine.Listen(kAnyPort);
     if (port == 0) return false;
-    vms.push_back(VmLine(name, "planner", options.version, port));
+    parts.store->Put("servers", name,
+                     UpstreamRow("planner", options.version, port));
   }
   parts.service = std::make_unique<standin::ServiceStandin>(parts.io, "orders");
   const std::uint16_t service_port = parts.service->Listen(kAnyPort);
   if (service_port == 0) return false;
-  vms.push_back(VmLine("orders-1", "ordering", "v1", service_port));
-  parts.platform = std::make_unique<standin::PlatformStandin>(
-      parts.io, json::serialize(json::object{{"vms", std::move(vms)}}));
-  const std::uint16_t port = parts.platform->Listen(kAnyPort);
-  if (port == 0) return false;
-  parts.platform_address = LoopbackAddress(port);
+  parts.store->Put("servers", "orders-1",
+                   UpstreamRow("ordering", "v1", service_port));
   parts.thread = std::thread([&parts] { parts.io.run(); });
   return true;
 }
 
 settings::NodeSettings Embedded::Adopt(settings::NodeSettings settings) const {
-  settings.platform.table = this->parts->platform_address;
-  settings.platform.objects = this->parts->platform_address;
-  settings.platform.weights = this->parts->platform_address;
-  settings.platform.vms = this->parts->platform_address;
+  settings.platform.store = this->parts->store_address;
   return settings;
 }
 
--- a/hornbeamspool/ledger_rows.h
+++ b/hornbeamspool/ledger_rows.h
@@ -1,4 +1,5 @@
-// The rows that hold budgets, grants, bills and orders in the table service.
+// The rows that hold budgets, grants, bills and orders in the platform's
+// store.
 #pragma once
 
 #include <cstdint>
@@ -6,11 +7,14 @@
 #include <string_view>
 
 #include "coordination/escrow.h"
-#include "platform/table_client.h"
+#include "platform/item_table.h"
 #include "policy/table_messages.h"
 
 namespace hornbeamspool::rows {
 
+// The table of all of them.
+inline constexpr std::string_view kTable = "ledger";
+
 // Attribute names.
 inline constexpr std::string_view kTotal = "total";
 inline constexpr std::string_view kGranted = "granted";
--- a/hornbeamspool/operator_server.cc
+++ b/hornbeamspool/operator_server.cc
@@ -11,6 +11,7 @@
 #include "hornbeamspool/budget_admin.h"
 #include "hornbeamspool/config_store.h"
 #include "hornbeamspool/error_response.h"
+#include "hornbeamspool/ledger_rows.h"
 #include "http/task.h"
 #include "settings/check.h"
 #include "settings/fault.h"
@@ -46,9 +47,8 @@
                            "the budget exists, or the id was used with other "
                            "figures, or others kept changing the budget");
     case AdminOutcome::kUnavailable:
-      return ErrorResponse(
-          ErrorKind::kStoreUnavailable,
-          "the table service did not answer; repeat with the same id");
+      return ErrorResponse(ErrorKind::kStoreUnavailable,
+                           "the store did not answer; repeat with the same id");
     default:
       return std::nullopt;
   }
@@ -113,9 +113,8 @@
       sink(&sink),
       work(net::make_work_guard(this->io)),
       client(this->io),
-      table(this->client, settings.platform.table, settings.platform.timeout),
-      objects(this->client, settings.platform.objects,
-              settings.platform.timeout),
+      store(this->client, settings.platform.store, settings.platform.timeout),
+      table(this->store, std::string(rows::kTable)),
       server(
           this->io, http::ServerLimits{},
           [this](http::Exchange& exchange) { return this->Handle(exchange); },
@@ -240,7 +239,7 @@
 }
 
 http::Task<http::Response> OperatorServer::GetConfig(const http::Request&) {
-  const auto stored = co_await ReadStoredConfig(this->table, this->objects);
+  const auto stored = co_await ReadStoredConfig(this->table, this->store);
   if (!stored) co_return ErrorResponse(ErrorKind::kStoreUnavailable);
   co_return JsonAnswer({{"epoch", stored->epoch}, {"text", stored->text}});
 }
@@ -258,7 +257,7 @@
                             "base must be the epoch that was changed");
   }
   const PutOutcome outcome =
-      co_await PutConfig(this->table, this->objects, request.body, base);
+      co_await PutConfig(this->table, this->store, request.body, base);
   if (outcome == PutOutcome::kConflict) {
     co_return ErrorResponse(
         ErrorKind::kConflict,
--- a/hornbeamspool/operator_server.h
+++ b/hornbeamspool/operator_server.h
@@ -18,8 +18,8 @@
 #include "http/exchange.h"
 #include "http/server.h"
 #include "http/task.h"
-#include "platform/object_store.h"
-#include "platform/table_client.h"
+#include "platform/item_table.h"
+#include "platform/store_client.h"
 #include "settings/node_settings.h"
 
 namespace hornbeamspool {
@@ -80,8 +80,8 @@
   boost::asio::io_context io{1};
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work;
   http::Client client;
-  platform::TableClient table;
-  platform::ObjectStore objects;
+  platform::StoreClient store;
+  platform::ItemTable table;
   http::Server server;
   std::thread thread;
 };
--- a/hornbeamspool/peer_thread.cc
+++ b/hornbeamspool/peer_thread.cc
@@ -131,13 +131,10 @@
   return heartbeat;
 }
 
-// A bounded number of peers, drawn at random from the platform's list and from
+// A bounded number of peers, drawn at random from the table of routers and from
 // the view.
 std::vector<std::string> PeerThread::Targets() {
-  std::vector<std::string> addresses;
-  for (const platform::ListedVm& vm : *this->platform->Routers().Read()) {
-    addresses.push_back(vm.address);
-  }
+  std::vector<std::string> addresses = *this->platform->Routers().Read();
   for (const auto& [name, member] : this->view.Members()) {
     addresses.push_back(member.report.peer_address);
   }
--- a/hornbeamspool/platform_thread.cc
+++ b/hornbeamspool/platform_thread.cc
@@ -7,8 +7,11 @@
 #include <optional>
 #include <utility>
 
+#include "hornbeamspool/clock.h"
 #include "hornbeamspool/ledger_rows.h"
 #include "http/task.h"
+#include "platform/documents.h"
+#include "platform/own_row.h"
 #include "platform/upstream_load.h"
 #include "settings/fault.h"
 #include "settings/fleet_settings.h"
@@ -22,18 +25,31 @@
 // How long a message waits for room in a full ring before the next look.
 constexpr coordination::Duration kRingRetry = std::chrono::milliseconds(2);
 
-policy::ListedUpstream ToUpstream(const platform::ListedVm& vm) {
-  return policy::ListedUpstream{vm.name,    vm.service,
-                                vm.version, vm.availability_zone,
-                                vm.address, vm.leaving};
+// The routers, by name: where each takes heartbeats.
+constexpr std::string_view kRouterTable = "routers";
+
+// Pause before the own row is tried again.
+constexpr coordination::Duration kRegisterPause =
+    std::chrono::milliseconds(300);
+
+// A stop waits this long for the own row to go: a row that stays costs the
+// peers a few heartbeats, no more.
+constexpr std::chrono::milliseconds kLeaveLimit{500};
+
+policy::ListedUpstream ToUpstream(const policy::UpstreamEntry& entry) {
+  return policy::ListedUpstream{entry.id,      entry.service,
+                                entry.version, entry.availability_zone,
+                                entry.address, entry.draining};
 }
 
 }  // namespace
 
-PlatformThread::PlatformThread(const settings::PlatformSettings& settings,
+PlatformThread::PlatformThread(const settings::NodeSettings& settings,
                                std::string holder, Metrics& metrics,
                                EventSink& sink)
-    : settings(settings),
+    : settings(settings.platform),
+      name(settings.name),
+      peer_address(settings.peers.address),
       sink(&sink),
       work(net::make_work_guard(this->io)),
       config_timer(this->io),
@@ -48,8 +64,22 @@
       epoch_wakeup(this->io, [this] { this->config_timer.cancel(); }),
       commands(kCommandCapacity, [this] { this->command_wakeup.Notify(); }),
       client(this->io),
-      table(this->client, settings.table, settings.timeout),
-      objects(this->client, settings.objects, settings.timeout),
+      store(this->client, this->settings.store, this->settings.timeout),
+      table(this->store, std::string(rows::kTable)),
+      upstream_table(
+          this->io, this->store, std::string(platform::kUpstreamTable),
+          {[this](const auto& rows) { this->OnAllUpstreams(rows); },
+           [this](const auto& rows) { this->OnUpstreams(rows); },
+           [this](bool reachable) {
+             this->upstreams.SetReachable(reachable, Now());
+             this->RecordReachable(platform::kUpstreamTable, reachable);
+           }}),
+      router_table(this->io, this->store, std::string(kRouterTable),
+                   {[this](const auto& rows) { this->OnAllRouters(rows); },
+                    [this](const auto& rows) { this->OnRouters(rows); },
+                    [this](bool reachable) {
+                      this->RecordReachable(kRouterTable, reachable);
+                    }}),
       worker(this->table, std::move(holder), metrics) {}
 
 PlatformThread::~PlatformThread() { this->Stop(); }
@@ -57,8 +87,10 @@
 void PlatformThread::Start(Ring<PlatformMessage>& to_decisions) {
   this->to_decisions = &to_decisions;
   net::co_spawn(this->io, this->PollConfig(), net::detached);
-  net::co_spawn(this->io, this->PollVms(), net::detached);
+  net::co_spawn(this->io, this->Register(), net::detached);
   net::co_spawn(this->io, this->PollLoads(), net::detached);
+  this->upstream_table.Start();
+  this->router_table.Start();
   this->thread = std::thread([this] { this->io.run(); });
 }
 
@@ -103,7 +135,7 @@
   if (!row.item) co_return;
   const auto epoch = static_cast<std::uint64_t>(row.item->Number("epoch"));
   if (epoch <= this->config_epoch) co_return;
-  const auto text = co_await this->objects.Get(row.item->Text("object"));
+  const auto text = co_await this->store.GetObject(row.item->Text("object"));
   if (!text) co_return;
   std::optional<policy::FleetConfig> config;
   std::string fault_text;
@@ -128,49 +160,112 @@
   co_await this->Deliver(std::move(message));
 }
 
-http::Task<void> PlatformThread::PollVms() {
+http::Task<void> PlatformThread::Register() {
   http::Timer timer(this->io);
-  while (true) {
-    auto list = co_await platform::FetchVmList(this->client, this->settings.vms,
-                                               this->settings.timeout);
-    if (list) {
-      UpstreamsListed listed;
-      std::vector<platform::ListedVm> next_routers;
-      this->upstreams.clear();
-      for (platform::ListedVm& vm : *list) {
-        if (vm.service == platform::kRouterService) {
-          next_routers.push_back(std::move(vm));
-          continue;
-        }
-        listed.upstreams.push_back(ToUpstream(vm));
-        this->upstreams.push_back(std::move(vm));
-      }
-      this->routers.Publish(std::move(next_routers));
-      PlatformMessage message = std::move(listed);
-      co_await this->Deliver(std::move(message));
-    }
-    timer.expires_after(this->settings.poll);
+  while (!co_await platform::WriteOwnRow(this->store, std::string(kRouterTable),
+                                         this->name, this->peer_address)) {
+    timer.expires_after(kRegisterPause);
     co_await timer.async_wait(http::kAwait);
   }
 }
 
+http::Task<void> PlatformThread::RemoveRegistration(
+    std::shared_ptr<std::promise<void>> removed) {
+  co_await platform::RemoveOwnRow(this->store, std::string(kRouterTable),
+                                  this->name);
+  removed->set_value();
+}
+
+void PlatformThread::Leave() {
+  auto removed = std::make_shared<std::promise<void>>();
+  auto done = removed->get_future();
+  net::co_spawn(this->io, this->RemoveRegistration(std::move(removed)),
+                net::detached);
+  done.wait_for(kLeaveLimit);
+}
+
+void PlatformThread::OnAllUpstreams(
+    const std::vector<platform::StoreRow>& rows) {
+  std::vector<policy::UpstreamEntry> entries;
+  for (const platform::StoreRow& row : rows) {
+    auto entry = platform::DecodeUpstream(row.key, row.value);
+    if (entry) entries.push_back(std::move(*entry));
+  }
+  this->upstreams.Replace(std::move(entries), Now());
+  this->TellUpstreams();
+}
+
+void PlatformThread::OnUpstreams(const std::vector<platform::StoreRow>& rows) {
+  for (const platform::StoreRow& row : rows) {
+    auto entry = row.removed ? std::nullopt
+                             : platform::DecodeUpstream(row.key, row.value);
+    if (entry) {
+      this->upstreams.Put(std::move(*entry));
+    } else {
+      this->upstreams.Remove(row.key, Now());
+    }
+  }
+  this->TellUpstreams();
+}
+
+void PlatformThread::TellUpstreams() {
+  UpstreamsListed listed;
+  for (const policy::UpstreamEntry* entry : this->upstreams.All()) {
+    listed.upstreams.push_back(ToUpstream(*entry));
+  }
+  net::co_spawn(this->io, this->Deliver(PlatformMessage(std::move(listed))),
+                net::detached);
+}
+
+void PlatformThread::OnAllRouters(const std::vector<platform::StoreRow>& rows) {
+  this->router_addresses.clear();
+  this->OnRouters(rows);
+}
+
+void PlatformThread::OnRouters(const std::vector<platform::StoreRow>& rows) {
+  for (const platform::StoreRow& row : rows) {
+    if (row.removed) {
+      this->router_addresses.erase(row.key);
+    } else {
+      this->router_addresses[row.key] = row.value;
+    }
+  }
+  std::vector<std::string> addresses;
+  for (const auto& [router, address] : this->router_addresses) {
+    addresses.push_back(address);
+  }
+  this->routers.Publish(std::move(addresses));
+}
+
+void PlatformThread::RecordReachable(std::string_view table, bool reachable) {
+  policy::Event event;
+  event.kind = reachable ? policy::EventKind::kStoreRegained
+                         : policy::EventKind::kStoreLost;
+  event.detail = policy::KeyValue("table", table);
+  this->sink->Record(std::move(event));
+}
+
 http::Task<void> PlatformThread::PollLoads() {
   http::Timer timer(this->io);
   while (true) {
-    for (const platform::ListedVm& vm : this->upstreams) {
-      net::co_spawn(this->io, this->ReadLoad(vm), net::detached);
+    // Entries whose upstreams did not come back after the store's return.
+    if (!this->upstreams.Expire(Now()).empty()) this->TellUpstreams();
+    for (const policy::UpstreamEntry* entry : this->upstreams.All()) {
+      net::co_spawn(this->io, this->ReadLoad(entry->id, entry->address),
+                    net::detached);
     }
     timer.expires_after(this->settings.poll);
     co_await timer.async_wait(http::kAwait);
   }
 }
 
-http::Task<void> PlatformThread::ReadLoad(platform::ListedVm vm) {
+http::Task<void> PlatformThread::ReadLoad(std::string upstream,
+                                          std::string address) {
   const auto load = co_await platform::FetchUpstreamLoad(
-      this->client, vm.address, this->settings.timeout);
+      this->client, std::move(address), this->settings.timeout);
   if (!load) co_return;
   policy::LoadReport report;
-  report.upstream = vm.name;
+  report.upstream = std::move(upstream);
   report.held_tokens = load->held_tokens;
   report.capacity_tokens = load->capacity_tokens;
   report.waiting = load->waiting;
--- a/hornbeamspool/platform_thread.h
+++ b/hornbeamspool/platform_thread.h
@@ -1,12 +1,17 @@
-// The thread that talks to the platform: carries out table commands, and polls
-// the configuration's epoch, the list of VMs and the upstreams' load.
+// The thread that talks to the platform: carries out table commands, follows
+// the tables of upstreams and of routers, and polls the configuration's epoch
+// and the upstreams' load.
 #pragma once
 
 #include <atomic>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
+#include <future>
+#include <map>
+#include <memory>
 #include <string>
+#include <string_view>
 #include <thread>
 #include <vector>
 
@@ -19,16 +24,17 @@
 #include "hornbeamspool/table_worker.h"
 #include "http/client.h"
 #include "http/task.h"
-#include "platform/object_store.h"
-#include "platform/table_client.h"
-#include "platform/vm_list.h"
+#include "platform/item_table.h"
+#include "platform/store_client.h"
+#include "platform/table_follower.h"
+#include "policy/upstream_directory.h"
 #include "settings/node_settings.h"
 
 namespace hornbeamspool {
 
 class PlatformThread {
  public:
-  PlatformThread(const settings::PlatformSettings& settings, std::string holder,
+  PlatformThread(const settings::NodeSettings& settings, std::string holder,
                  Metrics& metrics, EventSink& sink);
   PlatformThread(const PlatformThread&) = delete;
   PlatformThread& operator=(const PlatformThread&) = delete;
@@ -39,24 +45,37 @@
   void Start(Ring<PlatformMessage>& to_decisions);
   void Stop();
 
+  // Takes this router off the list of routers, as far as that is quickly done.
+  void Leave();
+
   // A peer holds this epoch: if it is newer, it is read at once.
   void NoteEpoch(std::uint64_t epoch);
 
-  // The routers on the platform's list, for the peers' thread.
-  const Snapshot<std::vector<platform::ListedVm>>& Routers() const {
+  // The other routers' heartbeat addresses, for the peers' thread.
+  const Snapshot<std::vector<std::string>>& Routers() const {
     return this->routers;
   }
 
  private:
   http::Task<void> CarryCommand(policy::TableCommand command);
   http::Task<void> PollConfig();
-  http::Task<void> PollVms();
+  http::Task<void> Register();
+  http::Task<void> RemoveRegistration(
+      std::shared_ptr<std::promise<void>> removed);
   http::Task<void> PollLoads();
-  http::Task<void> ReadLoad(platform::ListedVm vm);
+  http::Task<void> ReadLoad(std::string upstream, std::string address);
+  void OnUpstreams(const std::vector<platform::StoreRow>& rows);
+  void OnAllUpstreams(const std::vector<platform::StoreRow>& rows);
+  void OnRouters(const std::vector<platform::StoreRow>& rows);
+  void OnAllRouters(const std::vector<platform::StoreRow>& rows);
+  void TellUpstreams();
+  void RecordReachable(std::string_view table, bool reachable);
   http::Task<void> ReadConfig();
   http::Task<void> Deliver(PlatformMessage message);
 
   settings::PlatformSettings settings;
+  std::string name;
+  std::string peer_address;
   EventSink* sink;
   boost::asio::io_context io{1};
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work;
@@ -65,14 +84,17 @@
   IoWakeup epoch_wakeup;
   Ring<policy::TableCommand> commands;
   http::Client client;
-  platform::TableClient table;
-  platform::ObjectStore objects;
+  platform::StoreClient store;
+  platform::ItemTable table;
+  platform::TableFollower upstream_table;
+  platform::TableFollower router_table;
   TableWorker worker;
   Ring<PlatformMessage>* to_decisions = nullptr;
   std::uint64_t config_epoch = 0;
   std::atomic<std::uint64_t> peers_epoch{0};
-  std::vector<platform::ListedVm> upstreams;
-  Snapshot<std::vector<platform::ListedVm>> routers;
+  policy::UpstreamDirectory upstreams;
+  std::map<std::string, std::string> router_addresses;  // by name
+  Snapshot<std::vector<std::string>> routers;
   std::thread thread;
 };
 
--- a/hornbeamspool/table_worker.cc
+++ b/hornbeamspool/table_worker.cc
@@ -41,7 +41,7 @@
 
 }  // namespace
 
-TableWorker::TableWorker(platform::TableClient& table, std::string holder,
+TableWorker::TableWorker(platform::ItemTable& table, std::string holder,
                          Metrics& metrics)
     : table(&table), holder(std::move(holder)), metrics(&metrics) {}
 
--- a/hornbeamspool/table_worker.h
+++ b/hornbeamspool/table_worker.h
@@ -1,4 +1,4 @@
-// Carries out the decisions' commands on the table service. An answer that was
+// Carries out the decisions' commands on the store. An answer that was
 // lost is resolved by the same operation's token or by re-reading, never by
 // writing something new.
 #pragma once
@@ -8,7 +8,7 @@
 
 #include "hornbeamspool/metrics.h"
 #include "http/task.h"
-#include "platform/table_client.h"
+#include "platform/item_table.h"
 #include "policy/table_messages.h"
 
 namespace hornbeamspool {
@@ -16,8 +16,7 @@
 class TableWorker {
  public:
   // `holder` names this start of this node; it is never used again.
-  TableWorker(platform::TableClient& table, std::string holder,
-              Metrics& metrics);
+  TableWorker(platform::ItemTable& table, std::string holder, Metrics& metrics);
 
   http::Task<policy::TableReply> Carry(policy::TableCommand command);
 
@@ -32,7 +31,7 @@
   std::string OperationOf(std::uint64_t number) const;
   platform::WriteAction IntentAction(const policy::Settlement& entry) const;
 
-  platform::TableClient* table;
+  platform::ItemTable* table;
   std::string holder;
   Metrics* metrics;
   std::uint64_t next_batch = 1;
--- a/policy/billing.h
+++ b/policy/billing.h
@@ -38,8 +38,8 @@
   bool Full() const { return this->Backlog() >= kMaxBacklog; }
 
  private:
-  // Rows of one transaction stay under the table service's limit of 100.
-  static constexpr std::size_t kMaxBatch = 24;
+  // Each takes up to three rows of a transaction of at most 50.
+  static constexpr std::size_t kMaxBatch = 16;
   // An outage of an hour at the size aimed at, with some room.
   static constexpr std::size_t kMaxBacklog = 60'000;
   static constexpr coordination::Duration kRetryAfter =
--- a/policy/budget_book.h
+++ b/policy/budget_book.h
@@ -1,4 +1,4 @@
-// Prepaid budgets as one node sees them: grants drawn from the table service,
+// Prepaid budgets as one node sees them: grants drawn from the store,
 // reservations against them, and requests that wait for the next grant.
 //
 // Safety rests on the grants alone. A grant counts here only after the table
--- a/policy/error_kind.cc
+++ b/policy/error_kind.cc
@@ -33,7 +33,7 @@
     {"overloaded", 503, kNot, 1, "the router is at its limit"},
     {"not_ready", 503, kNot, 2, "the router has no configuration yet"},
     {"stopping", 503, kNot, 1, "the router is stopping"},
-    {"store_unavailable", 503, kNot, 2, "the table service did not answer"},
+    {"store_unavailable", 503, kNot, 2, "the store did not answer"},
     {"upstream_unreachable", 503, kNot, 1, "no upstream could be reached"},
     {"upstream_failed", 502, kMay, 1, "the upstream failed"},
     {"upstream_timeout", 504, kMay, 2, "the upstream did not answer in time"},
--- a/policy/event.h
+++ b/policy/event.h
@@ -16,6 +16,8 @@
   kConfigRefused,
   kMemberChanged,
   kUpstreamChanged,
+  kStoreLost,
+  kStoreRegained,
   kAdmitted,
   kRefused,
   kRetried,
--- a/policy/table_messages.h
+++ b/policy/table_messages.h
@@ -1,4 +1,4 @@
-// Commands that decisions send to the table service, and its replies. The
+// Commands that decisions send to the store, and its replies. The
 // daemon maps them to rows; nothing here does I/O.
 #pragma once
 
@@ -11,7 +11,7 @@
 
 namespace hornbeamspool::policy {
 
-// How a call on the table service ended.
+// How a call on the store ended.
 enum class TableStatus : std::uint8_t {
   kOk,
   kConflict,     // a condition did not hold; nothing was written
--- a/policy/upstream_directory.cc
+++ b/policy/upstream_directory.cc
@@ -85,6 +85,12 @@
   return usable;
 }
 
+std::vector<const UpstreamEntry*> UpstreamDirectory::All() const {
+  std::vector<const UpstreamEntry*> all;
+  for (const auto& [id, kept] : this->entries) all.push_back(&kept.entry);
+  return all;
+}
+
 const UpstreamEntry* UpstreamDirectory::Find(std::string_view id) const {
   const auto found = this->entries.find(id);
   return found == this->entries.end() ? nullptr : &found->second.entry;
--- a/policy/upstream_directory.h
+++ b/policy/upstream_directory.h
@@ -57,6 +57,8 @@
   std::vector<const UpstreamEntry*> Usable(std::string_view service,
                                            coordination::TimePoint now) const;
   const UpstreamEntry* Find(std::string_view id) const;
+  // All that are not known to be gone.
+  std::vector<const UpstreamEntry*> All() const;
   std::size_t Size() const { return this->entries.size(); }
 
  private:
--- a/policy/upstream_set.h
+++ b/policy/upstream_set.h
@@ -12,7 +12,7 @@
 
 namespace hornbeamspool::policy {
 
-// One line of the platform's list of VMs, for a VM that runs a service.
+// One entry of the registry of upstreams.
 struct ListedUpstream {
   std::string name;
   std::string service;
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -1,13 +1,15 @@
 #!/usr/bin/env bash
 # A loopback cut of a deployment as separate processes: 3 routers in 3
-# availability zones, the platform, 4 engines in two versions, 2 plain
+# availability zones, the store, 4 engines in two versions, 2 plain
 # services.
 #
 #   scripts/fleet.sh start serumpun|oja [BIN]   starts it and waits until ready
 #   scripts/fleet.sh stop                       ends it
+#   scripts/fleet.sh register NAME SERVICE VERSION ZONE ADDRESS [STATE]
+#                                               writes an upstream's own row
 #
 # Ports: routers 1810N (callers), 1910N (operators), 1710N (peers);
-# platform 18200; engines 1830N; services 1840N. PIDs and logs: $FLEET_DIR.
+# store 18200; engines 1830N; services 1840N. PIDs and logs: $FLEET_DIR.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 FLEET_DIR=${FLEET_DIR:-${TMPDIR:-/tmp}/hornbeamspool-fleet}
@@ -45,8 +47,12 @@
   echo $! >"$FLEET_DIR/$name.pid"
 }
 
-vm_line() {  # NAME SERVICE VERSION ZONE ADDRESS
-  printf '{"name":"%s","service":"%s","version":"%s","availability_zone":"%s","address":"%s","state":"live"}' "$@"
+# Writes what an upstream says of itself.
+register() {  # NAME SERVICE VERSION ZONE ADDRESS [STATE]
+  printf '{"service":"%s","version":"%s","zone":"%s","address":"%s","slot_count":64,"state":"%s"}' \
+    "${@:2:4}" "${6:-ready}" |
+    curl -sf --retry 50 --retry-connrefused --retry-delay 1 -X PUT --data-binary @- \
+      "http://127.0.0.1:18200/rows/servers/$1" >/dev/null
 }
 
 router_settings() {  # N ZONE
@@ -56,8 +62,7 @@
   "callers": {"address": "127.0.0.1:1810$1", "max_connections": ${MAX_CONNECTIONS:-20000}},
   "operators": {"address": "127.0.0.1:1910$1", "key_sha256": "$(printf operator-key | sha256sum | cut -d' ' -f1)"},
   "peers": {"address": "127.0.0.1:1710$1", "key": "loopback-peer-key-0123"},
-  "platform": {"table": "127.0.0.1:18200", "objects": "127.0.0.1:18200", "weights": "127.0.0.1:18200",
-               "vms": "127.0.0.1:18200", "poll_ms": ${POLL_MS:-250}, "timeout_ms": ${TABLE_TIMEOUT_MS:-1000}},
+  "platform": {"store": "127.0.0.1:18200", "poll_ms": ${POLL_MS:-250}, "timeout_ms": ${TABLE_TIMEOUT_MS:-1000}},
   "log_level": "${LOG_LEVEL:-info}"
 }
 EOF
@@ -73,21 +78,19 @@
   stop
   rm -rf "$FLEET_DIR"
   mkdir -p "$FLEET_DIR"
-  local lines=() n
-  for n in 1 2 3; do lines+=("$(vm_line "router-$n" hornbeamspool "" "${zones[n-1]}" "127.0.0.1:1710$n")"); done
+  local n
+  run store "$bin/standin" store --listen=127.0.0.1:18200
   for n in 1 2 3 4; do
     local version=v1
     [ "$n" -gt "${V1_ENGINES:-2}" ] && version=${SECOND_VERSION:-v2}
-    lines+=("$(vm_line "engine-$n" "$model" "$version" "${zones[(n-1)%3]}" "127.0.0.1:1830$n")")
     run "engine-$n" "$bin/standin" engine --listen="127.0.0.1:1830$n" --name="engine-$n" \
       --engine_version="$version" ${ENGINE_FLAGS:-}
+    register "engine-$n" "$model" "$version" "${zones[(n-1)%3]}" "127.0.0.1:1830$n"
   done
   for n in 1 2; do
-    lines+=("$(vm_line "desk-$n" "$desk" v1 "${zones[n-1]}" "127.0.0.1:1840$n")")
     run "desk-$n" "$bin/standin" service --listen="127.0.0.1:1840$n" --name="desk-$n"
+    register "desk-$n" "$desk" v1 "${zones[n-1]}" "127.0.0.1:1840$n"
   done
-  (IFS=,; printf '{"vms":[%s]}\n' "${lines[*]}") >"$FLEET_DIR/vms.json"
-  run platform "$bin/standin" platform --listen=127.0.0.1:18200 --vms="$FLEET_DIR/vms.json"
   for n in 1 2 3; do
     router_settings "$n" "${zones[n-1]}" >"$FLEET_DIR/router-$n.json"
     run "router-$n" "$bin/hornbeamspool" --settings="$FLEET_DIR/router-$n.json"
@@ -108,5 +111,6 @@
 case "${1:-}" in
   start) start "${@:2}" ;;
   stop) stop ;;
-  *) sed -n '2,12p' "$0"; exit 2 ;;
+  register) register "${@:2}" ;;
+  *) sed -n '2,14p' "$0"; exit 2 ;;
 esac
--- a/settings/node_settings.cc
+++ b/settings/node_settings.cc
@@ -49,10 +49,7 @@
 }
 
 void ReadPlatform(ObjectReader& reader, PlatformSettings& platform) {
-  platform.table = reader.Address("table");
-  platform.objects = reader.Address("objects");
-  platform.weights = reader.Address("weights");
-  platform.vms = reader.Address("vms");
+  platform.store = reader.Address("store");
   platform.timeout = MillisecondsOr(reader, "timeout_ms", 1'000);
   platform.poll = MillisecondsOr(reader, "poll_ms", 1'000);
 }
--- a/settings/node_settings.h
+++ b/settings/node_settings.h
@@ -36,10 +36,7 @@
 };
 
 struct PlatformSettings {
-  std::string table;
-  std::string objects;
-  std::string weights;
-  std::string vms;
+  std::string store;  // ip:port of the platform's store
   coordination::Duration timeout{};
   coordination::Duration poll{};
 };
--- a/standin/engine_standin.cc
+++ b/standin/engine_standin.cc
@@ -124,7 +124,7 @@
     co_await this->Resume(exchange);
   } else if (path.starts_with(kStreamPrefix)) {
     co_await exchange.Send(this->Cancel(request));
-  } else if (path == "/load") {
+  } else if (path == "/api/report") {
     co_await exchange.Send(this->Load());
   } else if (path == "/cache-events") {
     co_await exchange.Send(this->CacheEvents(request));
@@ -380,12 +380,12 @@
   LoadSample sample;
   if (!this->samples.empty()) sample = this->samples.front();
   return http::JsonResponse(
-      200, json::serialize(
-               json::object{{"held_tokens", sample.held},
-                            {"capacity_tokens", this->options.capacity_tokens},
-                            {"waiting", sample.waiting},
-                            {"falls", this->falls},
-                            {"version", this->options.version}}));
+      200,
+      json::serialize(json::object{{"kv_used", sample.held},
+                                   {"kv_total", this->options.capacity_tokens},
+                                   {"waiting", sample.waiting},
+                                   {"falls", this->falls},
+                                   {"version", this->options.version}}));
 }
 
 http::Response EngineStandin::CacheEvents(const http::Request& request) {
--- a/standin/main.cc
+++ b/standin/main.cc
@@ -1,5 +1,4 @@
 // The stand-ins as separate processes:
-//   standin platform --listen=IP:PORT --vms=FILE
 //   standin engine --listen=IP:PORT --name=NAME --version=v1 ...
 //   standin service --listen=IP:PORT --name=NAME
 //   standin store --listen=IP:PORT
@@ -14,16 +13,13 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
-#include <fstream>
 #include <iostream>
-#include <sstream>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "standin/engine_standin.h"
 #include "standin/load.h"
-#include "standin/platform_standin.h"
 #include "standin/server_standin.h"
 #include "standin/service_standin.h"
 #include "standin/store_standin.h"
@@ -31,7 +27,6 @@
 ABSL_FLAG(std::string, listen, "127.0.0.1:0", "address to listen on");
 ABSL_FLAG(std::string, name, "engine", "name of the stand-in");
 ABSL_FLAG(std::string, engine_version, "v1", "version that the engine runs");
-ABSL_FLAG(std::string, vms, "", "file with the list of VMs");
 ABSL_FLAG(std::int64_t, capacity_tokens, 40'000, "the engine's memory");
 ABSL_FLAG(std::int64_t, batch, 64, "sequences that the engine runs at once");
 ABSL_FLAG(std::int64_t, step_us, 5'000, "time of one step of the batch");
@@ -55,13 +50,6 @@
 namespace net = boost::asio;
 using namespace hornbeamspool::standin;  // NOLINT(google-build-using-namespace)
 
-std::string ReadFile(const std::string& path) {
-  std::ifstream file(path);
-  std::ostringstream text;
-  text << file.rdbuf();
-  return text.str();
-}
-
 int Serve(net::io_context& io, std::uint16_t port) {
   if (port == 0) {
     std::cerr << "cannot listen on " << absl::GetFlag(FLAGS_listen) << '\n';
@@ -73,14 +61,6 @@
   return 0;
 }
 
-int RunPlatform() {
-  net::io_context io{1};
-  const std::string file = absl::GetFlag(FLAGS_vms);
-  PlatformStandin platform(
-      io, file.empty() ? std::string(R"({"vms":[]})") : ReadFile(file));
-  return Serve(io, platform.Listen(absl::GetFlag(FLAGS_listen)));
-}
-
 int RunEngine() {
   net::io_context io{1};
   EngineOptions options;
@@ -163,13 +143,11 @@
 int main(int argc, char** argv) {
   const std::vector<char*> words = absl::ParseCommandLine(argc, argv);
   const std::string_view command = words.size() > 1 ? words[1] : "";
-  if (command == "platform") return RunPlatform();
   if (command == "engine") return RunEngine();
   if (command == "service") return RunService();
   if (command == "store") return RunStore();
   if (command == "server") return RunServer();
   if (command == "load") return RunLoad();
-  std::cerr << "usage: standin platform|engine|service|store|server|load "
-               "[flags]\n";
+  std::cerr << "usage: standin engine|service|store|server|load [flags]\n";
   return 2;
 }
--- a/standin/service_standin.cc
+++ b/standin/service_standin.cc
@@ -35,7 +35,7 @@
   }
   if (!co_await this->gate.Enter(exchange)) co_return;
   // A lost answer is one of an order, never of a report.
-  if (request.Path() == "/load") {
+  if (request.Path() == "/api/report") {
     co_await exchange.Send(http::JsonResponse(200, R"({"waiting":0})"));
     co_return;
   }
--- a/standin/store_standin.cc
+++ b/standin/store_standin.cc
@@ -7,17 +7,24 @@
 #include <boost/json/value.hpp>
 #include <charconv>
 #include <chrono>
+#include <set>
 #include <string>
+#include <utility>
 
 namespace hornbeamspool::standin {
 namespace {
 
 namespace json = boost::json;
 
+// Conditions and changes of one transaction.
+constexpr std::size_t kMostEntries = 100;
+
 // How often a waiting feed looks for changes.
 constexpr coordination::Duration kFeedLook = std::chrono::milliseconds(10);
 
 constexpr std::string_view kRowsPath = "/rows/";
+constexpr std::string_view kPutObjectPath = "/api/blob-put/";
+constexpr std::string_view kGetObjectPath = "/api/blob-get/";
 
 std::uint64_t NumberOf(const std::string& text) {
   std::uint64_t number = 0;
@@ -29,6 +36,21 @@
   return std::string(object.at(key).as_string());
 }
 
+// Whether a transaction keeps to what one call may hold: so many entries, and
+// several parts only where it says so.
+bool IsWithinLimits(const json::object& call) {
+  std::size_t entries = 0;
+  std::set<std::string> parts;
+  for (const char* list : {"precondition", "puts", "remove"}) {
+    for (const json::value& each : call.at(list).as_array()) {
+      ++entries;
+      parts.insert(TextOf(each.as_object(), "part"));
+    }
+  }
+  return entries <= kMostEntries &&
+         (parts.size() <= 1 || call.contains("across"));
+}
+
 }  // namespace
 
 StoreStandin::StoreStandin(boost::asio::io_context& io)
@@ -51,7 +73,7 @@
 
 void StoreStandin::Put(std::string_view table, std::string_view key,
                        std::string_view value) {
-  this->rows[{std::string(table), std::string(key)}] = {
+  this->rows[RowKey{std::string(table), {}, std::string(key)}] = {
       absl::Base64Escape(std::string(value)), ++this->version, false};
 }
 
@@ -80,37 +102,45 @@
     co_await exchange.Send(this->Get(request));
     co_return;
   }
-  // Only a write's answer is lost.
+  if (path.starts_with("/api/blob-")) {
+    co_await exchange.Send(this->Object(request));
+    co_return;
+  }
+  // Only a transaction's answer is lost.
   co_await this->gate.Leave(exchange, this->Transact(request.body));
 }
 
-// The rows of a table as the members of an answer.
-std::string StoreStandin::Rows(std::string_view table, std::uint64_t after,
-                               bool removed, std::string_view from,
-                               std::string_view to) const {
-  json::array found;
-  for (const auto& [key, row] : this->rows) {
-    if (key.first != table || row.version <= after) continue;
-    if (row.removed && !removed) continue;
-    if (key.second < from || (!to.empty() && key.second >= to)) continue;
-    json::object entry{{"table", key.first},
-                       {"part", ""},
-                       {"key", key.second},
-                       {"value", row.value},
-                       {"ver", row.version}};
-    if (row.removed) entry["removed"] = true;
-    found.push_back(std::move(entry));
-  }
-  return json::serialize(json::object{{"rows", std::move(found)},
-                                      {"truncated", false},
-                                      {"ver", this->version},
-                                      {"now_ms", this->NowMs()}});
+json::object StoreStandin::ToWire(const RowKey& key, const Row& row) const {
+  json::object wire{{"table", key.table},
+                    {"part", key.part},
+                    {"key", key.key},
+                    {"value", row.value},
+                    {"ver", row.version}};
+  if (row.removed) wire["removed"] = true;
+  return wire;
 }
 
-http::Response StoreStandin::Get(const http::Request& request) const {
+http::Response StoreStandin::RowsAnswer(std::uint16_t status,
+                                        json::array found) const {
   return http::JsonResponse(
-      200, this->Rows(request.QueryValue("table"), 0, false,
-                      request.QueryValue("from"), request.QueryValue("to")));
+      status, json::serialize(json::object{{"rows", std::move(found)},
+                                           {"truncated", false},
+                                           {"ver", this->version},
+                                           {"now_ms", this->NowMs()}}));
+}
+
+http::Response StoreStandin::Get(const http::Request& request) const {
+  const std::string table = request.QueryValue("table");
+  const std::string part = request.QueryValue("part");
+  const std::string from = request.QueryValue("from");
+  const std::string to = request.QueryValue("to");
+  json::array found;
+  for (const auto& [key, row] : this->rows) {
+    if (key.table != table || key.part != part || row.removed) continue;
+    if (key.key < from || (!to.empty() && key.key >= to)) continue;
+    found.push_back(this->ToWire(key, row));
+  }
+  return this->RowsAnswer(200, std::move(found));
 }
 
 http::Task<http::Response> StoreStandin::Feed(const http::Request& request) {
@@ -120,59 +150,70 @@
       std::chrono::steady_clock::now() +
       std::chrono::milliseconds(NumberOf(request.QueryValue("wait_ms")));
   http::Timer timer(*this->io);
-  while (std::chrono::steady_clock::now() < end) {
-    bool changed = false;
+  while (true) {
+    json::array changed;
     for (const auto& [key, row] : this->rows) {
-      changed = changed || (key.first == table && row.version > after);
+      if (key.table != table || row.version <= after) continue;
+      changed.push_back(this->ToWire(key, row));
+    }
+    const bool due = std::chrono::steady_clock::now() >= end;
+    if (due || !changed.empty()) {
+      co_return this->RowsAnswer(200, std::move(changed));
     }
-    if (changed) break;
     timer.expires_after(kFeedLook);
     co_await timer.async_wait(http::kAwait);
   }
-  co_return http::JsonResponse(200, this->Rows(table, after, true, {}, {}));
+}
+
+http::Response StoreStandin::Object(const http::Request& request) {
+  const std::string_view path = request.Path();
+  if (path.starts_with(kPutObjectPath)) {
+    const std::string id(path.substr(kPutObjectPath.size()));
+    this->objects[id] = request.body;
+    return http::JsonResponse(200, "{}");
+  }
+  const auto found =
+      path.starts_with(kGetObjectPath)
+          ? this->objects.find(path.substr(kGetObjectPath.size()))
+          : this->objects.end();
+  if (found == this->objects.end()) return http::JsonResponse(404, "{}");
+  return http::JsonResponse(200, found->second);
+}
+
+StoreStandin::RowKey StoreStandin::KeyOf(const json::object& wire) {
+  return {TextOf(wire, "table"), TextOf(wire, "part"), TextOf(wire, "key")};
+}
+
+bool StoreStandin::Holds(const json::object& condition) const {
+  const auto found = this->rows.find(KeyOf(condition));
+  const bool absent = found == this->rows.end() || found->second.removed;
+  const std::uint64_t version = absent ? 0 : found->second.version;
+  return version == condition.at("ver").to_number<std::uint64_t>();
 }
 
 http::Response StoreStandin::Transact(std::string_view body) {
   const json::value parsed = json::parse(body);
   const json::object& call = parsed.as_object();
+  if (!IsWithinLimits(call)) return http::JsonResponse(400, "{}");
+  bool holds = true;
+  json::array current;
   for (const json::value& each : call.at("precondition").as_array()) {
     const json::object& condition = each.as_object();
-    const auto found =
-        this->rows.find({TextOf(condition, "table"), TextOf(condition, "key")});
-    const bool absent = found == this->rows.end() || found->second.removed;
-    const std::uint64_t version = absent ? 0 : found->second.version;
-    if (version == condition.at("ver").to_number<std::uint64_t>()) continue;
-    json::array current;
-    for (const json::value& other : call.at("precondition").as_array()) {
-      const json::object& row = other.as_object();
-      const auto seen =
-          this->rows.find({TextOf(row, "table"), TextOf(row, "key")});
-      if (seen == this->rows.end() || seen->second.removed) continue;
-      current.push_back({{"table", seen->first.first},
-                         {"part", ""},
-                         {"key", seen->first.second},
-                         {"value", seen->second.value},
-                         {"ver", seen->second.version}});
-    }
-    return http::JsonResponse(
-        412, json::serialize(json::object{{"rows", std::move(current)},
-                                          {"ver", this->version},
-                                          {"now_ms", this->NowMs()}}));
+    holds = holds && this->Holds(condition);
+    const auto found = this->rows.find(KeyOf(condition));
+    if (found == this->rows.end() || found->second.removed) continue;
+    current.push_back(this->ToWire(found->first, found->second));
   }
+  if (!holds) return this->RowsAnswer(412, std::move(current));
   ++this->version;
   for (const json::value& each : call.at("puts").as_array()) {
     const json::object& row = each.as_object();
-    this->rows[{TextOf(row, "table"), TextOf(row, "key")}] = {
-        TextOf(row, "value"), this->version, false};
+    this->rows[KeyOf(row)] = {TextOf(row, "value"), this->version, false};
   }
   for (const json::value& each : call.at("remove").as_array()) {
-    const json::object& row = each.as_object();
-    this->rows[{TextOf(row, "table"), TextOf(row, "key")}] = {"", this->version,
-                                                              true};
+    this->rows[KeyOf(each.as_object())] = {"", this->version, true};
   }
-  return http::JsonResponse(
-      200, json::serialize(json::object{{"ver", this->version},
-                                        {"now_ms", this->NowMs()}}));
+  return this->RowsAnswer(200, {});
 }
 
 }  // namespace hornbeamspool::standin
--- a/standin/store_standin.h
+++ b/standin/store_standin.h
@@ -1,14 +1,16 @@
 // A stand-in for the platform's store: rows with versions, transactions under
-// conditions, and the feed of changes. PUT /faults switches faults on and off;
-// PUT /rows/TABLE/KEY writes a row as the operator or a server would.
+// conditions, the feed of changes, and objects. PUT /faults switches faults on
+// and off; PUT /rows/TABLE/KEY writes a row as the operator or a server would.
 #pragma once
 
 #include <boost/asio/io_context.hpp>
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <compare>
 #include <cstdint>
 #include <map>
 #include <string>
 #include <string_view>
-#include <utility>
 
 #include "http/exchange.h"
 #include "http/server.h"
@@ -34,20 +36,30 @@
     std::uint64_t version = 0;
     bool removed = false;  // kept for the feed
   };
-  using RowKey = std::pair<std::string, std::string>;  // table and key
+  struct RowKey {
+    std::string table;
+    std::string part;
+    std::string key;
+    auto operator<=>(const RowKey&) const = default;
+  };
 
   http::Task<void> Handle(http::Exchange& exchange);
   http::Response Get(const http::Request& request) const;
   http::Task<http::Response> Feed(const http::Request& request);
   http::Response Transact(std::string_view body);
-  std::string Rows(std::string_view table, std::uint64_t after, bool removed,
-                   std::string_view from, std::string_view to) const;
+  http::Response Object(const http::Request& request);
+  static RowKey KeyOf(const boost::json::object& wire);
+  bool Holds(const boost::json::object& condition) const;
+  boost::json::object ToWire(const RowKey& key, const Row& row) const;
+  http::Response RowsAnswer(std::uint16_t status,
+                            boost::json::array found) const;
   std::int64_t NowMs() const;
 
   boost::asio::io_context* io;
   http::Server server;
   FaultGate gate;
   std::map<RowKey, Row> rows;
+  std::map<std::string, std::string, std::less<>> objects;
   std::uint64_t version = 0;
 };
 
--- a/tests/process/fleet_test.sh
+++ b/tests/process/fleet_test.sh
@@ -73,12 +73,12 @@
 check 'which never ran' '' "$(executions o-9)"
 
 # The table is down.
-fault 18200 /table '{"down":true}'
+fault 18200 '' '{"down":true}'
 check 'without the table an order is truly not run' '*store_unavailable*not_run*earlier_tries*unknown*' "$(order 1 o-3)"
-fault 18200 /table '{"down":false}'
+fault 18200 '' '{"down":false}'
 check 'it never ran' '' "$(executions o-3)"
-fault 18200 /table '{"lose_answers":1}'
-check 'an intent whose answer was lost is found by its token' '*"order"*' "$(order 1 o-4)"
+fault 18200 '' '{"lose_answers":1}'
+check 'an intent whose answer was lost is found by its operation' '*"order"*' "$(order 1 o-4)"
 check 'and the order ran once' 1 "$(executions o-4)"
 
 # A router dies with an order in progress.
@@ -111,13 +111,13 @@
 done
 
 # The platform says that an upstream leaves.
-sed 's/\("name":"engine-2"[^}]*\)"live"/\1"leaving"/' "$FLEET_DIR/vms.json" >"$FLEET_DIR/vms-leaving.json"
-curl -s -X PUT http://127.0.0.1:18200/vms --data-binary @"$FLEET_DIR/vms-leaving.json" >/dev/null
+engine2() { scripts/fleet.sh register engine-2 planner v1 kul-b 127.0.0.1:18302 "$1"; }
+engine2 draining
 refuses() { chat 1 5 leaving | grep -q '"not_run"'; }
 until_true refuses
 # Engine 1 is dead and still listed, so it is tried; engine 2 is not.
 check 'no new work for an upstream that leaves' '*upstream_unreachable*not_run*' "$(chat 1 5 leaving)"
-curl -s -X PUT http://127.0.0.1:18200/vms --data-binary @"$FLEET_DIR/vms.json" >/dev/null
+engine2 ready
 serves() { chat 1 5 back | grep -q DONE; }
 until_true serves
 
