A successor counts its predecessor's spending up to its own start

A successor took its predecessor as spending at its pace until the successor's first write, seconds after its start when many VMs write at once.

Change: the store's clock at the process's own start bounds the predecessor's end. Upper bound of it: the clock of an answer less the time from the start until the answer was asked for.

Test: budget_test, a successor that comes late to the store. Also: a failed write counts organisations= in its log line.

--- a/bench/budget_fleet.cc
+++ b/bench/budget_fleet.cc
@@ -55,8 +55,9 @@
 void BudgetFleet::Start(std::size_t vm) {
   Vm& state = this->vms[vm];
   state.up = true;
-  state.desk = std::make_unique<BudgetDesk>(this->next_incarnation++,
-                                            policy::BudgetDeskOptions{});
+  state.desk = std::make_unique<BudgetDesk>(
+      policy::ProcessStart{this->next_incarnation++, this->now},
+      policy::BudgetDeskOptions{});
   for (const OrganisationState& organisation : this->organisations) {
     state.desk->SetPrepaid(organisation.name, this->options.prepaid);
   }
@@ -239,7 +240,7 @@
     }
     rows.push_back(std::move(row));
   }
-  this->vms[vm].desk->OnStoreClock(StoreMs(this->now), this->now);
+  this->vms[vm].desk->OnStoreClock(StoreMs(this->now), this->now, this->now);
   this->vms[vm].desk->OnRead(rows);
 }
 
@@ -304,10 +305,10 @@
     });
     return;
   }
-  this->Later(kStoreTime, [this, vm, rows, alive, desk] {
+  this->Later(kStoreTime, [this, vm, rows, alive, desk, asked = this->now] {
     const bool done = this->Apply(vm, rows);
     if (!alive()) return;
-    desk->OnStoreClock(StoreMs(this->now), this->now);
+    desk->OnStoreClock(StoreMs(this->now), asked, this->now);
     if (done) {
       desk->OnWritten(this->store_version);
       return;
--- a/gateway/budget_keeper.cc
+++ b/gateway/budget_keeper.cc
@@ -141,11 +141,12 @@
   if (totals.status != StoreStatus::kOk) co_return false;
   // '0' is the character after '/'.
   const platform::KeyRange mine{this->vm + '/', this->vm + '0'};
+  const coordination::TimePoint asked = Now();
   platform::StoreAnswer shares =
       co_await this->store->Read(std::string(kShares), mine);
   if (shares.status != StoreStatus::kOk) co_return false;
   desk.SetReachable(true);
-  desk.OnStoreClock(shares.store_ms, Now());
+  desk.OnStoreClock(shares.store_ms, asked, Now());
   std::vector<StoreRow> rows = std::move(totals.rows);
   for (StoreRow& row : shares.rows) rows.push_back(std::move(row));
   desk.OnRead(this->Collect(rows, organisations));
@@ -174,13 +175,14 @@
     puts.push_back({std::string(kShares), this->ShareKey(row.organisation),
                     Encode(row.share), row.share_version});
   }
+  const coordination::TimePoint asked = Now();
   platform::StoreAnswer answer = co_await this->store->Write(puts);
   const bool answered = answer.status == StoreStatus::kOk ||
                         answer.status == StoreStatus::kConflict;
   this->context.metrics->Add(Counter::kStoreCalls);
   if (!answered) this->context.metrics->Add(Counter::kStoreFailures);
   desk.SetReachable(answered);
-  if (answered) desk.OnStoreClock(answer.store_ms, Now());
+  if (answered) desk.OnStoreClock(answer.store_ms, asked, Now());
   switch (answer.status) {
     case StoreStatus::kOk:
       desk.OnWritten(answer.version);
@@ -202,7 +204,8 @@
       KeyValue("outcome", answer.status == StoreStatus::kUnknown
                               ? "write_unknown"
                               : "write_refused") +
-          ' ' + KeyValue("tenants", static_cast<std::int64_t>(rows.size())),
+          ' ' +
+          KeyValue("organisations", static_cast<std::int64_t>(rows.size())),
       Now());
   co_return false;
 }
--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -120,7 +120,7 @@
       client(this->io),
       store_http(this->io),
       store(this->store_http, this->settings.store_address),
-      core(OptionsOf(this->settings), this->incarnation),
+      core(OptionsOf(this->settings), {this->incarnation, Now()}),
       context{&this->io,     &this->core, &this->client, &this->keeper,
               &this->broker, &this->log,  &this->metrics},
       keeper(this->context, this->store, this->settings.vm),
--- a/policy/budget_desk.cc
+++ b/policy/budget_desk.cc
@@ -63,7 +63,16 @@
 }
 
 void BudgetDesk::OnStoreClock(std::int64_t store_ms,
+                              coordination::TimePoint asked,
                               coordination::TimePoint now) {
+  // When the answer was asked for, the store's clock stood at `store_ms` at
+  // most; when this process began, lower by its age.
+  const std::int64_t age_ms =
+      std::chrono::duration_cast<std::chrono::milliseconds>(asked -
+                                                            this->start.began)
+          .count();
+  this->began_ms =
+      std::min(this->began_ms, store_ms - age_ms + age_ms / kDriftPart);
   this->store_ms = store_ms;
   this->store_ms_at = now;
 }
@@ -285,7 +294,7 @@
   const BudgetAccount& account = entry.account;
   const std::int64_t store_ms = this->StoreTime(now);
   BudgetRows next = entry.rows;
-  next.share.incarnation = this->incarnation;
+  next.share.incarnation = this->start.incarnation;
   next.share.limit = limit;
   next.share.spent = account.Spent();
   next.share.committed = account.Committed();
@@ -308,11 +317,12 @@
     return next;
   }
   // The predecessor ended before this process began; what it had not spent by
-  // its pace until now goes back.
+  // its pace until then goes back.
+  const std::int64_t end_ms = std::min(store_ms, this->began_ms);
   const std::int64_t drift =
       kClockStepMs +
-      std::max<std::int64_t>(0, store_ms - before.checkpoint_ms) / kDriftPart;
-  next.total.committed += limit + before.Bound(store_ms + drift) - before.limit;
+      std::max<std::int64_t>(0, end_ms - before.checkpoint_ms) / kDriftPart;
+  next.total.committed += limit + before.Bound(end_ms + drift) - before.limit;
   next.total.known_spent += next.share.spent;
   return next;
 }
--- a/policy/budget_desk.h
+++ b/policy/budget_desk.h
@@ -8,6 +8,7 @@
 #pragma once
 
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <span>
 #include <string>
@@ -57,10 +58,17 @@
   std::int64_t reserved = 0;
 };
 
+// This process: one start of a VM's gateway. Its predecessor on the same VM had
+// ended when it began.
+struct ProcessStart {
+  std::uint64_t incarnation = 0;
+  coordination::TimePoint began{};
+};
+
 class BudgetDesk {
  public:
-  BudgetDesk(std::uint64_t incarnation, BudgetDeskOptions options)
-      : incarnation(incarnation), options(options) {}
+  BudgetDesk(ProcessStart start, BudgetDeskOptions options)
+      : start(start), options(options) {}
 
   // The prepaid tokens of an organisation, by the configuration in force.
   void SetPrepaid(std::string_view organisation, std::int64_t prepaid);
@@ -115,8 +123,10 @@
   void OnUnknown();
   // Rows as they are in the store; organisations without rows have none.
   void OnRead(std::span<const BudgetRows> rows);
-  // The store's clock, as an answer that came now told it.
-  void OnStoreClock(std::int64_t store_ms, coordination::TimePoint now);
+  // The store's clock, as an answer told it that was asked for at `asked` and
+  // came now.
+  void OnStoreClock(std::int64_t store_ms, coordination::TimePoint asked,
+                    coordination::TimePoint now);
   // The store did not answer, or does again.
   void SetReachable(bool reachable) { this->reachable = reachable; }
 
@@ -150,7 +160,7 @@
 
   std::int64_t StoreTime(coordination::TimePoint now) const;
   bool IsMine(const Entry& entry) const {
-    return entry.rows.share.incarnation == this->incarnation;
+    return entry.rows.share.incarnation == this->start.incarnation;
   }
   std::int64_t GiftTarget(const Entry& entry) const;
   std::int64_t LimitOf(const Entry& entry) const;
@@ -171,7 +181,9 @@
   coordination::TimePoint next_write{};
   std::int64_t store_ms = 0;  // the store's clock at `store_ms_at`
   coordination::TimePoint store_ms_at{};
-  std::uint64_t incarnation;
+  // The store's clock when this process began, or later.
+  std::int64_t began_ms = std::numeric_limits<std::int64_t>::max();
+  ProcessStart start;
   BudgetDeskOptions options;
   bool urgent = false;
   bool needs_read = true;
--- a/policy/gateway_core.cc
+++ b/policy/gateway_core.cc
@@ -48,10 +48,10 @@
 
 }  // namespace
 
-GatewayCore::GatewayCore(GatewayOptions options, std::uint64_t incarnation)
+GatewayCore::GatewayCore(GatewayOptions options, ProcessStart start)
     : options(std::move(options)),
       board(this->options.availability_zone),
-      budgets(incarnation, this->options.budgets),
+      budgets(start, this->options.budgets),
       link(this->options.link_bytes_per_second) {}
 
 bool GatewayCore::SetConfig(GatewayConfig config) {
--- a/policy/gateway_core.h
+++ b/policy/gateway_core.h
@@ -71,7 +71,7 @@
 
 class GatewayCore {
  public:
-  GatewayCore(GatewayOptions options, std::uint64_t incarnation);
+  GatewayCore(GatewayOptions options, ProcessStart start);
 
   // The number of VMs in the fleet, this one included.
   void SetFleetSize(std::size_t vms) {
--- a/tests/budget_test.cc
+++ b/tests/budget_test.cc
@@ -62,9 +62,9 @@
 
 // A desk whose rows have been read, keeping the organisation's tokens.
 BudgetDesk KeptDesk(std::uint64_t incarnation, const BudgetRows& rows) {
-  BudgetDesk desk(incarnation, {});
+  BudgetDesk desk({incarnation, At(0)}, {});
   desk.SetPrepaid(rows.organisation, 1'000'000);
-  desk.OnStoreClock(10'000, At(0));
+  desk.OnStoreClock(10'000, At(0), At(0));
   desk.OnRead(std::vector<BudgetRows>{rows});
   desk.KeepHome(rows.organisation, At(60'000));
   return desk;
@@ -149,6 +149,24 @@
   CHECK(predecessor <= 51'000);
 }
 
+TEST_CASE("a successor that comes late to the store loses nothing by it") {
+  BudgetRows rows = Absent();
+  rows.total = {500'000, 0};
+  rows.total_version = rows.share_version = 3;
+  rows.share = {6, 500'000, 20'000, 30'000, 9'500, 10'000, 20'000};
+  BudgetDesk desk({7, At(0)}, {});
+  desk.SetPrepaid("t", 1'000'000);
+  // The store answers 8 s after the start, and took up to 0.1 s for it.
+  desk.OnStoreClock(18'000, At(7'900), At(8'000));
+  desk.OnRead(std::vector<BudgetRows>{rows});
+  const std::vector<BudgetRows> planned = desk.PlanWrite(At(8'000));
+  REQUIRE(planned.size() == 1);
+  // The predecessor ended by 10,100 ms of the store's clock, and 1% for drift:
+  // 30,000 + 10,000 at once + 20,000 a second for 0.68 s and its own drift.
+  CHECK(planned.front().total.committed >= 53'580);
+  CHECK(planned.front().total.committed <= 54'000);
+}
+
 TEST_CASE("what other VMs hold is refused at once and looked for again") {
   BudgetRows rows = Absent();
   rows.total = {990'000, 100'000};
--- a/tests/gateway_policy_test.cc
+++ b/tests/gateway_policy_test.cc
@@ -81,7 +81,7 @@
   GatewayOptions options;
   options.availability_zone = "z1";
   options.retries = {0.2, 0, seconds(10)};
-  return GatewayCore(options, 1);
+  return GatewayCore(options, {1, At(0)});
 }
 
 // A core with a configuration that the store has confirmed, and upstreams.
@@ -227,7 +227,7 @@
   options.availability_zone = "z1";
   options.retries = {0.2, 0, seconds(10)};
   options.link_bytes_per_second = 1'250'000;
-  GatewayCore core(options, 1);
+  GatewayCore core(options, {1, At(0)});
   Prepare(core, {"s1"});
   int refused = 0;
   // 200 requests of 12,000 bytes in a second, twice what the link carries.
@@ -425,7 +425,7 @@
   GatewayRequest request = MakeRequest("/x");
   request.demand = MakeDemand(1'000, {{1, 1'000}});
   BudgetDesk& desk = core.Budgets();
-  desk.OnStoreClock(1, At(0));
+  desk.OnStoreClock(1, At(0), At(0));
   BudgetRows rows;
   rows.organisation = "t";
   desk.OnRead(std::vector<BudgetRows>{rows});
