The first part of a budget goes to its first drawer alone

In the cut every VM finds the homes silent and keeps tokens itself, and each took the part that is meant for an organisation whose demand nobody knows. A successor had to take all of each as spent.

Change: that part is taken only while nothing has been drawn. Others draw for what waits and for their own demand. So that a successor need not begin from nothing, it goes on with the demand that its predecessor's pace tells.

Tests: budget_test, a VM that stands in for a home; a successor goes on.

--- a/policy/budget_desk.cc
+++ b/policy/budget_desk.cc
@@ -8,8 +8,8 @@
 namespace hornbeamspool::policy {
 namespace {
 
-// Until an organisation's demand is known, its home holds this part of its
-// budget: a few seconds of a day's spending.
+// The first to draw on a budget takes this part of it: a few seconds of a day's
+// spending.
 constexpr std::int64_t kFirstPart = 12;
 
 // Gifts cover a peer's demand for this long; a wish that no request waits for
@@ -263,8 +263,9 @@
       std::chrono::duration<double>(this->options.bridged_outage).count();
   const auto expected = static_cast<std::int64_t>(account.DemandPerSecond() *
                                                   outage * kDemandReserve);
+  // Nothing is known of the demand until somebody has drawn.
   const std::int64_t first =
-      account.Committed() == 0 ? entry.prepaid / kFirstPart : 0;
+      entry.rows.total.committed == 0 ? entry.prepaid / kFirstPart : 0;
   return account.Committed() +
          std::max({expected, account.TypicalRequest() * 2, first});
 }
@@ -299,12 +300,12 @@
   next.share.spent = account.Spent();
   next.share.committed = account.Committed();
   next.share.checkpoint_ms = store_ms;
-  // Without any demand yet, the first requests may take the whole limit.
+  // Until demand is known, requests may take the whole limit at once.
   const std::int64_t hold = limit - account.Committed();
   const auto of_demand =
       static_cast<std::int64_t>(account.DemandPerSecond() * kBurstSeconds);
   next.share.burst =
-      account.Committed() == 0
+      account.DemandPerSecond() == 0
           ? hold
           : std::max(of_demand, account.TypicalRequest() * 2) + entry.lacking;
   next.share.per_second =
@@ -422,8 +423,12 @@
   for (const BudgetRows& row : rows) {
     const auto found = this->entries.find(row.organisation);
     if (found == this->entries.end()) continue;
-    found->second.rows = row;
-    found->second.read = true;
+    Entry& entry = found->second;
+    entry.rows = row;
+    entry.read = true;
+    if (this->IsMine(entry) || row.share.incarnation == 0) continue;
+    entry.account.InheritDemand(static_cast<double>(row.share.per_second) /
+                                kPaceReserve);
   }
   this->needs_read = false;
   this->urgent = true;
--- a/policy/budget_share.h
+++ b/policy/budget_share.h
@@ -64,6 +64,10 @@
 
   // Notes the demand of the time since the last call.
   void SampleDemand(coordination::Duration elapsed);
+  // Takes over the demand that a predecessor had seen.
+  void InheritDemand(double per_second) {
+    if (this->demand == 0) this->demand = per_second;
+  }
   // Tokens a second that requests have lately asked for.
   double DemandPerSecond() const { return this->demand; }
   // Tokens that a usual request asks for.
--- a/tests/budget_test.cc
+++ b/tests/budget_test.cc
@@ -167,6 +167,36 @@
   CHECK(planned.front().total.committed <= 54'000);
 }
 
+// In a cut every VM finds the homes silent, and keeps tokens itself.
+TEST_CASE("pattern: a VM that stands in for a home draws for its own demand") {
+  BudgetRows rows = Absent();
+  rows.total = {200'000, 0};
+  rows.total_version = 4;
+  BudgetDesk desk = KeptDesk(7, rows);
+  BudgetSource source = BudgetSource::kShare;
+  CHECK(desk.Reserve("t", 1'000, At(1), source) == BudgetVerdict::kLacking);
+  desk.NoteLacking("t", 1'000);
+  const std::vector<BudgetRows> planned = desk.PlanWrite(At(1));
+  REQUIRE(planned.size() == 1);
+  // The request, and another of its size.
+  CHECK(planned.front().share.limit == 2'000);
+  CHECK(planned.front().share.burst == 2'000);
+}
+
+TEST_CASE("a successor goes on with the demand that its predecessor had") {
+  BudgetRows rows = Absent();
+  rows.total = {500'000, 0};
+  rows.total_version = rows.share_version = 3;
+  rows.share = {6, 500'000, 20'000, 30'000, 9'500, 7'000, 15'000};
+  BudgetDesk desk = KeptDesk(7, rows);
+  const std::vector<BudgetRows> planned = desk.PlanWrite(At(0));
+  REQUIRE(planned.size() == 1);
+  // 10,000 a second: 0.7 s of it at once, and half as much again as pace.
+  CHECK(planned.front().share.limit == 150'000);
+  CHECK(planned.front().share.burst == 7'000);
+  CHECK(planned.front().share.per_second == 15'000);
+}
+
 TEST_CASE("what other VMs hold is refused at once and looked for again") {
   BudgetRows rows = Absent();
   rows.total = {990'000, 100'000};
