Moves between versions, and requests that take upstreams down

An order to move a service to another version was not read: servers of the new version got their full part at once, and no status was written. A request that crashes each server that runs it was tried again for ever.

Change: policy/version_move decides a trial, a verdict from what all VMs saw and a switch; gateway/move_driver carries it through one row for each service, written under the condition of its version together with the status (docs/design/moves.md). policy/crash_suspects counts the starts of upstreams that went down with a request in hand; after the third the request is refused, and peers are told by datagram.

Ruled out: a verdict by each VM alone (79 VMs with 3% of their requests see one answer in seconds); counting broken answers as crashes without evidence that the upstream went down (lost and garbled answers would make suspects).

Tests: version_move_test (five kinds of bad versions), crash_suspects_test, gateway_policy_test, gateway_test plays a bad and a good move with callers all the while. The two share files and are one commit.

--- a/gateway/budget_keeper.cc
+++ b/gateway/budget_keeper.cc
@@ -3,12 +3,11 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
-#include <cereal/archives/portable_binary.hpp>
 #include <chrono>
-#include <sstream>
 #include <utility>
 
 #include "gateway/event_log.h"
+#include "gateway/row_codec.h"
 #include "gateway/token_broker.h"
 #include "hornbeamspool/clock.h"
 #include "hornbeamspool/metrics.h"
@@ -57,23 +56,6 @@
 // wants a write in 500 ms.
 constexpr std::size_t kMostCalls = 32;
 
-template <typename Value>
-std::string Encode(const Value& value) {
-  std::ostringstream bytes;
-  cereal::PortableBinaryOutputArchive archive(bytes);
-  archive(value);
-  return bytes.str();
-}
-
-template <typename Value>
-Value Decode(const std::string& bytes) {
-  std::istringstream stream(bytes);
-  cereal::PortableBinaryInputArchive archive(stream);
-  Value value;
-  archive(value);
-  return value;
-}
-
 }  // namespace
 
 BudgetKeeper::BudgetKeeper(const Context& context, platform::StoreClient& store,
@@ -184,10 +166,10 @@
   collected.organisation = organisation;
   for (const StoreRow& row : rows) {
     if (row.key == kTotalKey) {
-      collected.total = Decode<policy::BudgetTotal>(row.value);
+      collected.total = DecodeRow<policy::BudgetTotal>(row.value);
       collected.total_version = row.version;
     } else if (row.key == share_key) {
-      collected.share = Decode<policy::BudgetShare>(row.value);
+      collected.share = DecodeRow<policy::BudgetShare>(row.value);
       collected.share_version = row.version;
     }
   }
@@ -242,9 +224,9 @@
     }
   }
   const std::vector<StoreRow> puts{
-      {std::string(kBudgets), std::string(kTotalKey), Encode(rows.total),
+      {std::string(kBudgets), std::string(kTotalKey), EncodeRow(rows.total),
        rows.total_version, false, organisation},
-      {std::string(kBudgets), this->ShareKey(), Encode(rows.share),
+      {std::string(kBudgets), this->ShareKey(), EncodeRow(rows.share),
        rows.share_version, false, organisation}};
   const coordination::TimePoint asked = Now();
   const platform::StoreAnswer answer = co_await this->store->Write(puts);
--- a/gateway/event_log.h
+++ b/gateway/event_log.h
@@ -20,6 +20,7 @@
   kConfig,      // a configuration is in force, or can't be read
   kUpstream,    // an upstream came, changed or went
   kDependency,  // the store was lost or regained
+  kMove,        // an order to move to another version, or how far one is
   kBudget,      // limits were written, or could not be
   kRefused,     // a request was answered by the gateway itself
   kSendFailed,  // a send to an upstream failed
--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -13,6 +13,7 @@
 #include "gateway/budget_keeper.h"
 #include "gateway/context.h"
 #include "gateway/event_log.h"
+#include "gateway/move_driver.h"
 #include "gateway/peer_channel.h"
 #include "gateway/request_relay.h"
 #include "gateway/token_broker.h"
@@ -82,6 +83,9 @@
   bool Ready() const;
   http::Task<void> AnswerReadiness(http::Exchange& exchange);
   http::Task<void> AnswerMetrics(http::Exchange& exchange);
+  void OnPeersCrash(const transport::CrashMessage& message);
+  void OnUpstreamGone(const std::string& id);
+  void TellCrashes();
   void LookAtLoad(Duration lateness);
   http::Task<void> ExpireUpstreams();
   http::Task<void> Stop();
@@ -101,6 +105,7 @@
   BudgetKeeper keeper;
   PeerChannel channel;
   TokenBroker broker;
+  MoveDriver mover;
   http::Server callers;
   http::Server readiness;
   http::Server metrics_page;
@@ -126,10 +131,14 @@
       keeper(this->context, this->store, this->settings.vm),
       channel(this->context, this->store, this->settings.vm,
               this->settings.peer_address,
-              [this](const transport::BudgetMessage& message) {
-                this->broker.OnMessage(message);
-              }),
+              {[this](const transport::BudgetMessage& message) {
+                 this->broker.OnMessage(message);
+               },
+               [this](const transport::CrashMessage& message) {
+                 this->OnPeersCrash(message);
+               }}),
       broker(this->context, this->channel, this->incarnation),
+      mover(this->context, this->store, this->channel),
       callers(
           this->io, this->LimitsOf({}),
           [this](http::Exchange& exchange) {
@@ -182,6 +191,7 @@
 void Gateway::State::OnOperatorRows(
     const std::vector<platform::StoreRow>& rows) {
   for (const platform::StoreRow& row : rows) {
+    if (row.key.starts_with(platform::kMovePrefix)) this->mover.OnOrder(row);
     if (row.key != platform::kConfigKey || row.removed) continue;
     std::string fault;
     std::optional<policy::GatewayConfig> config =
@@ -223,13 +233,17 @@
     if (!row.removed) entry = platform::DecodeUpstream(row.key, row.value);
     std::string pairs = KeyValue("upstream", row.key);
     if (!entry) {
+      this->OnUpstreamGone(row.key);
       this->core.Upstreams().Remove(row.key, now);
       pairs += ' ' + KeyValue("state", row.removed ? "removed" : "unreadable");
     } else {
       const policy::UpstreamEntry* before =
           this->core.Upstreams().Find(row.key);
       const bool reborn = before && before->born_ms != entry->born_ms;
-      if (reborn) this->core.Board().Forget(row.key);
+      if (reborn) {
+        this->OnUpstreamGone(row.key);
+        this->core.Board().Forget(row.key);
+      }
       pairs += ' ' + KeyValue("service", entry->service);
       pairs += ' ' + KeyValue("state", entry->draining ? "draining" : "ready");
       pairs += ' ' + KeyValue("version", entry->version);
@@ -284,6 +298,31 @@
   co_await exchange.Send(std::move(response));
 }
 
+// An entry that goes without a word of leaving is a crash's, unless the store
+// was away meanwhile; then nothing is said.
+void Gateway::State::OnUpstreamGone(const std::string& id) {
+  const policy::UpstreamEntry* entry = this->core.Upstreams().Find(id);
+  if (entry == nullptr || entry->draining) return;
+  this->core.Suspects().OnDown(id, Now());
+}
+
+void Gateway::State::OnPeersCrash(const transport::CrashMessage& message) {
+  this->core.Suspects().Learn({message.upstream, message.fingerprints}, Now());
+}
+
+void Gateway::State::TellCrashes() {
+  for (policy::CrashNotice& notice : this->core.Suspects().TakeNotices(Now())) {
+    this->log.Write(LogKind::kUpstream,
+                    KeyValue("upstream", notice.upstream) + ' ' +
+                        KeyValue("state", "down") + ' ' +
+                        KeyValue("in_hand", static_cast<std::int64_t>(
+                                                notice.fingerprints.size())),
+                    Now());
+    this->channel.SendToAll(
+        {std::move(notice.upstream), std::move(notice.fingerprints)});
+  }
+}
+
 // A crowded VM can't be relieved by refusals, which take its link and its
 // processor too: the balancer is told to leave it out, and answers end their
 // connections, so that callers come back elsewhere.
@@ -313,6 +352,7 @@
     co_await timer.async_wait(http::kAwait);
     this->LookAtLoad(std::chrono::duration_cast<Duration>(
         std::chrono::steady_clock::now() - timer.expiry()));
+    this->TellCrashes();
     for (const std::string& id : this->core.Upstreams().Expire(Now())) {
       this->core.Board().Forget(id);
       this->log.Write(
--- /dev/null
+++ b/gateway/move_driver.h
@@ -0,0 +1,70 @@
+// Carries moves between versions: follows the operator's orders and the moves'
+// progress, reports what this VM saw, and drives a move where this VM is the
+// one to do so.
+//
+// Progress is one row for each service, written under the condition of its
+// version together with the status that the operator reads: a driver that was
+// replaced, or that comes late, changes nothing.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "coordination/time.h"
+#include "gateway/context.h"
+#include "http/task.h"
+#include "platform/store_client.h"
+#include "platform/table_follower.h"
+#include "policy/version_move.h"
+
+namespace hornbeamspool::gateway {
+
+class PeerChannel;
+
+class MoveDriver {
+ public:
+  MoveDriver(const Context& context, platform::StoreClient& store,
+             PeerChannel& channel);
+  MoveDriver(const MoveDriver&) = delete;
+  MoveDriver& operator=(const MoveDriver&) = delete;
+
+  // A row of the operator's table that orders a move, or no longer does.
+  void OnOrder(const platform::StoreRow& row);
+
+ private:
+  // What is known of the rows that the driver of a move writes.
+  struct Rows {
+    std::uint64_t progress_version = 0;
+    std::uint64_t status_version = 0;
+    std::uint64_t report_version = 0;  // of this VM's report
+    coordination::TimePoint ordered_at{};
+  };
+
+  void Begin();
+  void OnProgress(const std::vector<platform::StoreRow>& rows);
+  http::Task<void> Run();
+  http::Task<void> Step(std::string service);
+  http::Task<void> Report(std::string service);
+  http::Task<void> Drive(std::string service);
+  http::Task<std::optional<std::vector<policy::MoveReport>>> ReadReports(
+      std::string service);
+  http::Task<void> WriteProgress(std::string service,
+                                 policy::MoveProgress progress);
+  bool IsToDrive(const std::string& service,
+                 const policy::VersionMoves::Move& move) const;
+  void TakeProgress(const std::string& service,
+                    const policy::MoveProgress& progress);
+  void TakeProgressRow(const platform::StoreRow& row);
+
+  Context context;
+  platform::StoreClient* store;
+  PeerChannel* channel;
+  platform::TableFollower progress_table;
+  std::map<std::string, Rows> rows;  // by service
+  bool begun = false;
+};
+
+}  // namespace hornbeamspool::gateway
--- a/gateway/peer_channel.cc
+++ b/gateway/peer_channel.cc
@@ -42,12 +42,13 @@
 }  // namespace
 
 PeerChannel::PeerChannel(const Context& context, platform::StoreClient& store,
-                         std::string vm, std::string address, Receiver receiver)
+                         std::string vm, std::string address,
+                         Receivers receivers)
     : context(context),
       store(&store),
       vm(std::move(vm)),
       address(std::move(address)),
-      receiver(std::move(receiver)),
+      receivers(std::move(receivers)),
       directory(this->vm),
       table(*context.io, store, std::string(kPeerTable),
             {[this](const auto& rows) {
@@ -128,18 +129,35 @@
                                   this->vm);
 }
 
-bool PeerChannel::Send(std::string_view vm,
-                       const transport::BudgetMessage& message) {
+bool PeerChannel::SendText(std::string_view vm, std::string_view text) {
   const std::string address = this->directory.AddressOf(vm);
   const auto endpoint = http::ParseUdp(address);
   if (!endpoint || this->key.empty()) return false;
-  const std::string datagram =
-      transport::Seal(this->key, transport::EncodeBudgetMessage(message));
+  const std::string datagram = transport::Seal(this->key, text);
   boost::system::error_code error;
   this->socket->send_to(boost::asio::buffer(datagram), *endpoint, 0, error);
   return !error;
 }
 
+bool PeerChannel::Send(std::string_view vm,
+                       const transport::BudgetMessage& message) {
+  return this->SendText(vm, transport::EncodeBudgetMessage(message));
+}
+
+void PeerChannel::SendToAll(const transport::CrashMessage& message) {
+  const std::string text = transport::EncodeCrashMessage(message);
+  for (const std::string& vm : this->directory.All()) this->SendText(vm, text);
+}
+
+void PeerChannel::Dispatch(std::string_view payload) {
+  if (const auto message = transport::DecodeBudgetMessage(payload)) {
+    this->directory.OnAnswer(message->sender);
+    this->receivers.on_budget(*message);
+  } else if (const auto crash = transport::DecodeCrashMessage(payload)) {
+    this->receivers.on_crash(*crash);
+  }
+}
+
 http::Task<void> PeerChannel::Receive() {
   std::array<char, transport::kMaxDatagramBytes> bytes{};
   while (true) {
@@ -153,10 +171,7 @@
     if (error) continue;
     const auto payload = transport::Unseal(this->key, {bytes.data(), count});
     if (!payload || this->key.empty()) continue;
-    const auto message = transport::DecodeBudgetMessage(*payload);
-    if (!message) continue;
-    this->directory.OnAnswer(message->sender);
-    this->receiver(*message);
+    this->Dispatch(*payload);
   }
 }
 
--- a/gateway/peer_channel.h
+++ b/gateway/peer_channel.h
@@ -14,16 +14,21 @@
 #include "platform/table_follower.h"
 #include "policy/peer_directory.h"
 #include "transport/budget_message.h"
+#include "transport/crash_message.h"
 
 namespace hornbeamspool::gateway {
 
 class PeerChannel {
  public:
-  using Receiver = std::function<void(const transport::BudgetMessage&)>;
+  // What comes from peers. All calls come from the io_context's thread.
+  struct Receivers {
+    std::function<void(const transport::BudgetMessage&)> on_budget;
+    std::function<void(const transport::CrashMessage&)> on_crash;
+  };
 
   // `address` is this VM's own, ip:port.
   PeerChannel(const Context& context, platform::StoreClient& store,
-              std::string vm, std::string address, Receiver receiver);
+              std::string vm, std::string address, Receivers receivers);
   PeerChannel(const PeerChannel&) = delete;
   PeerChannel& operator=(const PeerChannel&) = delete;
 
@@ -34,6 +39,7 @@
 
   // False when the peer is not known or the key has not been read.
   bool Send(std::string_view vm, const transport::BudgetMessage& message);
+  void SendToAll(const transport::CrashMessage& message);
 
   policy::PeerDirectory& Directory() { return this->directory; }
   const std::string& Vm() const { return this->vm; }
@@ -43,13 +49,15 @@
   http::Task<bool> LearnKey();
   http::Task<bool> Announce();
   http::Task<void> Receive();
+  bool SendText(std::string_view vm, std::string_view text);
+  void Dispatch(std::string_view payload);
   void OnRows(const std::vector<platform::StoreRow>& rows);
 
   Context context;
   platform::StoreClient* store;
   std::string vm;
   std::string address;
-  Receiver receiver;
+  Receivers receivers;
   policy::PeerDirectory directory;
   platform::TableFollower table;
   std::unique_ptr<http::UdpSocket> socket;
--- a/policy/error_kind.h
+++ b/policy/error_kind.h
@@ -24,6 +24,7 @@
   kBudgetExhausted,
   kBudgetUnavailable,
   kNoUpstream,
+  kCrashSuspect,
   kOverloaded,
   kNotReady,
   kStopping,
--- a/policy/gateway_core.cc
+++ b/policy/gateway_core.cc
@@ -25,6 +25,10 @@
 
 constexpr std::int64_t kLeastUrgent = 9;
 
+// A connection that is refused fails at once; one that is cut off takes its
+// timeout, which says nothing of the upstream.
+constexpr Duration kRefusedWithin = std::chrono::milliseconds(100);
+
 // VMs that may have been added and are not known yet, for the share of a
 // upstream's connections.
 constexpr std::int64_t kMoreVms = 3;
@@ -52,6 +56,7 @@
     : options(std::move(options)),
       board(this->options.availability_zone),
       budgets(start, this->options.budgets),
+      moves(start.incarnation),
       link(this->options.link_bytes_per_second) {}
 
 bool GatewayCore::SetConfig(GatewayConfig config) {
@@ -94,12 +99,17 @@
     }
   }
 
-  // Step 3: the VM's link. Another VM may have room.
+  // Step 3: what takes upstreams down.
+  if (this->suspects.IsSuspect(request.fingerprint, now)) {
+    return Refusal{ErrorKind::kCrashSuspect, {}};
+  }
+
+  // Step 4: the VM's link. Another VM may have room.
   if (this->link.Delay(now) > LongestLinkDelay(*ticket.route)) {
     return Refusal{ErrorKind::kOverloaded, Spread(kRetryLink, request.id)};
   }
 
-  // Step 4: the service, and the time that is left.
+  // Step 5: the service, and the time that is left.
   ticket.service = this->ChooseService(*ticket.table, *ticket.route, request);
   if (ticket.service == nullptr) {
     return Refusal{ErrorKind::kNoUpstream, Spread(kRetryUpstream, request.id)};
@@ -145,6 +155,10 @@
 
 std::variant<Refusal, SendOrder> GatewayCore::NextSend(Ticket& ticket,
                                                        TimePoint now) {
+  if (ticket.sends > 0 &&
+      this->suspects.IsSuspect(ticket.request.fingerprint, now)) {
+    return Refusal{ErrorKind::kUpstreamFailed, {}};
+  }
   const Duration left = ticket.deadline - now;
   if (left < kLeastTime) {
     const ErrorKind kind =
@@ -152,7 +166,7 @@
     return Refusal{kind, Spread(kRetryUpstream, ticket.request.id)};
   }
   const std::vector<const UpstreamEntry*> upstreams =
-      this->upstreams.Usable(ticket.service->name, now);
+      this->UpstreamsFor(ticket, now);
   ChoiceRequest choice;
   if (ticket.request.demand) choice.demand = &*ticket.request.demand;
   if (ticket.service->engine) {
@@ -187,12 +201,79 @@
                                     1, ticket.service->max_connections /
                                            (this->fleet_size + kMoreVms)));
   order.record = this->board.OnSent(*upstream, choice.demand, now);
+  order.move_revision =
+      this->moves.OnSent(ticket.service->name, upstream->version);
   return order;
 }
 
+// The usable upstreams of the request's service that run a version it may go
+// to; of the preferred version where one of them is left to try.
+std::vector<const UpstreamEntry*> GatewayCore::UpstreamsFor(Ticket& ticket,
+                                                            TimePoint now) {
+  const std::string& service = ticket.service->name;
+  std::vector<const UpstreamEntry*> upstreams =
+      this->upstreams.Usable(service, now);
+  if (this->moves.Find(service) == nullptr) return upstreams;
+  // A request that failed once is no longer tried on a version on trial.
+  ticket.takes_part = ticket.sends == 0 &&
+                      this->moves.TakesPart(service, ticket.request.id, now);
+  std::vector<const UpstreamEntry*> preferred;
+  std::vector<const UpstreamEntry*> allowed;
+  for (const UpstreamEntry* upstream : upstreams) {
+    const VersionMoves::Fit fit =
+        this->moves.FitOf(service, upstream->version, ticket.takes_part);
+    if (fit == VersionMoves::Fit::kForbidden) continue;
+    allowed.push_back(upstream);
+    const bool failed =
+        std::find(ticket.failed_upstreams.begin(),
+                  ticket.failed_upstreams.end(),
+                  upstream->id) != ticket.failed_upstreams.end();
+    if (fit == VersionMoves::Fit::kPreferred && !failed) {
+      preferred.push_back(upstream);
+    }
+  }
+  return preferred.empty() ? allowed : preferred;
+}
+
+void GatewayCore::NoteEnd(const Ticket& ticket, const SendOrder& order,
+                          SendOutcome outcome, TimePoint now) {
+  VersionMoves::EndedSend send;
+  send.revision = order.move_revision;
+  send.service = ticket.service->name;
+  send.route = ticket.route->name;
+  send.version = order.upstream.version;
+  send.took = now - order.record.sent_at;
+  if (outcome == SendOutcome::kAnswered) {
+    send.outcome = VersionMoves::Outcome::kAnswered;
+  } else if (outcome == SendOutcome::kUpstreamError ||
+             outcome == SendOutcome::kBroken ||
+             outcome == SendOutcome::kSilent) {
+    send.outcome = VersionMoves::Outcome::kFailed;
+  }
+  this->moves.OnEnded(send);
+}
+
+// Evidence of upstreams that go down while they run a request.
+void GatewayCore::NoteCrash(const Ticket& ticket, const SendOrder& order,
+                            SendOutcome outcome, TimePoint now) {
+  const std::uint64_t fingerprint = ticket.request.fingerprint;
+  const std::string& upstream = order.upstream.id;
+  if (outcome == SendOutcome::kAnswered ||
+      outcome == SendOutcome::kUpstreamError) {
+    this->suspects.OnAnswered(fingerprint);
+  } else if (outcome == SendOutcome::kBroken) {
+    this->suspects.OnBroken(fingerprint, upstream, now);
+  } else if (outcome == SendOutcome::kUnreachable &&
+             now - order.record.sent_at < kRefusedWithin) {
+    this->suspects.OnDown(upstream, now);
+  }
+}
+
 bool GatewayCore::OnSendEnded(Ticket& ticket, const SendOrder& order,
                               SendOutcome outcome, TimePoint now) {
   this->board.OnEnded(order.record, outcome, now);
+  this->NoteEnd(ticket, order, outcome, now);
+  this->NoteCrash(ticket, order, outcome, now);
   const bool tells =
       outcome != SendOutcome::kAbandoned && outcome != SendOutcome::kNoRoom;
   if (tells) this->reach.Add(outcome != SendOutcome::kUnreachable, now);
--- a/policy/gateway_core.h
+++ b/policy/gateway_core.h
@@ -13,6 +13,7 @@
 
 #include "coordination/time.h"
 #include "policy/budget_desk.h"
+#include "policy/crash_suspects.h"
 #include "policy/error_kind.h"
 #include "policy/gateway_request.h"
 #include "policy/link_meter.h"
@@ -21,6 +22,7 @@
 #include "policy/route_table.h"
 #include "policy/upstream_board.h"
 #include "policy/upstream_directory.h"
+#include "policy/version_move.h"
 
 namespace hornbeamspool::policy {
 
@@ -51,6 +53,7 @@
   coordination::Duration first_event_after{};  // the arrival
   coordination::Duration longest_pause{};      // between events
   std::vector<std::string> failed_upstreams;
+  bool takes_part = false;  // in the trial of another version
 };
 
 // Where to send a request now.
@@ -59,6 +62,7 @@
   coordination::Duration left{};  // until the deadline
   std::int64_t urgency = 0;
   std::size_t max_connections = 0;  // of this VM to this upstream
+  std::uint64_t move_revision = 0;  // the move that the send counts for
   SendRecord record;
 };
 
@@ -76,6 +80,7 @@
   // The number of VMs in the fleet, this one included.
   void SetFleetSize(std::size_t vms) {
     this->fleet_size = static_cast<std::int64_t>(vms);
+    this->moves.SetFleetSize(this->fleet_size);
   }
 
   // Takes a configuration that is newer than the one in force; false otherwise.
@@ -103,6 +108,8 @@
   UpstreamDirectory& Upstreams() { return this->upstreams; }
   UpstreamBoard& Board() { return this->board; }
   BudgetDesk& Budgets() { return this->budgets; }
+  CrashSuspects& Suspects() { return this->suspects; }
+  VersionMoves& Moves() { return this->moves; }
   LinkMeter& Link() { return this->link; }
   ReachMeter& Reach() { return this->reach; }
   std::size_t InFlight() const { return this->in_flight; }
@@ -110,6 +117,12 @@
  private:
   const Service* ChooseService(const RouteTable& table, const Route& route,
                                const GatewayRequest& request) const;
+  std::vector<const UpstreamEntry*> UpstreamsFor(Ticket& ticket,
+                                                 coordination::TimePoint now);
+  void NoteCrash(const Ticket& ticket, const SendOrder& order,
+                 SendOutcome outcome, coordination::TimePoint now);
+  void NoteEnd(const Ticket& ticket, const SendOrder& order,
+               SendOutcome outcome, coordination::TimePoint now);
   RetryAllowance& AllowanceOf(const std::string& service);
   std::int64_t TokensUsed(const Ticket& ticket) const;
 
@@ -118,6 +131,8 @@
   UpstreamDirectory upstreams;
   UpstreamBoard board;
   BudgetDesk budgets;
+  VersionMoves moves;
+  CrashSuspects suspects;
   LinkMeter link;
   ReachMeter reach;
   std::map<std::string, RetryAllowance, std::less<>> allowances;  // by service
--- a/policy/peer_directory.cc
+++ b/policy/peer_directory.cc
@@ -39,6 +39,12 @@
   });
 }
 
+std::vector<std::string> PeerDirectory::All() const {
+  std::vector<std::string> all;
+  for (const auto& [vm, known] : this->peers) all.push_back(vm);
+  return all;
+}
+
 void PeerDirectory::OnAnswer(std::string_view vm) {
   const auto found = this->peers.find(vm);
   if (found == this->peers.end()) return;
--- a/policy/peer_directory.h
+++ b/policy/peer_directory.h
@@ -34,6 +34,8 @@
   std::vector<std::string> HomesOf(std::string_view organisation,
                                    std::size_t most,
                                    coordination::TimePoint now) const;
+  // All peers that are known, silent ones too.
+  std::vector<std::string> All() const;
   // Empty when the VM is not known.
   std::string AddressOf(std::string_view vm) const;
   std::size_t Size() const { return this->peers.size(); }
--- /dev/null
+++ b/policy/version_move.h
@@ -0,0 +1,147 @@
+// Moving a service to another version of its software: a trial with a bounded
+// part of the requests, a verdict from the answers that all VMs saw, then a
+// switch of all requests, or none. No I/O.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "coordination/time.h"
+
+namespace hornbeamspool::policy {
+
+// What the operator asks for.
+struct MoveOrder {
+  std::string service;
+  std::string version;               // to move to
+  coordination::Duration allowed{};  // from the order to the end of the move
+  std::uint64_t revision = 0;  // tells one order of a service from the next
+};
+
+enum class MovePhase : std::uint8_t {
+  kTrial,      // the new version gets a small part of the requests
+  kSwitched,   // it gets all; the old one ends what it has
+  kCompleted,  // the old version may be stopped
+  kTakenBack,  // the new version gets nothing
+  kCount
+};
+
+// How far a move has come: one row in the store, written by the VM that drives
+// the move.
+struct MoveProgress {
+  std::uint64_t order_revision = 0;
+  std::string version;
+  MovePhase phase = MovePhase::kTrial;
+  // By the store's clock.
+  std::int64_t began_ms = 0;
+  std::int64_t deadline_ms = 0;
+  std::int64_t driver_until_ms = 0;  // when another VM may take over
+  std::string driver;                // VM
+};
+
+// How one version answered one route's requests.
+struct VersionCounts {
+  std::int64_t answers = 0;  // sends that an upstream may have run
+  std::int64_t bad = 0;      // of these: failures
+  std::int64_t timed = 0;    // whole answers
+  double log_ms = 0;         // sum of the logarithms of their times
+
+  void Add(const VersionCounts& other);
+};
+
+struct RouteEvidence {
+  VersionCounts moved;  // the new version
+  VersionCounts kept;   // the others
+};
+
+// What one VM has seen of a move.
+struct MoveReport {
+  std::uint64_t order_revision = 0;
+  MovePhase phase = MovePhase::kTrial;  // the one that the VM follows
+  std::int64_t kept_in_flight = 0;      // requests at the old version
+  std::map<std::string, RouteEvidence> routes;
+};
+
+// The progress with which a move begins.
+MoveProgress BeginMove(const MoveOrder& order, std::int64_t store_ms);
+
+// The part of a service's requests for the new version, 0 to 1.
+double MovedShare(const MoveProgress& progress, std::int64_t store_ms);
+
+// Whether the new version fails more often, or answers more slowly, than the
+// old one, on all routes together or on one.
+bool IsVersionBad(std::span<const MoveReport> reports);
+
+// The phase that follows from the reports of `vms` VMs.
+MovePhase NextPhase(const MoveProgress& progress,
+                    std::span<const MoveReport> reports, std::size_t vms,
+                    std::int64_t store_ms);
+
+// The moves of all services at one VM: which version a request goes to, and
+// what came of it.
+class VersionMoves {
+ public:
+  explicit VersionMoves(std::uint64_t seed) : seed(seed) {}
+
+  void SetOrder(MoveOrder order);
+  void RemoveOrder(std::string_view service);
+  // Takes progress unless it belongs to an older order.
+  void SetProgress(std::string_view service, const MoveProgress& progress);
+  void SetStoreClock(std::int64_t store_ms, coordination::TimePoint now);
+  // The number of VMs that send to the service's upstreams.
+  void SetFleetSize(std::int64_t vms) { this->fleet_size = vms; }
+
+  // Whether a request may go to an upstream of this version, and whether one of
+  // this version is to be preferred.
+  enum class Fit : std::uint8_t { kPreferred, kAllowed, kForbidden, kCount };
+  // Decides once for each request whether it takes part in the trial.
+  bool TakesPart(std::string_view service, std::string_view request_id,
+                 coordination::TimePoint now);
+  Fit FitOf(std::string_view service, std::string_view version,
+            bool takes_part) const;
+
+  // Returns the revision of the order in force, for OnEnded; 0: none.
+  std::uint64_t OnSent(std::string_view service, std::string_view version);
+  // `answered`: a whole answer came after `took`; otherwise the send failed
+  // after an upstream may have run it. A send that did not run tells nothing.
+  enum class Outcome : std::uint8_t { kAnswered, kFailed, kNotRun, kCount };
+  struct EndedSend {
+    std::uint64_t revision = 0;  // as OnSent gave it
+    std::string_view service;
+    std::string_view route;
+    std::string_view version;
+    Outcome outcome = Outcome::kNotRun;
+    coordination::Duration took{};
+  };
+  void OnEnded(const EndedSend& send);
+
+  struct Move {
+    MoveOrder order;
+    MoveProgress progress;
+    bool begun = false;  // `progress` belongs to `order`
+    MoveReport report;
+    std::int64_t sends = 0;        // since the order
+    std::int64_t moved_sends = 0;  // of these, to the new version
+  };
+  const Move* Find(std::string_view service) const;
+  const std::map<std::string, Move, std::less<>>& All() const {
+    return this->moves;
+  }
+  std::int64_t StoreTime(coordination::TimePoint now) const;
+  bool StoreKnown(coordination::TimePoint now) const;
+
+ private:
+  Move* FindMove(std::string_view service);
+
+  std::map<std::string, Move, std::less<>> moves;  // by service
+  std::int64_t store_ms = 0;  // the store's clock at `store_ms_at`
+  coordination::TimePoint store_ms_at{};
+  std::int64_t fleet_size = 1;
+  std::uint64_t seed;
+};
+
+}  // namespace hornbeamspool::policy
--- a/tests/gateway_policy_test.cc
+++ b/tests/gateway_policy_test.cc
@@ -419,6 +419,26 @@
   CHECK(one.HomesOf(organisation, 1, At(1)).front() == "vm3");
 }
 
+TEST_CASE("a request that takes upstreams down is refused after the third") {
+  GatewayCore core = MakeCore();
+  Prepare(core, {"s1", "s2", "s3", "s4"});
+  GatewayRequest request = MakeRequest("/x");
+  request.fingerprint = 99;
+  for (int i = 0; i < 3; ++i) {
+    Ticket ticket = std::get<Ticket>(core.Admit(request, At(i)));
+    const auto order = std::get<SendOrder>(core.NextSend(ticket, At(i)));
+    core.OnSendEnded(ticket, order, SendOutcome::kBroken, At(i));
+    core.Suspects().OnDown(order.upstream.id, At(i));
+    core.Upstreams().Remove(order.upstream.id, At(i));
+    core.Finish(ticket);
+  }
+  const auto refused = core.Admit(request, At(10));
+  REQUIRE(std::holds_alternative<Refusal>(refused));
+  CHECK(std::get<Refusal>(refused).kind == ErrorKind::kCrashSuspect);
+  request.fingerprint = 100;
+  CHECK(std::holds_alternative<Ticket>(core.Admit(request, At(10))));
+}
+
 TEST_CASE("a budget is charged its prompt once and its delivered output") {
   GatewayCore core = MakeCore();
   Prepare(core, {"s1"});
--- a/tests/process/gateway_test.sh
+++ b/tests/process/gateway_test.sh
@@ -68,8 +68,8 @@
     \"limits\":{},\"tenants\":[{\"name\":\"t\",\"api_keys\":[\"$2\"],\"prepaid\":$3}]}"
 }
 
-server_row() {  # ID PORT STATE
-  row "servers/$1" "{\"service\":\"s\",\"address\":\"127.0.0.1:$2\",\"zone\":\"z1\",\"version\":\"v1\",\"slot_count\":8,\"state\":\"$3\",\"seq\":1}"
+server_row() {  # ID PORT STATE [VERSION]
+  row "servers/$1" "{\"service\":\"s\",\"address\":\"127.0.0.1:$2\",\"zone\":\"z1\",\"version\":\"${4:-v1}\",\"slot_count\":8,\"state\":\"$3\",\"seq\":1}"
 }
 
 "$bin/standin" store --listen=$store & pids+=($!)
@@ -173,6 +173,35 @@
 sleep 1.5
 check 'an older configuration is not taken' 401 "$(status 1 /lookup/x)"
 
+# Moves between versions, with callers all the while.
+move_status() { curl -s "http://$store/api/rows-get?table=status&part=" | grep -o '"value":"[^"]*"' | cut -d'"' -f4 | base64 -d; }
+status_says() { move_status | grep -q "$1"; }
+callers() {  # FILE
+  while [ ! -e "$dir/enough" ]; do
+    key=key2 status 1 /lookup/x; echo
+    key=key2 status 2 /lookup/x; echo
+  done >"$1"
+}
+served_by() { key=key2 call "$1" /lookup/x -i | grep -o 'stamp-i-[0-9]*'; }
+"$bin/standin" server --listen=127.0.0.1:19703 --name=i-4 & pids+=($!)
+"$bin/standin" server --listen=127.0.0.1:19704 --name=i-5 & pids+=($!)
+fault 19704 '{"down":true}'
+callers "$dir/calls-1" & callers_1=$!
+callers "$dir/calls-2" & callers_2=$!
+row op/rollout/s '{"service":"s","to":"v3","ramp_s":60}'
+server_row i-5 19704 ready v3
+until_true status_says rolled_back
+check 'a version that fails is taken back' '*rolled_back*v3*' "$(move_status)"
+check 'and gets nothing more' 'stamp-i-[12]' "$(served_by 1)"
+row servers/i-5 gone
+row op/rollout/s '{"service":"s","to":"v2","ramp_s":4}'
+server_row i-4 19703 ready v2
+until_true status_says completed
+check 'a good version gets all' 'stamp-i-4 stamp-i-4' "$(served_by 1) $(served_by 2)"
+touch "$dir/enough"
+wait "$callers_1" "$callers_2"
+check 'no caller noticed' 200 "$(cat "$dir/calls-1" "$dir/calls-2" | sort -u | paste -sd' ')"
+
 # A planned stop finishes what runs.
 key=key2 call 1 /stream/x >"$dir/stream" &
 reader=$!
--- /dev/null
+++ b/tests/version_move_test.cc
@@ -0,0 +1,276 @@
+// Moves between versions: how much of the traffic a version on trial gets, and
+// how a move ends.
+#include "policy/version_move.h"
+
+#include <doctest/doctest.h>
+
+#include <chrono>
+#include <cmath>
+#include <functional>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace hornbeamspool::policy {
+namespace {
+
+using Outcome = VersionMoves::Outcome;
+
+constexpr std::int64_t kBeganMs = 100'000;
+constexpr std::int64_t kAllowedMs = 20'000;
+
+MoveOrder Order() {
+  return {"llm", "v2", std::chrono::milliseconds(kAllowedMs), 7};
+}
+
+coordination::TimePoint At(std::int64_t ms) {
+  return coordination::TimePoint(std::chrono::milliseconds(ms));
+}
+
+// How the new version answers, by the time since the order, its part of the
+// requests of the last second, and the route.
+struct Behaviour {
+  std::function<double(double second, double share, int route)> failure_rate;
+  std::function<double(double second, double share, int route)> slowness;
+};
+
+Behaviour Good() {
+  const auto none = [](double, double, int) { return 0.0; };
+  const auto same = [](double, double, int) { return 1.0; };
+  return {none, same};
+}
+
+struct FleetOutcome {
+  MovePhase phase = MovePhase::kTrial;
+  double ended_after = 0;  // seconds
+  std::int64_t requests = 0;
+  std::int64_t moved = 0;
+  std::int64_t moved_late = 0;  // 2 s and more after the 50th bad answer
+};
+
+// A fleet of VMs with two routes; every half second each reports, and the
+// driver looks.
+class Fleet {
+ public:
+  explicit Fleet(std::size_t vms) {
+    for (std::size_t i = 0; i < vms; ++i) {
+      this->vms.emplace_back(i);
+      this->vms.back().SetFleetSize(static_cast<std::int64_t>(vms));
+      this->vms.back().SetOrder(Order());
+    }
+  }
+
+  FleetOutcome Run(const Behaviour& behaviour, double per_second) {
+    FleetOutcome outcome;
+    MoveProgress progress = BeginMove(Order(), kBeganMs);
+    std::int64_t bad = 0;
+    std::int64_t bad_since = 0;  // when there were 50
+    std::int64_t moved_before = 0;
+    std::int64_t requests_before = 0;
+    double share = 0;
+    for (std::int64_t ms = 0; ms < kAllowedMs + 5'000; ms += 10) {
+      if (ms % 500 == 0) this->Look(progress, ms);
+      if (ms % 1'000 == 0) {
+        const auto sent =
+            static_cast<double>(outcome.requests - requests_before);
+        share = sent == 0
+                    ? 0
+                    : static_cast<double>(outcome.moved - moved_before) / sent;
+        moved_before = outcome.moved;
+        requests_before = outcome.requests;
+      }
+      const bool ended = progress.phase == MovePhase::kCompleted ||
+                         progress.phase == MovePhase::kTakenBack;
+      if (ended && outcome.ended_after == 0) {
+        outcome.ended_after = static_cast<double>(ms) / 1'000;
+      }
+      std::poisson_distribution<int> arrivals(per_second / 100);
+      for (int n = arrivals(this->random); n > 0; --n) {
+        VersionMoves& vm = this->vms[this->random() % this->vms.size()];
+        const int route = static_cast<int>(this->random() % 2);
+        const std::string id = std::to_string(this->random());
+        const bool takes_part = vm.TakesPart("llm", id, At(ms));
+        const bool moved =
+            vm.FitOf("llm", "v2", takes_part) == VersionMoves::Fit::kPreferred;
+        const std::string version = moved ? "v2" : "v1";
+        if (ms < kAllowedMs) {
+          ++outcome.requests;
+          if (moved) ++outcome.moved;
+        }
+        if (moved && bad_since != 0 && ms > bad_since + 2'000) {
+          ++outcome.moved_late;
+        }
+        VersionMoves::EndedSend send;
+        send.revision = vm.OnSent("llm", version);
+        send.service = "llm";
+        const std::string route_name = "route-" + std::to_string(route);
+        send.route = route_name;
+        send.version = version;
+        const double second = static_cast<double>(ms) / 1'000;
+        const double rate =
+            moved ? behaviour.failure_rate(second, share, route) : 0.02;
+        const double slowness =
+            moved ? behaviour.slowness(second, share, route) : 1;
+        std::lognormal_distribution<double> took(std::log(200), 0.8);
+        send.took = std::chrono::milliseconds(
+            static_cast<std::int64_t>(took(this->random) * slowness));
+        std::uniform_real_distribution<double> chance(0, 1);
+        send.outcome =
+            chance(this->random) < rate ? Outcome::kFailed : Outcome::kAnswered;
+        if (moved && send.outcome == Outcome::kFailed && ++bad == 50) {
+          bad_since = ms;
+        }
+        vm.OnEnded(send);
+      }
+    }
+    outcome.phase = progress.phase;
+    return outcome;
+  }
+
+ private:
+  void Look(MoveProgress& progress, std::int64_t ms) {
+    std::vector<MoveReport> reports;
+    for (VersionMoves& vm : this->vms) {
+      reports.push_back(vm.Find("llm")->report);
+    }
+    progress.phase =
+        NextPhase(progress, reports, this->vms.size(), kBeganMs + ms);
+    for (VersionMoves& vm : this->vms) {
+      vm.SetStoreClock(kBeganMs + ms, At(ms));
+      vm.SetProgress("llm", progress);
+    }
+  }
+
+  std::vector<VersionMoves> vms;
+  std::mt19937_64 random{5};
+};
+
+// At most a tenth of the requests until the deadline, and 50.
+bool IsExposureBounded(const FleetOutcome& outcome) {
+  return outcome.moved <= outcome.requests / 10 + 50;
+}
+
+TEST_CASE("a good version gets all requests in time") {
+  for (const std::size_t vms : {1, 7, 79}) {
+    const FleetOutcome outcome = Fleet(vms).Run(Good(), 300);
+    CHECK(outcome.phase == MovePhase::kCompleted);
+    CHECK(outcome.ended_after < 20);
+  }
+}
+
+TEST_CASE("a version that fails from the start is cut after few requests") {
+  Behaviour bad = Good();
+  bad.failure_rate = [](double, double, int) { return 0.4; };
+  for (const std::size_t vms : {1, 7, 79}) {
+    const FleetOutcome outcome = Fleet(vms).Run(bad, 300);
+    CHECK(outcome.phase == MovePhase::kTakenBack);
+    CHECK(IsExposureBounded(outcome));
+    CHECK(outcome.moved < 200);
+    CHECK(outcome.moved_late == 0);
+  }
+}
+
+TEST_CASE("a version that answers several times slower is taken back") {
+  Behaviour slow = Good();
+  slow.slowness = [](double, double, int) { return 4.0; };
+  const FleetOutcome outcome = Fleet(7).Run(slow, 300);
+  CHECK(outcome.phase == MovePhase::kTakenBack);
+  CHECK(IsExposureBounded(outcome));
+}
+
+TEST_CASE("a version that fails on one route only is taken back") {
+  Behaviour bad = Good();
+  bad.failure_rate = [](double, double, int route) {
+    return route == 1 ? 0.3 : 0.0;
+  };
+  const FleetOutcome outcome = Fleet(7).Run(bad, 300);
+  CHECK(outcome.phase == MovePhase::kTakenBack);
+  CHECK(IsExposureBounded(outcome));
+}
+
+TEST_CASE("a version that fails after a while is taken back") {
+  Behaviour bad = Good();
+  bad.failure_rate = [](double second, double, int) {
+    return second > 8 ? 0.4 : 0.0;
+  };
+  const FleetOutcome outcome = Fleet(7).Run(bad, 300);
+  CHECK(outcome.phase == MovePhase::kTakenBack);
+  CHECK(IsExposureBounded(outcome));
+}
+
+TEST_CASE("a version that fails under load is taken back") {
+  Behaviour bad = Good();
+  bad.failure_rate = [](double, double share, int) {
+    return share > 0.15 ? 0.5 : 0.0;
+  };
+  const FleetOutcome outcome = Fleet(7).Run(bad, 300);
+  CHECK(outcome.phase == MovePhase::kTakenBack);
+  CHECK(IsExposureBounded(outcome));
+}
+
+TEST_CASE("failures that both versions share take nothing back") {
+  std::vector<MoveReport> reports(1);
+  reports[0].routes["lookup"] = {{100, 20, 80, 400}, {1'000, 160, 840, 4'200}};
+  CHECK_FALSE(IsVersionBad(reports));
+}
+
+TEST_CASE("before the move has begun, the new version gets nothing") {
+  VersionMoves moves(1);
+  moves.SetOrder(Order());
+  CHECK_FALSE(moves.TakesPart("llm", "a", At(0)));
+  CHECK(moves.FitOf("llm", "v2", false) == VersionMoves::Fit::kForbidden);
+  CHECK(moves.FitOf("llm", "v1", false) == VersionMoves::Fit::kPreferred);
+  CHECK(moves.FitOf("desk", "v2", false) == VersionMoves::Fit::kPreferred);
+}
+
+TEST_CASE("a VM that does not hear of the store leaves the trial") {
+  VersionMoves moves(1);
+  moves.SetOrder(Order());
+  moves.SetProgress("llm", BeginMove(Order(), kBeganMs));
+  moves.SetStoreClock(kBeganMs + 11'000, At(0));
+  const auto taken = [&](std::int64_t ms) {
+    int count = 0;
+    for (int i = 0; i < 100; ++i) {
+      count += moves.TakesPart("llm", std::to_string(i), At(ms)) ? 1 : 0;
+    }
+    return count;
+  };
+  CHECK(taken(0) > 0);
+  CHECK(taken(3'000) == 0);
+}
+
+TEST_CASE("an old driver's progress, or order, changes nothing") {
+  VersionMoves moves(1);
+  moves.SetOrder(Order());
+  MoveProgress progress = BeginMove(Order(), kBeganMs);
+  progress.phase = MovePhase::kTakenBack;
+  moves.SetProgress("llm", progress);
+  MoveOrder next = Order();
+  next.revision = 9;
+  next.version = "v3";
+  moves.SetOrder(next);
+  CHECK_FALSE(moves.Find("llm")->begun);
+  moves.SetOrder(Order());
+  CHECK(moves.Find("llm")->order.version == "v3");
+  moves.SetProgress("llm", progress);
+  CHECK_FALSE(moves.Find("llm")->begun);
+}
+
+TEST_CASE("a move ends when the old version has nothing left anywhere") {
+  MoveProgress progress = BeginMove(Order(), kBeganMs);
+  progress.phase = MovePhase::kSwitched;
+  std::vector<MoveReport> reports(2);
+  for (MoveReport& report : reports) report.phase = MovePhase::kSwitched;
+  reports[1].kept_in_flight = 3;
+  const std::int64_t at = kBeganMs + 14'000;
+  CHECK(NextPhase(progress, reports, 2, at) == MovePhase::kSwitched);
+  reports[1].kept_in_flight = 0;
+  CHECK(NextPhase(progress, reports, 2, at) == MovePhase::kCompleted);
+  // A VM that has not reported the switch may still send to the old one.
+  CHECK(NextPhase(progress, reports, 3, at) == MovePhase::kSwitched);
+  CHECK(NextPhase(progress, reports, 3, kBeganMs + 19'500) ==
+        MovePhase::kCompleted);
+}
+
+}  // namespace
+}  // namespace hornbeamspool::policy
--- /dev/null
+++ b/transport/crash_message.cc
@@ -0,0 +1,46 @@
+#include "transport/crash_message.h"
+
+#include "transport/datagram.h"
+#include "transport/short_text.h"
+
+namespace hornbeamspool::transport {
+namespace {
+
+// First bytes of every message; grows with the encoding.
+constexpr std::uint32_t kFormat = 0x4352'4d31;
+
+}  // namespace
+
+template <typename Archive>
+void save(Archive& archive, const CrashMessage& message) {
+  CrashMessage copy = message;
+  archive(ShortText{&copy.upstream},
+          static_cast<std::uint16_t>(message.fingerprints.size()));
+  for (const std::uint64_t fingerprint : message.fingerprints) {
+    archive(fingerprint);
+  }
+}
+
+template <typename Archive>
+void load(Archive& archive, CrashMessage& message) {
+  std::uint16_t count = 0;
+  archive(ShortText{&message.upstream}, count);
+  for (std::uint16_t i = 0; i < count; ++i) {
+    std::uint64_t fingerprint = 0;
+    archive(fingerprint);
+    message.fingerprints.push_back(fingerprint);
+  }
+}
+
+std::string EncodeCrashMessage(const CrashMessage& message) {
+  return EncodeDatagram(kFormat, message);
+}
+
+std::optional<CrashMessage> DecodeCrashMessage(std::string_view bytes) {
+  const auto message = DecodeDatagram<CrashMessage>(kFormat, bytes);
+  const bool sound =
+      message && message->fingerprints.size() <= kMostFingerprints;
+  return sound ? message : std::nullopt;
+}
+
+}  // namespace hornbeamspool::transport
