A busy VM gets more connections, and no room is no try

Its log is full of no_room: the connections that an upstream bears were split evenly over 79 VMs, 6 or 7 to each. Each such try used up one of three and one of the fleet's repeats, so that requests were refused with upstreams free.

Change: a VM takes its even part and a sixth besides. A send that found no room costs neither a try nor a repeat.

Ruled out: the processor (late by 2 ms at that time) and the link.

Tests: gateway_policy_test, a busy VM; no room is no try.

--- a/policy/gateway_core.cc
+++ b/policy/gateway_core.cc
@@ -33,6 +33,10 @@
 // upstream's connections.
 constexpr std::int64_t kMoreVms = 3;
 
+// Beyond its even part, a VM takes up to one in this many of the connections
+// that an upstream bears: as many busy VMs at once are rare.
+constexpr std::int64_t kBusyPart = 6;
+
 // A request may lose this part of its target latency at the VM's link, and no
 // more than the bound.
 constexpr std::int64_t kLinkPart = 4;
@@ -195,11 +199,7 @@
           ? *ticket.organisation->priority
           : ticket.route->priority;
   order.urgency = std::clamp<std::int64_t>(priority, 0, kLeastUrgent);
-  order.max_connections = ticket.service->max_connections <= 0
-                              ? SIZE_MAX
-                              : static_cast<std::size_t>(std::max<std::int64_t>(
-                                    1, ticket.service->max_connections /
-                                           (this->fleet_size + kMoreVms)));
+  order.max_connections = this->MostConnections(*ticket.service);
   order.record = this->board.OnSent(*upstream, choice.demand, now);
   order.move_revision =
       this->moves.OnSent(ticket.service->name, upstream->version);
@@ -253,6 +253,16 @@
   this->moves.OnEnded(send);
 }
 
+// Connections of this VM to one upstream of the service. All VMs share what the
+// upstream bears, and the balancer sends most of a zone's callers to a few.
+std::size_t GatewayCore::MostConnections(const Service& service) const {
+  if (service.max_connections <= 0) return SIZE_MAX;
+  const std::int64_t even =
+      service.max_connections / (this->fleet_size + kMoreVms);
+  const std::int64_t busy = service.max_connections / kBusyPart;
+  return static_cast<std::size_t>(std::max<std::int64_t>(1, even + busy));
+}
+
 // Evidence of upstreams that go down while they run a request.
 void GatewayCore::NoteCrash(const Ticket& ticket, const SendOrder& order,
                             SendOutcome outcome, TimePoint now) {
@@ -290,6 +300,11 @@
                      outcome == SendOutcome::kSilent;
   if (final) return false;
   ticket.failed_upstreams.push_back(order.upstream.id);
+  // Nothing was sent: it is no try, and costs the fleet no repeat.
+  if (outcome == SendOutcome::kNoRoom) {
+    --ticket.sends;
+    return true;
+  }
   if (!not_run && !ticket.route->MayRepeat()) return false;
   if (ticket.runs >= ticket.route->attempts) return false;
   return ticket.sends - ticket.runs < kMostRejectedSends;
--- a/policy/gateway_core.h
+++ b/policy/gateway_core.h
@@ -123,6 +123,7 @@
                  SendOutcome outcome, coordination::TimePoint now);
   void NoteEnd(const Ticket& ticket, const SendOrder& order,
                SendOutcome outcome, coordination::TimePoint now);
+  std::size_t MostConnections(const Service& service) const;
   RetryAllowance& AllowanceOf(const std::string& service);
   std::int64_t TokensUsed(const Ticket& ticket) const;
 
--- a/tests/gateway_policy_test.cc
+++ b/tests/gateway_policy_test.cc
@@ -296,6 +296,32 @@
   CHECK(board.Choose(upstreams, {}, {}, At(2)) == &a);
 }
 
+// The balancer sends most of a zone's callers to a few of its VMs.
+TEST_CASE("pattern: a busy VM gets more than its even part of connections") {
+  GatewayCore core = MakeCore();
+  Prepare(core, {"s1"});
+  core.SetFleetSize(79);
+  Ticket ticket = std::get<Ticket>(core.Admit(MakeRequest("/x"), At(0)));
+  const auto order = std::get<SendOrder>(core.NextSend(ticket, At(0)));
+  CHECK(order.max_connections >= 100 / 6);
+  CHECK(order.max_connections < 100 / 4);
+}
+
+TEST_CASE("a connection that is not to be had is no try") {
+  GatewayCore core = MakeCore();
+  Prepare(core, {"s1", "s2", "s3"});
+  Ticket ticket = std::get<Ticket>(core.Admit(MakeRequest("/orders/1"), At(0)));
+  // No repeat is allowed: the fleet's allowance is empty.
+  for (int i = 0; i < 2; ++i) {
+    const auto order = std::get<SendOrder>(core.NextSend(ticket, At(0)));
+    CHECK(core.OnSendEnded(ticket, order, SendOutcome::kNoRoom, At(0)));
+  }
+  const auto order = std::get<SendOrder>(core.NextSend(ticket, At(0)));
+  CHECK(ticket.sends == 1);
+  CHECK_FALSE(core.OnSendEnded(ticket, order, SendOutcome::kAnswered, At(9)));
+  CHECK(ticket.runs == 1);
+}
+
 TEST_CASE("entries that lapse while the store is away are kept for a while") {
   UpstreamDirectory upstreams;
   upstreams.SetReachable(true, At(0));
