Peers are told of long prompts

Cause: pauses over the aim come from prompts that an engine reads beside streams, and a VM knew only of those that it had sent itself: 1 of 7 on the small sites, 1 of 79 on the grown ones. Answers' own word of the load is there for no more than one pair of VM and upstream in ten (each upstream answers each of 79 VMs about once in 10 s).

Change: a send with 4,000 unread tokens or more is told to the peers by datagram; they take the engine as reading for that long. At most 100 datagrams a second from each VM, then to some peers.

Ruled out: asking the upstreams for reports (priced as probes, and old by some hundred ms); a stronger choice by waiting requests alone (nothing known of most upstreams).

--- a/gateway/context.h
+++ b/gateway/context.h
@@ -17,6 +17,7 @@
 
 class EventLog;
 class BudgetKeeper;
+class PeerChannel;
 class TokenBroker;
 
 struct Context {
@@ -25,6 +26,7 @@
   http::Client* client = nullptr;
   BudgetKeeper* budget_keeper = nullptr;
   TokenBroker* token_broker = nullptr;
+  PeerChannel* peers = nullptr;
   EventLog* log = nullptr;
   Metrics* metrics = nullptr;
 };
--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -126,8 +126,8 @@
       store_http(this->io),
       store(this->store_http, this->settings.store_address),
       core(OptionsOf(this->settings), {this->incarnation, Now()}),
-      context{&this->io,     &this->core, &this->client, &this->keeper,
-              &this->broker, &this->log,  &this->metrics},
+      context{&this->io,     &this->core,    &this->client, &this->keeper,
+              &this->broker, &this->channel, &this->log,    &this->metrics},
       keeper(this->context, this->store, this->settings.vm),
       channel(this->context, this->store, this->settings.vm,
               this->settings.peer_address,
@@ -136,6 +136,10 @@
                },
                [this](const transport::CrashMessage& message) {
                  this->OnPeersCrash(message);
+               },
+               [this](const transport::PromptMessage& message) {
+                 this->core.Board().OnPeersSend(message.upstream,
+                                                message.unread_tokens, Now());
                }}),
       broker(this->context, this->channel, this->incarnation),
       mover(this->context, this->store, this->channel),
--- a/gateway/peer_channel.cc
+++ b/gateway/peer_channel.cc
@@ -1,5 +1,6 @@
 #include "gateway/peer_channel.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -28,6 +29,10 @@
 constexpr std::string_view kKeyRow = "peer_key";
 constexpr std::size_t kKeyBytes = 32;
 
+// Datagrams a second to tell of sends: 12 KB, most of what a VM may spend on
+// control in a large fleet.
+constexpr double kMostPerSecond = 100;
+
 constexpr coordination::Duration kRetryPause = std::chrono::milliseconds(300);
 
 std::string RandomKey() {
@@ -60,7 +65,8 @@
                this->directory.Replace(std::move(peers));
                this->context.core->SetFleetSize(this->directory.Size() + 1);
              },
-             [this](const auto& rows) { this->OnRows(rows); }, [](bool) {}}) {}
+             [this](const auto& rows) { this->OnRows(rows); }, [](bool) {}}),
+      random(std::random_device{}()) {}
 
 void PeerChannel::OnRows(const std::vector<StoreRow>& rows) {
   for (const StoreRow& row : rows) {
@@ -149,12 +155,31 @@
   for (const std::string& vm : this->directory.All()) this->SendText(vm, text);
 }
 
+void PeerChannel::SendToSome(const transport::PromptMessage& message,
+                             coordination::TimePoint now) {
+  const std::chrono::duration<double> passed = now - this->allowance_at;
+  this->allowance = std::min(kMostPerSecond,
+                             this->allowance + passed.count() * kMostPerSecond);
+  this->allowance_at = now;
+  std::vector<std::string> peers = this->directory.All();
+  const auto most = static_cast<std::size_t>(this->allowance);
+  if (peers.size() > most) {
+    std::shuffle(peers.begin(), peers.end(), this->random);
+    peers.resize(most);
+  }
+  this->allowance -= static_cast<double>(peers.size());
+  const std::string text = transport::EncodePromptMessage(message);
+  for (const std::string& vm : peers) this->SendText(vm, text);
+}
+
 void PeerChannel::Dispatch(std::string_view payload) {
   if (const auto message = transport::DecodeBudgetMessage(payload)) {
     this->directory.OnAnswer(message->sender);
     this->receivers.on_budget(*message);
   } else if (const auto crash = transport::DecodeCrashMessage(payload)) {
     this->receivers.on_crash(*crash);
+  } else if (const auto prompt = transport::DecodePromptMessage(payload)) {
+    this->receivers.on_prompt(*prompt);
   }
 }
 
--- a/gateway/peer_channel.h
+++ b/gateway/peer_channel.h
@@ -5,9 +5,11 @@
 
 #include <functional>
 #include <memory>
+#include <random>
 #include <string>
 #include <string_view>
 
+#include "coordination/time.h"
 #include "gateway/context.h"
 #include "http/task.h"
 #include "platform/store_client.h"
@@ -15,6 +17,7 @@
 #include "policy/peer_directory.h"
 #include "transport/budget_message.h"
 #include "transport/crash_message.h"
+#include "transport/prompt_message.h"
 
 namespace hornbeamspool::gateway {
 
@@ -24,6 +27,7 @@
   struct Receivers {
     std::function<void(const transport::BudgetMessage&)> on_budget;
     std::function<void(const transport::CrashMessage&)> on_crash;
+    std::function<void(const transport::PromptMessage&)> on_prompt;
   };
 
   // `address` is this VM's own, ip:port.
@@ -40,6 +44,9 @@
   // False when the peer is not known or the key has not been read.
   bool Send(std::string_view vm, const transport::BudgetMessage& message);
   void SendToAll(const transport::CrashMessage& message);
+  // Sends to all peers, or to some of them when there was much to send lately.
+  void SendToSome(const transport::PromptMessage& message,
+                  coordination::TimePoint now);
 
   policy::PeerDirectory& Directory() { return this->directory; }
   const std::string& Vm() const { return this->vm; }
@@ -62,6 +69,10 @@
   platform::TableFollower table;
   std::unique_ptr<http::UdpSocket> socket;
   std::string key;
+  std::minstd_rand random;
+  // Datagrams that SendToSome may send now.
+  double allowance = 0;
+  coordination::TimePoint allowance_at{};
   bool leaving = false;
 };
 
--- a/gateway/request_relay.cc
+++ b/gateway/request_relay.cc
@@ -9,6 +9,7 @@
 #include <variant>
 
 #include "gateway/event_log.h"
+#include "gateway/peer_channel.h"
 #include "gateway/stream_relay.h"
 #include "gateway/token_broker.h"
 #include "hornbeamspool/clock.h"
@@ -43,6 +44,10 @@
 // without notice; a request that runs at most once is not risked on it.
 constexpr Duration kLongestIdleForOrders = std::chrono::seconds(1);
 
+// Prompts of which peers are told: an engine reads them for 30 ms and more, and
+// two at once make its other streams pause.
+constexpr std::int64_t kLongPrompt = 4000;
+
 constexpr std::size_t kPieceBytes = 8 * 1024;
 
 // A message's head and its packets' headers, roughly.
@@ -189,6 +194,10 @@
 
 http::Task<SendOutcome> RequestRelay::Send(SendOrder& order) {
   const Ticket& ticket = *this->ticket;
+  if (order.record.unread_tokens >= kLongPrompt) {
+    this->context->peers->SendToSome(
+        {order.upstream.id, order.record.unread_tokens}, Now());
+  }
   platform::SendHeaders headers;
   headers.upstream = order.upstream.id;
   if (ticket.organisation) headers.organisation = ticket.organisation->name;
--- a/policy/upstream_board.cc
+++ b/policy/upstream_board.cc
@@ -154,6 +154,16 @@
   return unread;
 }
 
+// How long the engine reads until it has read all prompts that it was sent.
+double UpstreamBoard::UnreadMs(const State& state, TimePoint now) const {
+  const double own =
+      static_cast<double>(state.unread_tokens) * this->ms_per_token;
+  const double peers =
+      std::chrono::duration<double, std::milli>(state.peers_read_at - now)
+          .count();
+  return own + std::max(0.0, peers);
+}
+
 // What a running stream loses while prompts of this time are read beside it.
 double UpstreamBoard::PauseLoss(double prefill_ms, double target_ms) const {
   const double pauses = std::min(kMostPauses, prefill_ms / target_ms);
@@ -182,8 +192,7 @@
   }
   if (request.demand == nullptr) return cost;
   const Unread unread = this->UnreadOf(state, *request.demand, home);
-  const double before =
-      static_cast<double>(state.unread_tokens) * this->ms_per_token;
+  const double before = this->UnreadMs(state, now);
   const double own =
       static_cast<double>(unread.own + unread.shared) * this->ms_per_token;
   const double target_ms = std::max(
@@ -276,6 +285,17 @@
   state.sent_since_load = 0;
 }
 
+void UpstreamBoard::OnPeersSend(std::string_view upstream,
+                                std::int64_t unread_tokens, TimePoint now) {
+  const auto found = this->states.find(std::string(upstream));
+  if (found == this->states.end()) return;
+  State& state = found->second;
+  const std::chrono::duration<double, std::milli> reads(
+      static_cast<double>(unread_tokens) * this->ms_per_token);
+  state.peers_read_at = std::max(state.peers_read_at, now) +
+                        std::chrono::duration_cast<Duration>(reads);
+}
+
 void UpstreamBoard::OnEnded(const SendRecord& record, SendOutcome outcome,
                             TimePoint now) {
   State& state = this->StateOf(record.upstream);
--- a/policy/upstream_board.h
+++ b/policy/upstream_board.h
@@ -74,6 +74,9 @@
   void OnStarted(SendRecord& record, coordination::TimePoint now);
   void OnLoad(std::string_view upstream, const UpstreamLoad& load,
               coordination::TimePoint now);
+  // Another VM has sent the upstream so many prompt tokens to read.
+  void OnPeersSend(std::string_view upstream, std::int64_t unread_tokens,
+                   coordination::TimePoint now);
   // Ends the record.
   void OnEnded(const SendRecord& record, SendOutcome outcome,
                coordination::TimePoint now);
@@ -95,6 +98,8 @@
     std::int64_t held_tokens = 0;
     UpstreamLoad load;  // as last reported
     coordination::TimePoint load_at{};
+    // When it will have read what other VMs have sent.
+    coordination::TimePoint peers_read_at{};
     std::int64_t sent_since_load = 0;
     double failure_rate = 0;  // 0 to 1, recent
     std::int64_t failures_in_a_row = 0;
@@ -110,6 +115,7 @@
   };
   Unread UnreadOf(const State& state, const ModelDemand& demand,
                   bool home) const;
+  double UnreadMs(const State& state, coordination::TimePoint now) const;
   double PauseLoss(double prefill_ms, double target_ms) const;
   double Cost(const State& state, const UpstreamEntry& upstream,
               const ChoiceRequest& request, bool home,
