--- a/tests/crash_suspects_test.cc
+++ b/tests/crash_suspects_test.cc
@@ -6,8 +6,6 @@
 #include <chrono>
 #include <string>
 
-#include "transport/crash_message.h"
-
 namespace hornbeamspool::policy {
 namespace {
 
@@ -93,18 +91,5 @@
   CHECK_FALSE(suspects.IsSuspect(kCause, At(200'000)));
 }
 
-TEST_CASE("a notice comes back as it was; other bytes are none") {
-  transport::CrashMessage message{"i-7", {}};
-  message.fingerprints.assign(transport::kMostFingerprints, 0x5c1e07a2U);
-  const std::string text = transport::EncodeCrashMessage(message);
-  CHECK(text.size() < 1'300);
-  const auto decoded = transport::DecodeCrashMessage(text);
-  REQUIRE(decoded);
-  CHECK(decoded->upstream == "i-7");
-  CHECK(decoded->fingerprints == message.fingerprints);
-  CHECK_FALSE(transport::DecodeCrashMessage("no message"));
-  CHECK_FALSE(transport::DecodeCrashMessage(text.substr(0, 40)));
-}
-
 }  // namespace
 }  // namespace hornbeamspool::policy
--- a/tests/gateway_policy_test.cc
+++ b/tests/gateway_policy_test.cc
@@ -296,6 +296,26 @@
   CHECK(board.Choose(upstreams, {}, {}, At(2)) == &a);
 }
 
+// A prompt of 40,000 tokens is read for 0.4 s, beside all other streams.
+TEST_CASE("pattern: two VMs send their long prompts to different engines") {
+  UpstreamBoard board("z1");
+  const UpstreamEntry a = MakeUpstream("a");
+  const UpstreamEntry b = MakeUpstream("b");
+  const std::vector<const UpstreamEntry*> upstreams{&a, &b};
+  const ModelDemand demand = MakeDemand(40'000, {{1, 40'000}});
+  ChoiceRequest request;
+  request.demand = &demand;
+  request.target_pause = std::chrono::milliseconds(300);
+  const UpstreamEntry* first = board.Choose(upstreams, request, {}, At(0));
+  const UpstreamEntry* second = first == &a ? &b : &a;
+  board.OnPeersSend(first->id, 40'000, At(0));
+  CHECK(board.Choose(upstreams, request, {}, At(10)) == second);
+  // It has been read by then.
+  CHECK(board.Choose(upstreams, request, {}, At(1'000)) == first);
+  // What isn't known here is nothing to choose.
+  board.OnPeersSend("elsewhere", 40'000, At(0));
+}
+
 // The balancer sends most of a zone's callers to a few of its VMs.
 TEST_CASE("pattern: a busy VM gets more than its even part of connections") {
   GatewayCore core = MakeCore();
--- a/tests/transport_test.cc
+++ b/tests/transport_test.cc
@@ -2,8 +2,11 @@
 
 #include <random>
 #include <string>
+#include <vector>
 
+#include "transport/crash_message.h"
 #include "transport/heartbeat.h"
+#include "transport/prompt_message.h"
 #include "transport/seal.h"
 
 namespace hornbeamspool::transport {
@@ -66,5 +69,28 @@
            "ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad");
 }
 
+TEST_CASE("a notice comes back as it was; other bytes are none") {
+  CrashMessage message{"i-7", {}};
+  message.fingerprints.assign(kMostFingerprints, 0x5c1e07a2U);
+  const std::string text = EncodeCrashMessage(message);
+  CHECK(text.size() < 1'300);
+  const auto decoded = DecodeCrashMessage(text);
+  REQUIRE(decoded);
+  CHECK(decoded->upstream == "i-7");
+  CHECK(decoded->fingerprints == message.fingerprints);
+  CHECK_FALSE(DecodeCrashMessage("no message"));
+  CHECK_FALSE(DecodeCrashMessage(text.substr(0, 40)));
+}
+
+TEST_CASE("a long prompt's notice comes back as it was; other bytes are none") {
+  const std::string text = EncodePromptMessage({"i-7", 12'000});
+  const auto decoded = DecodePromptMessage(text);
+  REQUIRE(decoded);
+  CHECK(decoded->upstream == "i-7");
+  CHECK(decoded->unread_tokens == 12'000);
+  CHECK_FALSE(DecodePromptMessage(EncodePromptMessage({"i-7", -1})));
+  CHECK_FALSE(DecodePromptMessage(EncodeCrashMessage({"i-7", {1}})));
+}
+
 }  // namespace
 }  // namespace hornbeamspool::transport
