An entry that lapsed with the store proves no crash

Cause, found on reading: the comment said that entries which go while the store is away make no suspects; the code did not look. Requests that broke at an upstream whose entry lapsed then would have counted as its crash.

Change: the directory's own doubt about lapsed entries is asked.

Tests: gateway_policy_test, budget_test, gateway_test.

--- a/gateway/budget_keeper.cc
+++ b/gateway/budget_keeper.cc
@@ -136,8 +136,8 @@
   if (answered) {
     this->context.core->Budgets().OnStoreClock(answer.store_ms, asked, Now());
     for (const StoreRow& row : answer.rows) {
-      if (this->holdings.insert(row.key).second)
-        this->inherited.insert(row.key);
+      const bool news = this->holdings.insert(row.key).second;
+      if (news) this->inherited.insert(row.key);
     }
     this->holdings_known = true;
   }
--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -303,10 +303,12 @@
 }
 
 // An entry that goes without a word of leaving is a crash's, unless the store
-// was away meanwhile; then nothing is said.
+// was away meanwhile: then entries of live upstreams go too.
 void Gateway::State::OnUpstreamGone(const std::string& id) {
-  const policy::UpstreamEntry* entry = this->core.Upstreams().Find(id);
+  const policy::UpstreamDirectory& upstreams = this->core.Upstreams();
+  const policy::UpstreamEntry* entry = upstreams.Find(id);
   if (entry == nullptr || entry->draining) return;
+  if (upstreams.InDoubt(Now())) return;
   this->core.Suspects().OnDown(id, Now());
 }
 
--- a/gateway/token_broker.cc
+++ b/gateway/token_broker.cc
@@ -98,6 +98,16 @@
   for (http::Timer* timer : search.waiters) timer->cancel();
 }
 
+// Until somebody wakes the search, or `until`.
+http::Task<void> TokenBroker::WaitForNews(Search& search, TimePoint until) {
+  http::Timer timer(*this->context.io);
+  timer.expires_at(until);
+  search.waiters.insert(&timer);
+  boost::system::error_code woken;
+  co_await timer.async_wait(boost::asio::redirect_error(http::kAwait, woken));
+  search.waiters.erase(&timer);
+}
+
 void TokenBroker::OnShareChanged() {
   for (auto& [organisation, search] : this->searches) this->Wake(search);
 }
@@ -113,12 +123,7 @@
     boost::asio::co_spawn(*this->context.io, this->Ask(organisation, amount),
                           boost::asio::detached);
   }
-  http::Timer timer(*this->context.io);
-  timer.expires_at(until);
-  search.waiters.insert(&timer);
-  boost::system::error_code woken;
-  co_await timer.async_wait(boost::asio::redirect_error(http::kAwait, woken));
-  search.waiters.erase(&timer);
+  co_await this->WaitForNews(search, until);
   if (search.refused_until > Now()) co_return VerdictOf(search.note);
   co_return BudgetVerdict::kReserved;
 }
@@ -158,15 +163,9 @@
     desk.KeepHome(organisation, Now() + kHomeTime);
     BudgetVerdict verdict = desk.VerdictFor(organisation, needed, Now());
     if (verdict == BudgetVerdict::kLacking && desk.Reachable()) {
-      http::Timer timer(*this->context.io);
       desk.NoteLacking(organisation, needed);
       this->context.budget_keeper->Kick();
-      timer.expires_at(give_up);
-      search.waiters.insert(&timer);
-      boost::system::error_code woken;
-      co_await timer.async_wait(
-          boost::asio::redirect_error(http::kAwait, woken));
-      search.waiters.erase(&timer);
+      co_await this->WaitForNews(search, give_up);
     } else {
       search.note = NoteFor(verdict, desk.Reachable());
       search.refused_until = Now() + kRefusalTime;
@@ -188,14 +187,9 @@
   ask.amount = needed + desk.WantedGift(organisation);
   search.ask_id = ask.id;
   search.answered = false;
-  http::Timer timer(*this->context.io);
   for (int i = 0; i < kAskTries && !search.answered; ++i) {
     if (!this->channel->Send(vm, ask)) co_return false;
-    timer.expires_after(kAskTime);
-    search.waiters.insert(&timer);
-    boost::system::error_code woken;
-    co_await timer.async_wait(boost::asio::redirect_error(http::kAwait, woken));
-    search.waiters.erase(&timer);
+    co_await this->WaitForNews(search, Now() + kAskTime);
   }
   if (!search.answered) {
     this->channel->Directory().OnSilence(vm, Now());
--- a/gateway/token_broker.h
+++ b/gateway/token_broker.h
@@ -77,6 +77,7 @@
   http::Task<void> Maintain();
   void OnGift(const transport::BudgetMessage& gift);
   void Wake(Search& search);
+  http::Task<void> WaitForNews(Search& search, coordination::TimePoint until);
   void SendGift(const std::string& vm, std::uint64_t receiver,
                 const std::string& organisation, std::int64_t amount);
   transport::BudgetMessage NewMessage(transport::BudgetMessageKind kind,
--- a/policy/upstream_directory.h
+++ b/policy/upstream_directory.h
@@ -50,6 +50,10 @@
   // The registry stopped or began to answer.
   void SetReachable(bool reachable, coordination::TimePoint now);
 
+  // Whether entries that go now may be of upstreams that live: the registry is
+  // away, or has just come back.
+  bool InDoubt(coordination::TimePoint now) const;
+
   // Forgets entries whose grace has passed. Returns their ids.
   std::vector<std::string> Expire(coordination::TimePoint now);
 
@@ -72,7 +76,6 @@
   static constexpr coordination::Duration kFirstNews =
       std::chrono::milliseconds(100);
 
-  bool InDoubt(coordination::TimePoint now) const;
   coordination::TimePoint DropTime(coordination::TimePoint now) const;
   void Drop(std::map<std::string, Kept, std::less<>>::iterator found,
             coordination::TimePoint now);
