--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -84,7 +84,6 @@
   http::Task<void> AnswerReadiness(http::Exchange& exchange);
   http::Task<void> AnswerMetrics(http::Exchange& exchange);
   void OnPeersCrash(const transport::CrashMessage& message);
-  void OnUpstreamGone(const std::string& id);
   void TellCrashes();
   void LookAtLoad(Duration lateness);
   http::Task<void> ExpireUpstreams();
@@ -237,7 +236,7 @@
     if (!row.removed) entry = platform::DecodeUpstream(row.key, row.value);
     std::string pairs = KeyValue("upstream", row.key);
     if (!entry) {
-      this->OnUpstreamGone(row.key);
+      this->core.NoteUpstreamGone(row.key, now);
       this->core.Upstreams().Remove(row.key, now);
       pairs += ' ' + KeyValue("state", row.removed ? "removed" : "unreadable");
     } else {
@@ -245,7 +244,7 @@
           this->core.Upstreams().Find(row.key);
       const bool reborn = before && before->born_ms != entry->born_ms;
       if (reborn) {
-        this->OnUpstreamGone(row.key);
+        this->core.NoteUpstreamGone(row.key, now);
         this->core.Board().Forget(row.key);
       }
       pairs += ' ' + KeyValue("service", entry->service);
@@ -302,16 +301,6 @@
   co_await exchange.Send(std::move(response));
 }
 
-// An entry that goes without a word of leaving is a crash's, unless the store
-// was away meanwhile: then entries of live upstreams go too.
-void Gateway::State::OnUpstreamGone(const std::string& id) {
-  const policy::UpstreamDirectory& upstreams = this->core.Upstreams();
-  const policy::UpstreamEntry* entry = upstreams.Find(id);
-  if (entry == nullptr || entry->draining) return;
-  if (upstreams.InDoubt(Now())) return;
-  this->core.Suspects().OnDown(id, Now());
-}
-
 void Gateway::State::OnPeersCrash(const transport::CrashMessage& message) {
   this->core.Suspects().Learn({message.upstream, message.fingerprints}, Now());
 }
--- a/hornbeamctl/explain.cc
+++ b/hornbeamctl/explain.cc
@@ -15,7 +15,7 @@
   std::string_view text;
 };
 
-constexpr std::array<Cause, 17> kCauses{{
+constexpr std::array<Cause, 19> kCauses{{
     {"budget_exhausted",
      "the organisation's prepaid tokens can't cover the request at its most"},
     {"budget_unavailable",
@@ -26,6 +26,8 @@
     {"not_found", "no route of the host has this path"},
     {"unauthenticated", "no organisation holds the key"},
     {"no_upstream", "no upstream could take the request"},
+    {"crash_suspect", "three upstreams went down with this request in hand"},
+    {"overloaded", "the VM's link was too slow for the request's target"},
     {"upstream_failed",
      "an upstream may have run the request, and its answer "
      "was lost, broken, or another request's"},
--- a/hornbeamctl/verbs.cc
+++ b/hornbeamctl/verbs.cc
@@ -355,6 +355,10 @@
     std::string line;
     while (std::getline(file, line)) lines.push_back(line);
   }
+  if (arguments[0].empty()) {
+    std::cerr << "the request's id is empty\n";
+    return kExitUsage;
+  }
   const std::vector<std::string> story = Explain(arguments[0], lines);
   if (story.empty()) {
     std::cerr << "no line names " << arguments[0] << '\n';
--- a/policy/gateway_core.cc
+++ b/policy/gateway_core.cc
@@ -263,6 +263,15 @@
   return static_cast<std::size_t>(std::max<std::int64_t>(1, even + busy));
 }
 
+// An entry that goes without a word of leaving is a crash's, unless the store
+// was away meanwhile: then entries of live upstreams go too.
+void GatewayCore::NoteUpstreamGone(std::string_view id, TimePoint now) {
+  const UpstreamEntry* entry = this->upstreams.Find(id);
+  if (entry == nullptr || entry->draining) return;
+  if (this->upstreams.InDoubt(now)) return;
+  this->suspects.OnDown(id, now);
+}
+
 // Evidence of upstreams that go down while they run a request.
 void GatewayCore::NoteCrash(const Ticket& ticket, const SendOrder& order,
                             SendOutcome outcome, TimePoint now) {
--- a/policy/gateway_core.h
+++ b/policy/gateway_core.h
@@ -102,6 +102,8 @@
                    coordination::TimePoint now);
   // The refusal after the last send failed with this outcome.
   Refusal FinalRefusal(const Ticket& ticket, SendOutcome outcome) const;
+  // An upstream's entry is about to go, or to be that of a new start.
+  void NoteUpstreamGone(std::string_view id, coordination::TimePoint now);
   // Ends the request and settles its budget.
   void Finish(Ticket& ticket);
 
--- a/tests/explain_test.cc
+++ b/tests/explain_test.cc
@@ -39,5 +39,18 @@
   CHECK(Explain("r2", lines).empty());
 }
 
+TEST_CASE("each reason that a gateway gives has its cause told") {
+  for (const char* reason :
+       {"budget_exhausted", "budget_unavailable", "not_ready", "not_found",
+        "unauthenticated", "no_upstream", "crash_suspect", "overloaded",
+        "upstream_failed", "upstream_timeout"}) {
+    const std::vector<std::string> lines{
+        "00:03Z event=refused vm=a request=r1 reason=" + std::string(reason)};
+    const std::vector<std::string> story = Explain("r1", lines);
+    REQUIRE(!story.empty());
+    CHECK(story.back().find("does not know") == std::string::npos);
+  }
+}
+
 }  // namespace
 }  // namespace hornbeamspool::ctl
--- a/tests/gateway_policy_test.cc
+++ b/tests/gateway_policy_test.cc
@@ -485,6 +485,27 @@
   CHECK(std::holds_alternative<Ticket>(core.Admit(request, At(10))));
 }
 
+TEST_CASE("an entry that goes while the store is away proves no crash") {
+  GatewayCore core = MakeCore();
+  Prepare(core, {"s1", "s2"});
+  GatewayRequest request = MakeRequest("/x");
+  request.fingerprint = 99;
+  const auto crashes_after_break = [&](std::int64_t ms) {
+    Ticket ticket = std::get<Ticket>(core.Admit(request, At(ms)));
+    const auto order = std::get<SendOrder>(core.NextSend(ticket, At(ms)));
+    core.OnSendEnded(ticket, order, SendOutcome::kBroken, At(ms));
+    core.NoteUpstreamGone(order.upstream.id, At(ms));
+    core.Finish(ticket);
+    return core.Suspects().CrashesOf(request.fingerprint, At(ms));
+  };
+  core.Upstreams().SetReachable(false, At(0));
+  CHECK(crashes_after_break(0) == 0);
+  core.Upstreams().SetReachable(true, At(10));
+  CHECK(crashes_after_break(20) == 0);
+  // Long after the store's return, and not leaving by its own word.
+  CHECK(crashes_after_break(20'000) == 1);
+}
+
 TEST_CASE("a budget is charged its prompt once and its delivered output") {
   GatewayCore core = MakeCore();
   Prepare(core, {"s1"});
