--- a/hornbeamspool/platform_thread.cc
+++ b/hornbeamspool/platform_thread.cc
@@ -88,7 +88,7 @@
   this->to_decisions = &to_decisions;
   net::co_spawn(this->io, this->PollConfig(), net::detached);
   net::co_spawn(this->io, this->Register(), net::detached);
-  net::co_spawn(this->io, this->PollLoads(), net::detached);
+  net::co_spawn(this->io, this->WatchUpstreams(), net::detached);
   this->upstream_table.Start();
   this->router_table.Start();
   this->thread = std::thread([this] { this->io.run(); });
@@ -245,7 +245,7 @@
   this->sink->Record(std::move(event));
 }
 
-http::Task<void> PlatformThread::PollLoads() {
+http::Task<void> PlatformThread::WatchUpstreams() {
   http::Timer timer(this->io);
   while (true) {
     // Entries whose upstreams did not come back after the store's return.
--- a/hornbeamspool/platform_thread.h
+++ b/hornbeamspool/platform_thread.h
@@ -62,7 +62,7 @@
   http::Task<void> Register();
   http::Task<void> RemoveRegistration(
       std::shared_ptr<std::promise<void>> removed);
-  http::Task<void> PollLoads();
+  http::Task<void> WatchUpstreams();
   http::Task<void> ReadLoad(std::string upstream, std::string address);
   void OnUpstreams(const std::vector<platform::StoreRow>& rows);
   void OnAllUpstreams(const std::vector<platform::StoreRow>& rows);
