A gateway is ready only when it knows how far ordered moves have come

Found on reading: a gateway that starts after a completed move knew the order before the progress, and refused everything for that time, since only the old version, which is gone, was allowed. Readiness waits for the table of progress where there is an order. gateway_test restarts a gateway after a move; nothing changes where no move was ordered.

--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -282,7 +282,7 @@
 
 bool Gateway::State::Ready() const {
   return !this->stopping && !this->crowded && this->core.Table() != nullptr &&
-         this->upstreams_known;
+         this->upstreams_known && this->mover.Ready();
 }
 
 http::Task<void> Gateway::State::AnswerReadiness(http::Exchange& exchange) {
--- a/gateway/move_driver.cc
+++ b/gateway/move_driver.cc
@@ -90,7 +90,10 @@
       store(&store),
       channel(&channel),
       progress_table(*context.io, store, std::string(kProgressTable),
-                     {[this](const auto& rows) { this->OnProgress(rows); },
+                     {[this](const auto& rows) {
+                        this->OnProgress(rows);
+                        this->progress_known = true;
+                      },
                       [this](const auto& rows) { this->OnProgress(rows); },
                       [](bool) {}}) {}
 
--- a/gateway/move_driver.h
+++ b/gateway/move_driver.h
@@ -31,6 +31,10 @@
   MoveDriver(const MoveDriver&) = delete;
   MoveDriver& operator=(const MoveDriver&) = delete;
 
+  // Whether it is known how far the ordered moves have come: before that, a
+  // version that a move has completed to would get nothing.
+  bool Ready() const { return !this->begun || this->progress_known; }
+
   // A row of the operator's table that orders a move, or no longer does.
   void OnOrder(const platform::StoreRow& row);
 
@@ -64,7 +68,8 @@
   PeerChannel* channel;
   platform::TableFollower progress_table;
   std::map<std::string, Rows> rows;  // by service
-  bool begun = false;
+  bool begun = false;                // an order has been seen
+  bool progress_known = false;       // the table has been read whole
 };
 
 }  // namespace hornbeamspool::gateway
--- a/tests/process/gateway_test.sh
+++ b/tests/process/gateway_test.sh
@@ -202,6 +202,13 @@
 wait "$callers_1" "$callers_2"
 check 'no caller noticed' 200 "$(cat "$dir/calls-1" "$dir/calls-2" | sort -u | paste -sd' ')"
 
+config 3 key2 200000
+kill -9 "$gateway2"
+until_true gone "$gateway2"
+gateway 2
+until_true ready 2
+check 'a gateway that starts after the move is ready with it' 'stamp-i-4' "$(served_by 2)"
+
 # A planned stop finishes what runs.
 key=key2 call 1 /stream/x >"$dir/stream" &
 reader=$!
