Process tests say that their ports are in use

Found: two runs of gateway_test at once failed in five checks, an order ran twice by one of them: the gateways of one could not bind, and the other's upstreams answered. The tests look at their ports first.

--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -76,6 +76,10 @@
     *) echo "no deployment $deployment" >&2; exit 2 ;;
   esac
   stop
+  if (exec 3<>/dev/tcp/127.0.0.1/18200) 2>/dev/null; then
+    echo "port 18200 is in use: another fleet runs" >&2
+    exit 1
+  fi
   rm -rf "$FLEET_DIR"
   mkdir -p "$FLEET_DIR"
   local n
--- a/tests/process/gateway_test.sh
+++ b/tests/process/gateway_test.sh
@@ -72,6 +72,14 @@
   row "servers/$1" "{\"service\":\"s\",\"address\":\"127.0.0.1:$2\",\"zone\":\"z1\",\"version\":\"${4:-v1}\",\"slot_count\":8,\"state\":\"$3\",\"seq\":1}"
 }
 
+# Another run of this test, or a left one, would answer in place of ours.
+for port in 19700 19701 19702 19703 19704 19711 19712; do
+  if (exec 3<>"/dev/tcp/127.0.0.1/$port") 2>/dev/null; then
+    echo "FAILED: port $port is in use"
+    exit 1
+  fi
+done
+
 "$bin/standin" store --listen=$store & pids+=($!)
 "$bin/standin" server --listen=127.0.0.1:19701 --name=i-1 & pids+=($!)
 "$bin/standin" server --listen=127.0.0.1:19702 --name=i-2 & pids+=($!)
