--- a/policy/error_kind.cc
+++ b/policy/error_kind.cc
@@ -30,7 +30,7 @@
     {"budget_exhausted", 402, kNot, 60, "the budget cannot pay this request"},
     {"budget_unavailable", 503, kNot, 2, "no grant could be drawn in time"},
     {"no_upstream", 503, kNot, 2, "no upstream can take this request now"},
-    {"crash_suspect", 503, kNot, 0, "upstreams went down with this request"},
+    {"crash_suspect", 503, kNot, 120, "upstreams went down with this request"},
     {"overloaded", 503, kNot, 1, "the router is at its limit"},
     {"not_ready", 503, kNot, 2, "the router has no configuration yet"},
     {"stopping", 503, kNot, 1, "the router is stopping"},
--- a/policy/gateway_core.cc
+++ b/policy/gateway_core.cc
@@ -17,6 +17,9 @@
 constexpr Duration kRetryLink = std::chrono::milliseconds(300);
 constexpr Duration kRetryUpstream = std::chrono::milliseconds(700);
 
+// A suspicion ends when nobody has brought the request for this long.
+constexpr Duration kRetrySuspect = std::chrono::minutes(2);
+
 // A send with less time than this is not worth the upstream's work.
 constexpr Duration kLeastTime = std::chrono::milliseconds(20);
 
@@ -105,7 +108,7 @@
 
   // Step 3: what takes upstreams down.
   if (this->suspects.IsSuspect(request.fingerprint, now)) {
-    return Refusal{ErrorKind::kCrashSuspect, {}};
+    return Refusal{ErrorKind::kCrashSuspect, kRetrySuspect};
   }
 
   // Step 4: the VM's link. Another VM may have room.
--- a/tests/gateway_policy_test.cc
+++ b/tests/gateway_policy_test.cc
@@ -481,6 +481,7 @@
   const auto refused = core.Admit(request, At(10));
   REQUIRE(std::holds_alternative<Refusal>(refused));
   CHECK(std::get<Refusal>(refused).kind == ErrorKind::kCrashSuspect);
+  CHECK(std::get<Refusal>(refused).retry_after > seconds(0));
   request.fingerprint = 100;
   CHECK(std::holds_alternative<Ticket>(core.Admit(request, At(10))));
 }
--- a/tests/process/gateway_test.sh
+++ b/tests/process/gateway_test.sh
@@ -193,7 +193,8 @@
 served_by() { key=key2 call "$1" /lookup/x -i | grep -o 'stamp-i-[0-9]*'; }
 "$bin/standin" server --listen=127.0.0.1:19703 --name=i-4 & pids+=($!)
 "$bin/standin" server --listen=127.0.0.1:19704 --name=i-5 & pids+=($!)
-fault 19704 '{"down":true}'
+until_true curl -s -o /dev/null http://127.0.0.1:19703/faults -X PUT -d '{}'
+until_true curl -s -o /dev/null http://127.0.0.1:19704/faults -X PUT -d '{"down":true}'
 callers "$dir/calls-1" & callers_1=$!
 callers "$dir/calls-2" & callers_2=$!
 row op/rollout/s '{"service":"s","to":"v3","ramp_s":60}'
