--- a/bench/main.cc
+++ b/bench/main.cc
@@ -1,18 +1,24 @@
 // Prints a deterministic signature of the decisions for fixed seeds, and the
 // measures of the brief as far as they exist.
+#include <algorithm>
 #include <array>
 #include <cstdint>
 #include <cstdio>
 #include <string_view>
 
 #include "bench/budget_day.h"
+#include "bench/budget_fleet.h"
 #include "bench/world.h"
 
 namespace {
 
 using hornbeamspool::bench::BudgetDay;
+using hornbeamspool::bench::BudgetFleet;
 using hornbeamspool::bench::DayOptions;
 using hornbeamspool::bench::DayResult;
+using hornbeamspool::bench::FleetOptions;
+using hornbeamspool::bench::FleetResult;
+using hornbeamspool::bench::HoldStrategy;
 using hornbeamspool::bench::World;
 using hornbeamspool::bench::WorldOptions;
 using hornbeamspool::bench::WorldResult;
@@ -128,6 +134,33 @@
   return sum;
 }
 
+// The gateways' budgets on a day as the users' standard days are, by seeds.
+constexpr std::uint64_t kFleetSeeds = 10;
+constexpr std::array<std::string_view,
+                     static_cast<std::size_t>(HoldStrategy::kCount)>
+    kStrategyNames{"homes", "each_vm", "no_reclaim"};
+
+FleetResult RunFleets(HoldStrategy strategy) {
+  FleetResult sum;
+  for (std::uint64_t seed = 1; seed <= kFleetSeeds; ++seed) {
+    FleetOptions options;
+    options.seed = seed;
+    options.standard_day = true;
+    options.prepaid = 4'500'000;  // a little less than the demand
+    options.strategy = strategy;
+    const FleetResult run = BudgetFleet(options).Run();
+    sum.requests += run.requests;
+    sum.served += run.served;
+    sum.refused += run.refused;
+    sum.refused_that_fitted += run.refused_that_fitted;
+    sum.spent += run.spent;
+    sum.stranded += run.stranded;
+    sum.store_calls += run.store_calls;
+    sum.overspend = std::max(sum.overspend, run.overspend);
+  }
+  return sum;
+}
+
 double Share(std::int64_t part, std::int64_t whole) {
   return whole == 0 ? 0
                     : static_cast<double>(part) / static_cast<double>(whole);
@@ -173,9 +206,22 @@
       signature = signature * 0x100000001b3ULL ^ day.signature;
     }
   }
+  std::printf("\n%-16s %9s %9s %9s %12s %12s %12s\n", "gateways' day",
+              "requests", "refused", "fitted", "stranded", "store_calls",
+              "overspend");
+  for (std::size_t i = 0; i < kStrategyNames.size(); ++i) {
+    const FleetResult day = RunFleets(static_cast<HoldStrategy>(i));
+    std::printf("%-16.*s %9ld %8.3f%% %8.3f%% %11.3f%% %12ld %12ld\n",
+                static_cast<int>(kStrategyNames.at(i).size()),
+                kStrategyNames.at(i).data(), day.requests,
+                100 * Share(day.refused, day.requests),
+                100 * Share(day.refused_that_fitted, day.requests),
+                100 * Share(day.stranded, day.spent), day.store_calls,
+                day.overspend);
+    overspend = std::max(overspend, day.overspend);
+  }
   std::printf("\noverspend: %ld tokens\n", overspend);
-  std::printf("good versions done in time: not available yet\n");
-  std::printf("bad versions taken back: not available yet\n");
+  std::printf("moves between versions: see version_move_test\n");
   std::printf("memory held for slow readers: see scripts/measure.sh\n");
   std::printf("violations: %lu\n", violations);
   std::printf("signature: %016lx\n", signature);
