--- a/policy/crash_suspects.cc
+++ b/policy/crash_suspects.cc
@@ -47,8 +47,8 @@
   CrashNotice notice;
   notice.upstream = upstream;
   for (const Break& seen : this->breaks) {
-    if (seen.upstream == upstream)
-      notice.fingerprints.push_back(seen.fingerprint);
+    if (seen.upstream != upstream) continue;
+    notice.fingerprints.push_back(seen.fingerprint);
   }
   std::erase_if(this->breaks, [upstream](const Break& seen) {
     return seen.upstream == upstream;
