One type for the store's clock, one function for whole milliseconds

The budgets and the moves each kept the store's clock with the time of its answer, and worked out the present from it; the conversion to milliseconds stood in three files more. Decisions are the same: budget_test, version_move_test, gateway_policy_test and platform_test pass unchanged.

--- a/bench/budget_fleet.cc
+++ b/bench/budget_fleet.cc
@@ -31,9 +31,7 @@
 }
 
 std::int64_t StoreMs(TimePoint now) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(
-             now.time_since_epoch())
-      .count();
+  return coordination::Milliseconds(now.time_since_epoch());
 }
 
 }  // namespace
--- a/coordination/time.h
+++ b/coordination/time.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 
 namespace hornbeamspool::coordination {
 
@@ -15,4 +16,10 @@
 // Wall-clock time, used only for display and for the hybrid logical clock.
 using WallTime = std::chrono::sys_time<Duration>;
 
+// Whole milliseconds, rounded towards zero.
+constexpr std::int64_t Milliseconds(Duration duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
+      .count();
+}
+
 }  // namespace hornbeamspool::coordination
--- a/gateway/request_relay.cc
+++ b/gateway/request_relay.cc
@@ -24,6 +24,7 @@
 namespace {
 
 using coordination::Duration;
+using coordination::Milliseconds;
 using policy::BudgetVerdict;
 using policy::ErrorKind;
 using policy::KeyValue;
@@ -62,11 +63,6 @@
   return kNames.at(static_cast<std::size_t>(outcome));
 }
 
-std::int64_t Milliseconds(Duration duration) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
-      .count();
-}
-
 class RequestRelay {
  public:
   RequestRelay(const Context& context, http::Exchange& exchange)
--- a/policy/budget_desk.cc
+++ b/policy/budget_desk.cc
@@ -83,20 +83,10 @@
   // When the answer was asked for, the store's clock stood at `store_ms` at
   // most; when this process began, lower by its age.
   const std::int64_t age_ms =
-      std::chrono::duration_cast<std::chrono::milliseconds>(asked -
-                                                            this->start.began)
-          .count();
+      coordination::Milliseconds(asked - this->start.began);
   this->began_ms =
       std::min(this->began_ms, store_ms - age_ms + age_ms / kDriftPart);
-  this->store_ms = store_ms;
-  this->store_ms_at = now;
-}
-
-// Never ahead of the store's clock: the answer that told it took its time.
-std::int64_t BudgetDesk::StoreTime(coordination::TimePoint now) const {
-  return this->store_ms + std::chrono::duration_cast<std::chrono::milliseconds>(
-                              now - this->store_ms_at)
-                              .count();
+  this->store_clock.Set(store_ms, now);
 }
 
 std::int64_t BudgetDesk::LimitOf(const Entry& entry) const {
@@ -109,7 +99,7 @@
 
 std::int64_t BudgetDesk::BoundOf(const Entry& entry,
                                  coordination::TimePoint now) const {
-  const std::int64_t store_ms = this->StoreTime(now);
+  const std::int64_t store_ms = this->store_clock.At(now);
   std::int64_t bound =
       this->IsMine(entry) ? entry.rows.share.Bound(store_ms) : 0;
   for (const BudgetShare& share : entry.in_doubt) {
@@ -303,14 +293,14 @@
   const std::int64_t room = this->BoundOf(entry, now) - committed;
   if (room < share.burst / kBurstPart) return share.limit > committed;
   // The older the checkpoint, the more a successor must take as spent.
-  const std::int64_t since = this->StoreTime(now) - share.checkpoint_ms;
+  const std::int64_t since = this->store_clock.At(now) - share.checkpoint_ms;
   return share.per_second > 0 && since >= kOldCheckpointMs;
 }
 
 BudgetRows BudgetDesk::NextRows(const Entry& entry, std::int64_t limit,
                                 coordination::TimePoint now) const {
   const BudgetAccount& account = entry.account;
-  const std::int64_t store_ms = this->StoreTime(now);
+  const std::int64_t store_ms = this->store_clock.At(now);
   BudgetRows next = entry.rows;
   next.share.incarnation = this->start.incarnation;
   next.share.limit = limit;
--- a/policy/budget_desk.h
+++ b/policy/budget_desk.h
@@ -17,6 +17,7 @@
 
 #include "coordination/time.h"
 #include "policy/budget_share.h"
+#include "policy/store_clock.h"
 
 namespace hornbeamspool::policy {
 
@@ -176,7 +177,6 @@
     std::vector<BudgetShare> in_doubt;
   };
 
-  std::int64_t StoreTime(coordination::TimePoint now) const;
   bool IsMine(const Entry& entry) const {
     return entry.rows.share.incarnation == this->start.incarnation;
   }
@@ -198,8 +198,7 @@
 
   std::map<std::string, Entry, std::less<>> entries;
   coordination::TimePoint last_sample{};
-  std::int64_t store_ms = 0;  // the store's clock at `store_ms_at`
-  coordination::TimePoint store_ms_at{};
+  StoreClock store_clock;
   // The store's clock when this process began, or later.
   std::int64_t began_ms = std::numeric_limits<std::int64_t>::max();
   ProcessStart start;
--- a/policy/version_move.cc
+++ b/policy/version_move.cc
@@ -103,10 +103,7 @@
   progress.order_revision = order.revision;
   progress.version = order.version;
   progress.began_ms = store_ms;
-  progress.deadline_ms =
-      store_ms +
-      std::chrono::duration_cast<std::chrono::milliseconds>(order.allowed)
-          .count();
+  progress.deadline_ms = store_ms + coordination::Milliseconds(order.allowed);
   return progress;
 }
 
@@ -141,9 +138,7 @@
 MovePhase NextPhase(const MoveProgress& progress,
                     std::span<const MoveReport> reports, std::size_t vms,
                     std::int64_t store_ms) {
-  const bool ended = progress.phase == MovePhase::kCompleted ||
-                     progress.phase == MovePhase::kTakenBack;
-  if (ended) return progress.phase;
+  if (IsFinal(progress.phase)) return progress.phase;
   if (IsVersionBad(reports)) return MovePhase::kTakenBack;
   const double passed = PassedPart(progress, store_ms);
   if (progress.phase == MovePhase::kTrial) {
@@ -196,19 +191,8 @@
   move.report.phase = progress.phase;
 }
 
-void VersionMoves::SetStoreClock(std::int64_t store_ms, TimePoint now) {
-  this->store_ms = store_ms;
-  this->store_ms_at = now;
-}
-
-std::int64_t VersionMoves::StoreTime(TimePoint now) const {
-  return this->store_ms + std::chrono::duration_cast<std::chrono::milliseconds>(
-                              now - this->store_ms_at)
-                              .count();
-}
-
 bool VersionMoves::StoreKnown(TimePoint now) const {
-  return this->store_ms != 0 && now - this->store_ms_at < kHeardLately;
+  return this->store_clock.HeardWithin(kHeardLately, now);
 }
 
 bool VersionMoves::TakesPart(std::string_view service,
@@ -228,7 +212,7 @@
       static_cast<double>((coordination::StableHash(request_id) ^ this->seed) %
                           kHashSteps) /
       static_cast<double>(kHashSteps);
-  return point < MovedShare(progress, this->StoreTime(now));
+  return point < MovedShare(progress, this->store_clock.At(now));
 }
 
 VersionMoves::Fit VersionMoves::FitOf(std::string_view service,
--- a/policy/version_move.h
+++ b/policy/version_move.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "coordination/time.h"
+#include "policy/store_clock.h"
 
 namespace hornbeamspool::policy {
 
@@ -30,6 +31,11 @@
   kCount
 };
 
+// Whether nothing follows this phase.
+constexpr bool IsFinal(MovePhase phase) {
+  return phase == MovePhase::kCompleted || phase == MovePhase::kTakenBack;
+}
+
 // How far a move has come: one row in the store, written by the VM that drives
 // the move.
 struct MoveProgress {
@@ -91,7 +97,10 @@
   void RemoveOrder(std::string_view service);
   // Takes progress unless it belongs to an older order.
   void SetProgress(std::string_view service, const MoveProgress& progress);
-  void SetStoreClock(std::int64_t store_ms, coordination::TimePoint now);
+  // The store answered now, and told its clock.
+  void SetStoreClock(std::int64_t store_ms, coordination::TimePoint now) {
+    this->store_clock.Set(store_ms, now);
+  }
   // The number of VMs that send to the service's upstreams.
   void SetFleetSize(std::int64_t vms) { this->fleet_size = vms; }
 
@@ -131,15 +140,16 @@
   const std::map<std::string, Move, std::less<>>& All() const {
     return this->moves;
   }
-  std::int64_t StoreTime(coordination::TimePoint now) const;
+  std::int64_t StoreTime(coordination::TimePoint now) const {
+    return this->store_clock.At(now);
+  }
   bool StoreKnown(coordination::TimePoint now) const;
 
  private:
   Move* FindMove(std::string_view service);
 
   std::map<std::string, Move, std::less<>> moves;  // by service
-  std::int64_t store_ms = 0;  // the store's clock at `store_ms_at`
-  coordination::TimePoint store_ms_at{};
+  StoreClock store_clock;
   std::int64_t fleet_size = 1;
   std::uint64_t seed;
 };
