--- a/policy/budget_desk.cc
+++ b/policy/budget_desk.cc
@@ -66,9 +66,14 @@
   return found == this->entries.end() ? nullptr : &found->second;
 }
 
-bool BudgetDesk::IsBusy(std::string_view organisation) const {
+const BudgetDesk::Entry* BudgetDesk::Find(std::string_view organisation) const {
   const auto found = this->entries.find(organisation);
-  return found != this->entries.end() && found->second.busy;
+  return found == this->entries.end() ? nullptr : &found->second;
+}
+
+bool BudgetDesk::IsBusy(std::string_view organisation) const {
+  const Entry* entry = this->Find(organisation);
+  return entry != nullptr && entry->busy;
 }
 
 bool BudgetDesk::NotePredecessor(std::string_view organisation) {
@@ -112,14 +117,13 @@
                                   std::int64_t amount,
                                   coordination::TimePoint now,
                                   BudgetSource& source) {
-  const auto found = this->entries.find(organisation);
-  if (found == this->entries.end()) return BudgetVerdict::kLacking;
-  Entry& entry = found->second;
-  if (entry.gifts.Reserve(amount, entry.received)) {
+  Entry* entry = this->Find(organisation);
+  if (entry == nullptr) return BudgetVerdict::kLacking;
+  if (entry->gifts.Reserve(amount, entry->received)) {
     source = BudgetSource::kGift;
     return BudgetVerdict::kReserved;
   }
-  if (entry.account.Reserve(amount, this->BoundOf(entry, now))) {
+  if (entry->account.Reserve(amount, this->BoundOf(*entry, now))) {
     source = BudgetSource::kShare;
     return BudgetVerdict::kReserved;
   }
@@ -129,10 +133,9 @@
 BudgetVerdict BudgetDesk::VerdictFor(std::string_view organisation,
                                      std::int64_t amount,
                                      coordination::TimePoint now) {
-  const auto found = this->entries.find(organisation);
-  if (found == this->entries.end()) return BudgetVerdict::kLacking;
-  Entry& entry = found->second;
-  if (!entry.read) return BudgetVerdict::kLacking;
+  Entry* found = this->Find(organisation);
+  if (found == nullptr || !found->read) return BudgetVerdict::kLacking;
+  Entry& entry = *found;
   const std::int64_t committed = entry.account.Committed();
   if (this->BoundOf(entry, now) - committed >= amount) {
     return BudgetVerdict::kLacking;
@@ -155,10 +158,9 @@
 
 void BudgetDesk::Settle(std::string_view organisation, std::int64_t amount,
                         std::int64_t used, BudgetSource source) {
-  const auto found = this->entries.find(organisation);
-  if (found == this->entries.end()) return;
-  Entry& entry = found->second;
-  (source == BudgetSource::kGift ? entry.gifts : entry.account)
+  Entry* entry = this->Find(organisation);
+  if (entry == nullptr) return;
+  (source == BudgetSource::kGift ? entry->gifts : entry->account)
       .Settle(amount, used);
 }
 
@@ -169,34 +171,27 @@
   const std::int64_t given =
       std::max(needed, std::min(wanted, room / kGiftPart));
   if (given <= 0 || given > room) return 0;
-  BudgetAccount& account = this->entries.find(organisation)->second.account;
-  account.Reserve(given, account.Committed() + room);
-  account.Settle(given, given);
+  this->Find(organisation)->account.Spend(given);
   return given;
 }
 
 std::int64_t BudgetDesk::ShareRoom(std::string_view organisation,
                                    coordination::TimePoint now) const {
-  const auto found = this->entries.find(organisation);
-  if (found == this->entries.end()) return 0;
-  const Entry& entry = found->second;
+  const Entry* entry = this->Find(organisation);
+  if (entry == nullptr) return 0;
   return std::max<std::int64_t>(
-      0, this->BoundOf(entry, now) - entry.account.Committed());
+      0, this->BoundOf(*entry, now) - entry->account.Committed());
 }
 
 std::int64_t BudgetDesk::GiveAll(std::string_view organisation,
                                  coordination::TimePoint now) {
   const std::int64_t room = this->ShareRoom(organisation, now);
-  if (room == 0) return 0;
-  BudgetAccount& account = this->entries.find(organisation)->second.account;
-  account.Reserve(room, account.Committed() + room);
-  account.Settle(room, room);
+  if (room > 0) this->Find(organisation)->account.Spend(room);
   return room;
 }
 
 void BudgetDesk::TakeGift(std::string_view organisation, std::int64_t amount) {
-  const auto found = this->entries.find(organisation);
-  if (found != this->entries.end()) found->second.received += amount;
+  if (Entry* entry = this->Find(organisation)) entry->received += amount;
 }
 
 // A VM with few requests of an organisation asks for each of them; others keep
@@ -209,25 +204,23 @@
 }
 
 std::int64_t BudgetDesk::WantedGift(std::string_view organisation) const {
-  const auto found = this->entries.find(organisation);
-  if (found == this->entries.end() || this->stopping) return 0;
-  const Entry& entry = found->second;
-  const std::int64_t free = entry.received - entry.gifts.Committed();
-  return std::max<std::int64_t>(0, this->GiftTarget(entry) - free);
+  const Entry* entry = this->Find(organisation);
+  if (entry == nullptr || this->stopping) return 0;
+  return std::max<std::int64_t>(0,
+                                this->GiftTarget(*entry) - entry->FreeGift());
 }
 
 std::int64_t BudgetDesk::IdleGift(std::string_view organisation) const {
-  const auto found = this->entries.find(organisation);
-  if (found == this->entries.end()) return 0;
-  const Entry& entry = found->second;
-  const std::int64_t free = entry.received - entry.gifts.Committed();
-  const std::int64_t target = this->stopping ? 0 : this->GiftTarget(entry);
+  const Entry* entry = this->Find(organisation);
+  if (entry == nullptr) return 0;
+  const std::int64_t free = entry->FreeGift();
+  const std::int64_t target = this->stopping ? 0 : this->GiftTarget(*entry);
   return free <= target * kIdleFactor ? 0 : free - target;
 }
 
 std::int64_t BudgetDesk::WithdrawIdleGift(std::string_view organisation) {
   const std::int64_t idle = this->IdleGift(organisation);
-  if (idle > 0) this->entries.find(organisation)->second.received -= idle;
+  if (idle > 0) this->Find(organisation)->received -= idle;
   return idle;
 }
 
@@ -239,18 +232,16 @@
 }
 
 std::int64_t BudgetDesk::WithdrawFreeGift(std::string_view organisation) {
-  const auto found = this->entries.find(organisation);
-  if (found == this->entries.end()) return 0;
-  Entry& entry = found->second;
-  const std::int64_t free = entry.received - entry.gifts.Committed();
-  entry.received -= std::max<std::int64_t>(0, free);
-  return std::max<std::int64_t>(0, free);
+  Entry* entry = this->Find(organisation);
+  if (entry == nullptr) return 0;
+  const std::int64_t free = std::max<std::int64_t>(0, entry->FreeGift());
+  entry->received -= free;
+  return free;
 }
 
 void BudgetDesk::KeepHome(std::string_view organisation,
                           coordination::TimePoint until) {
-  const auto found = this->entries.find(organisation);
-  if (found != this->entries.end()) found->second.home_until = until;
+  if (Entry* entry = this->Find(organisation)) entry->home_until = until;
 }
 
 void BudgetDesk::NoteLacking(std::string_view organisation,
@@ -340,7 +331,7 @@
 std::int64_t BudgetDesk::ReturnableGift(const Entry& entry,
                                         coordination::TimePoint now) const {
   if (now >= entry.home_until) return 0;
-  return std::max<std::int64_t>(0, entry.received - entry.gifts.Committed());
+  return std::max<std::int64_t>(0, entry.FreeGift());
 }
 
 void BudgetDesk::SampleDemand(coordination::TimePoint now) {
--- a/policy/budget_desk.h
+++ b/policy/budget_desk.h
@@ -175,6 +175,11 @@
     bool urgent = false;     // a write may be due before its time
     // Shares that writes may have put, or may yet put, into the store.
     std::vector<BudgetShare> in_doubt;
+
+    // Gifts that no request holds.
+    std::int64_t FreeGift() const {
+      return this->received - this->gifts.Committed();
+    }
   };
 
   bool IsMine(const Entry& entry) const {
@@ -195,6 +200,7 @@
   bool PlanWrite(Entry& entry, coordination::TimePoint now);
   void SampleDemand(coordination::TimePoint now);
   Entry* Find(std::string_view organisation);
+  const Entry* Find(std::string_view organisation) const;
 
   std::map<std::string, Entry, std::less<>> entries;
   coordination::TimePoint last_sample{};
--- a/policy/budget_share.h
+++ b/policy/budget_share.h
@@ -57,6 +57,11 @@
   // Ends a reservation, of which `used` tokens were spent; more than `amount`
   // is counted as `amount`.
   void Settle(std::int64_t amount, std::int64_t used);
+  // Reserves and spends at once what the caller knows to be there.
+  void Spend(std::int64_t amount) {
+    this->Reserve(amount, this->Committed() + amount);
+    this->Settle(amount, amount);
+  }
 
   std::int64_t Spent() const { return this->spent; }
   std::int64_t Reserved() const { return this->reserved; }
