A datagram for all peers is sealed once; smaller twins go

Besides: one way to tell that a move has ended, one line for rows that another has written, a yes or no where a status was thrown away, and a check at build time that a notice of a crash is no longer than peers take. gateway_test, crash_suspects_test and version_move_test pass unchanged.

--- a/gateway/budget_keeper.cc
+++ b/gateway/budget_keeper.cc
@@ -144,8 +144,9 @@
   this->OnCallEnded(answered);
 }
 
-// Leaves word that this VM has a share of the organisation's budget.
-http::Task<StoreStatus> BudgetKeeper::NoteHolding(std::string organisation) {
+// Leaves word that this VM has a share of the organisation's budget. False: the
+// word is not known to stand.
+http::Task<bool> BudgetKeeper::NoteHolding(std::string organisation) {
   StoreRow row;
   row.table = kHoldings;
   row.part = this->vm;
@@ -155,7 +156,7 @@
   const bool stands = answer.status == StoreStatus::kOk ||
                       answer.status == StoreStatus::kConflict;
   if (stands) this->holdings.insert(std::move(organisation));
-  co_return stands ? StoreStatus::kOk : answer.status;
+  co_return stands;
 }
 
 // The rows of an organisation among `rows`; absent ones have version 0.
@@ -215,8 +216,8 @@
   policy::BudgetDesk& desk = this->context.core->Budgets();
   const std::string organisation = rows.organisation;
   if (!this->holdings.contains(organisation)) {
-    const StoreStatus noted = co_await this->NoteHolding(organisation);
-    if (noted != StoreStatus::kOk) {
+    const bool noted = co_await this->NoteHolding(organisation);
+    if (!noted) {
       desk.OnNotWritten(organisation);
       this->LogFailure(organisation, StoreStatus::kRefused);
       this->OnCallEnded(false);
--- a/gateway/budget_keeper.h
+++ b/gateway/budget_keeper.h
@@ -37,7 +37,7 @@
   http::Task<void> ReadHoldings();
   http::Task<void> ReadRows(std::string organisation);
   http::Task<void> WriteRows(policy::BudgetRows rows);
-  http::Task<platform::StoreStatus> NoteHolding(std::string organisation);
+  http::Task<bool> NoteHolding(std::string organisation);
   void OnCallEnded(bool answered);
   policy::BudgetRows Collect(std::span<const platform::StoreRow> rows,
                              std::string_view organisation) const;
--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -52,6 +52,10 @@
 
 constexpr double kBytesPerMbit = 125'000;
 
+static_assert(policy::CrashSuspects::kMostNoticed <=
+                  transport::kMostFingerprints,
+              "peers would drop a notice as unsound");
+
 std::uint64_t RandomIncarnation() {
   std::random_device random;
   return (std::uint64_t{random()} << 32U) | random();
--- a/gateway/move_driver.cc
+++ b/gateway/move_driver.cc
@@ -77,9 +77,7 @@
 }
 
 bool HasEnded(const policy::VersionMoves::Move& move) {
-  const MovePhase phase = move.progress.phase;
-  return move.begun &&
-         (phase == MovePhase::kCompleted || phase == MovePhase::kTakenBack);
+  return move.begun && policy::IsFinal(move.progress.phase);
 }
 
 }  // namespace
@@ -163,6 +161,13 @@
   }
 }
 
+// A row that another writer has left.
+void MoveDriver::LogFault(std::string_view service, std::string_view fault) {
+  std::string pairs = KeyValue("service", service);
+  pairs += ' ' + KeyValue("fault", fault);
+  this->context.log->Write(LogKind::kMove, pairs, Now());
+}
+
 http::Task<void> MoveDriver::Run() {
   http::Timer timer(*this->context.io);
   while (true) {
--- a/gateway/move_driver.h
+++ b/gateway/move_driver.h
@@ -62,6 +62,7 @@
   void TakeProgress(const std::string& service,
                     const policy::MoveProgress& progress);
   void TakeProgressRow(const platform::StoreRow& row);
+  void LogFault(std::string_view service, std::string_view fault);
 
   Context context;
   platform::StoreClient* store;
--- a/gateway/peer_channel.cc
+++ b/gateway/peer_channel.cc
@@ -135,11 +135,10 @@
                                   this->vm);
 }
 
-bool PeerChannel::SendText(std::string_view vm, std::string_view text) {
+bool PeerChannel::SendSealed(std::string_view vm, std::string_view datagram) {
   const std::string address = this->directory.AddressOf(vm);
   const auto endpoint = http::ParseUdp(address);
   if (!endpoint || this->key.empty()) return false;
-  const std::string datagram = transport::Seal(this->key, text);
   boost::system::error_code error;
   this->socket->send_to(boost::asio::buffer(datagram), *endpoint, 0, error);
   return !error;
@@ -147,12 +146,19 @@
 
 bool PeerChannel::Send(std::string_view vm,
                        const transport::BudgetMessage& message) {
-  return this->SendText(vm, transport::EncodeBudgetMessage(message));
+  const std::string text = transport::EncodeBudgetMessage(message);
+  return this->SendSealed(vm, transport::Seal(this->key, text));
+}
+
+// All peers share the key: one seal serves them.
+void PeerChannel::SendTo(const std::vector<std::string>& peers,
+                         std::string_view text) {
+  const std::string datagram = transport::Seal(this->key, text);
+  for (const std::string& vm : peers) this->SendSealed(vm, datagram);
 }
 
 void PeerChannel::SendToAll(const transport::CrashMessage& message) {
-  const std::string text = transport::EncodeCrashMessage(message);
-  for (const std::string& vm : this->directory.All()) this->SendText(vm, text);
+  this->SendTo(this->directory.All(), transport::EncodeCrashMessage(message));
 }
 
 void PeerChannel::SendToSome(const transport::PromptMessage& message,
@@ -168,8 +174,7 @@
     peers.resize(most);
   }
   this->allowance -= static_cast<double>(peers.size());
-  const std::string text = transport::EncodePromptMessage(message);
-  for (const std::string& vm : peers) this->SendText(vm, text);
+  this->SendTo(peers, transport::EncodePromptMessage(message));
 }
 
 void PeerChannel::Dispatch(std::string_view payload) {
--- a/gateway/peer_channel.h
+++ b/gateway/peer_channel.h
@@ -8,6 +8,7 @@
 #include <random>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "coordination/time.h"
 #include "gateway/context.h"
@@ -56,7 +57,8 @@
   http::Task<bool> LearnKey();
   http::Task<bool> Announce();
   http::Task<void> Receive();
-  bool SendText(std::string_view vm, std::string_view text);
+  bool SendSealed(std::string_view vm, std::string_view datagram);
+  void SendTo(const std::vector<std::string>& peers, std::string_view text);
   void Dispatch(std::string_view payload);
   void OnRows(const std::vector<platform::StoreRow>& rows);
 
--- a/policy/crash_suspects.cc
+++ b/policy/crash_suspects.cc
@@ -20,9 +20,6 @@
 // mostly been answered elsewhere by then.
 constexpr Duration kNoticeDelay = std::chrono::milliseconds(500);
 
-// Requests of one notice, so that it fits a datagram.
-constexpr std::size_t kMostNoticed = 128;
-
 // Breaks and suspects remembered; the oldest are forgotten first.
 constexpr std::size_t kMostRemembered = 4096;
 
--- a/policy/crash_suspects.h
+++ b/policy/crash_suspects.h
@@ -26,6 +26,9 @@
 
 class CrashSuspects {
  public:
+  // Requests of one notice, so that it fits a datagram.
+  static constexpr std::size_t kMostNoticed = 128;
+
   // An answer broke off, or never began.
   void OnBroken(std::uint64_t fingerprint, std::string_view upstream,
                 coordination::TimePoint now);
