--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -236,8 +236,7 @@
     const std::vector<platform::StoreRow>& rows) {
   const TimePoint now = Now();
   for (const platform::StoreRow& row : rows) {
-    std::optional<policy::UpstreamEntry> entry;
-    if (!row.removed) entry = platform::DecodeUpstream(row.key, row.value);
+    auto entry = platform::DecodeUpstreamRow(row);
     std::string pairs = KeyValue("upstream", row.key);
     if (!entry) {
       this->core.NoteUpstreamGone(row.key, now);
@@ -262,12 +261,7 @@
 
 void Gateway::State::OnAllUpstreams(
     const std::vector<platform::StoreRow>& rows) {
-  std::vector<policy::UpstreamEntry> entries;
-  for (const platform::StoreRow& row : rows) {
-    if (auto entry = platform::DecodeUpstream(row.key, row.value)) {
-      entries.push_back(std::move(*entry));
-    }
-  }
+  std::vector<policy::UpstreamEntry> entries = platform::DecodeUpstreams(rows);
   this->log.Write(
       LogKind::kUpstream,
       KeyValue("listed", static_cast<std::int64_t>(rows.size())) + ' ' +
--- a/hornbeamspool/budget_admin.cc
+++ b/hornbeamspool/budget_admin.cc
@@ -29,12 +29,12 @@
   }
   ledger.total += tokens;
   WriteAction top_up;
-  top_up.key = rows::TopUpKey(budget, id);
+  top_up.item.key = rows::TopUpKey(budget, id);
   top_up.item.attributes["tokens"] = tokens;
   top_up.condition = rows::Absent();
   WriteAction change;
-  change.key = rows::BudgetKey(budget);
   change.item = rows::BudgetItem(ledger, version + 1);
+  change.item.key = rows::BudgetKey(budget);
   change.condition =
       row == nullptr ? rows::Absent() : rows::Equal(rows::kVersion, version);
   std::vector<WriteAction> actions{std::move(top_up), std::move(change)};
--- a/hornbeamspool/config_store.cc
+++ b/hornbeamspool/config_store.cc
@@ -37,7 +37,7 @@
   }
   const auto epoch = static_cast<std::int64_t>(base);
   platform::WriteAction action;
-  action.key = rows::EpochKey();
+  action.item.key = rows::EpochKey();
   action.item.attributes["epoch"] = epoch + 1;
   action.item.attributes["object"] = object;
   action.condition = base == 0 ? rows::Absent() : rows::Equal("epoch", epoch);
--- a/hornbeamspool/platform_thread.cc
+++ b/hornbeamspool/platform_thread.cc
@@ -186,19 +186,13 @@
 
 void PlatformThread::OnAllUpstreams(
     const std::vector<platform::StoreRow>& rows) {
-  std::vector<policy::UpstreamEntry> entries;
-  for (const platform::StoreRow& row : rows) {
-    auto entry = platform::DecodeUpstream(row.key, row.value);
-    if (entry) entries.push_back(std::move(*entry));
-  }
-  this->upstreams.Replace(std::move(entries), Now());
+  this->upstreams.Replace(platform::DecodeUpstreams(rows), Now());
   this->TellUpstreams();
 }
 
 void PlatformThread::OnUpstreams(const std::vector<platform::StoreRow>& rows) {
   for (const platform::StoreRow& row : rows) {
-    auto entry = row.removed ? std::nullopt
-                             : platform::DecodeUpstream(row.key, row.value);
+    auto entry = platform::DecodeUpstreamRow(row);
     if (entry) {
       this->upstreams.Put(std::move(*entry));
     } else {
--- a/hornbeamspool/table_worker.cc
+++ b/hornbeamspool/table_worker.cc
@@ -30,8 +30,8 @@
 WriteAction Put(ItemKey key, platform::Item item,
                 platform::Condition condition = {}) {
   WriteAction action;
-  action.key = std::move(key);
   action.item = std::move(item);
+  action.item.key = std::move(key);
   action.condition = std::move(condition);
   return action;
 }
@@ -171,7 +171,7 @@
   if (entry.intent == policy::IntentChange::kRelease) {
     WriteAction action;
     action.kind = WriteAction::Kind::kDelete;
-    action.key = key;
+    action.item.key = key;
     action.condition = rows::AbsentOrEqual(rows::kOperation, operation);
     return action;
   }
--- a/settings/gateway_settings.cc
+++ b/settings/gateway_settings.cc
@@ -1,16 +1,14 @@
 #include "settings/gateway_settings.h"
 
-#include <array>
 #include <chrono>
 
 #include "settings/json_text.h"
+#include "settings/log_level.h"
 #include "settings/object_reader.h"
 
 namespace hornbeamspool::settings {
 namespace {
 
-constexpr std::array<std::string_view, 4> kLogLevels{"debug", "info", "warn",
-                                                     "error"};
 constexpr double kMostSeconds = 3600;
 constexpr double kMostMbps = 1e6;
 
@@ -53,8 +51,7 @@
     gateway.link_mbps = root.NumberOr("link_mbps", 0, kMostMbps, 0);
     gateway.descriptors =
         root.IntegerOr("descriptors", IntegerRange{256, 1'000'000}, 4096);
-    gateway.log_level =
-        kLogLevels.at(root.ChoiceOr("log_level", kLogLevels, 1));
+    gateway.log_level = ReadLogLevel(root);
   }
   if (!faults.empty()) return boost::leaf::new_error(std::move(faults));
   return gateway;
--- a/settings/node_settings.cc
+++ b/settings/node_settings.cc
@@ -1,16 +1,14 @@
 #include "settings/node_settings.h"
 
-#include <array>
 #include <string>
 
 #include "settings/json_text.h"
+#include "settings/log_level.h"
 #include "settings/object_reader.h"
 
 namespace hornbeamspool::settings {
 namespace {
 
-constexpr std::array<std::string_view, 4> kLogLevels{"debug", "info", "warn",
-                                                     "error"};
 constexpr IntegerRange kMilliseconds{1, 24LL * 3600 * 1000};
 constexpr std::int64_t kMaxBodyBytes = 256LL * 1024 * 1024;
 constexpr std::size_t kLeastPeerKeyBytes = 16;
@@ -75,7 +73,7 @@
     root.Member("peers", [&](ObjectReader& r) { ReadPeers(r, node.peers); });
     root.Member("platform",
                 [&](ObjectReader& r) { ReadPlatform(r, node.platform); });
-    node.log_level = kLogLevels.at(root.ChoiceOr("log_level", kLogLevels, 1));
+    node.log_level = ReadLogLevel(root);
     node.drain_timeout = MillisecondsOr(root, "drain_timeout_ms", 600'000);
   }
   if (!faults.empty()) return boost::leaf::new_error(std::move(faults));
--- a/standin/engine_standin.cc
+++ b/standin/engine_standin.cc
@@ -108,11 +108,7 @@
 http::Task<void> EngineStandin::Handle(http::Exchange& exchange) {
   const http::Request& request = exchange.GetRequest();
   const std::string_view path = request.Path();
-  if (path == "/faults") {
-    const bool taken = this->gate.Set(request.body);
-    co_await exchange.Send(http::JsonResponse(taken ? 200 : 400, "{}"));
-    co_return;
-  }
+  if (co_await this->gate.Control(exchange)) co_return;
   if (Now() < this->down_until) {
     exchange.Abort();
     co_return;
--- a/standin/fault_gate.cc
+++ b/standin/fault_gate.cc
@@ -47,6 +47,14 @@
   co_await timer.async_wait(http::kAwait);
 }
 
+http::Task<bool> FaultGate::Control(http::Exchange& exchange) {
+  const http::Request& request = exchange.GetRequest();
+  if (request.Path() != "/faults") co_return false;
+  const bool taken = this->Set(request.body);
+  co_await exchange.Send(http::JsonResponse(taken ? 200 : 400, "{}"));
+  co_return true;
+}
+
 http::Task<bool> FaultGate::Enter(http::Exchange& exchange) {
   while (this->faults.frozen) {
     co_await this->Sleep(kFrozenPoll);
--- a/standin/fault_gate.h
+++ b/standin/fault_gate.h
@@ -32,6 +32,8 @@
   bool Set(std::string_view text);
   const Faults& Get() const { return this->faults; }
 
+  // Answers PUT /faults. False: the request is another.
+  http::Task<bool> Control(http::Exchange& exchange);
   // Before a request is carried out. False: it was cut.
   http::Task<bool> Enter(http::Exchange& exchange);
   // Sends the answer, or loses it.
--- a/standin/server_standin.cc
+++ b/standin/server_standin.cc
@@ -29,11 +29,7 @@
 
 http::Task<void> ServerStandin::Handle(http::Exchange& exchange) {
   const http::Request& request = exchange.GetRequest();
-  if (request.Path() == "/faults") {
-    const bool taken = this->gate.Set(request.body);
-    co_await exchange.Send(http::JsonResponse(taken ? 200 : 400, "{}"));
-    co_return;
-  }
+  if (co_await this->gate.Control(exchange)) co_return;
   if (request.Path() == "/runs") {
     co_await exchange.Send(this->Runs());
     co_return;
--- a/standin/store_standin.cc
+++ b/standin/store_standin.cc
@@ -80,11 +80,7 @@
 http::Task<void> StoreStandin::Handle(http::Exchange& exchange) {
   const http::Request& request = exchange.GetRequest();
   const std::string_view path = request.Path();
-  if (path == "/faults") {
-    const bool taken = this->gate.Set(request.body);
-    co_await exchange.Send(http::JsonResponse(taken ? 200 : 400, "{}"));
-    co_return;
-  }
+  if (co_await this->gate.Control(exchange)) co_return;
   if (path.starts_with(kRowsPath)) {
     const std::string_view name = path.substr(kRowsPath.size());
     const std::size_t slash = name.find('/');
--- a/tests/item_table_test.cc
+++ b/tests/item_table_test.cc
@@ -51,7 +51,7 @@
 
 WriteAction Put(ItemKey key, std::int64_t value, Condition condition = {}) {
   WriteAction action;
-  action.key = std::move(key);
+  action.item.key = std::move(key);
   action.item.attributes["value"] = value;
   action.condition = std::move(condition);
   return action;
@@ -143,7 +143,7 @@
   Write(bench, {Put({"p", "a"}, 1)}, "first");
   WriteAction removal;
   removal.kind = WriteAction::Kind::kDelete;
-  removal.key = {"p", "a"};
+  removal.item.key = {"p", "a"};
   CHECK(Write(bench, {removal}, "second").outcome == TableOutcome::kOk);
   CHECK(ValueOf(bench, {"p", "a"}) == -1);
   CHECK(Write(bench, {Put({"p", "a"}, 2, Absent())}, "third").outcome ==
--- a/tests/process/gateway_test.sh
+++ b/tests/process/gateway_test.sh
@@ -9,27 +9,9 @@
 dir=$(mktemp -d)
 pids=()
 trap 'kill -9 "${pids[@]}" 2>/dev/null; [ -n "${KEEP:-}" ] || rm -rf "$dir"' EXIT
-failures=0
+source tests/process/checks.sh
 store=127.0.0.1:19700
 
-check() {  # NAME EXPECTED ACTUAL
-  if [[ "$3" == $2 ]]; then
-    echo "ok: $1"
-  else
-    echo "FAILED: $1: wanted '$2', saw '$3'"
-    failures=$((failures + 1))
-  fi
-}
-
-# Waits until a command succeeds; gives up after a minute.
-until_true() {
-  for _ in $(seq 600); do
-    "$@" >/dev/null 2>&1 && return 0
-    sleep 0.1
-  done
-  return 1
-}
-
 row() { curl -s -X PUT "http://$store/rows/$1" -d "$2" >/dev/null; }
 fault() { curl -s -X PUT "http://127.0.0.1:$1/faults" -d "$2" >/dev/null; }
 key=key
@@ -43,7 +25,6 @@
 status_is() { [ "$(status "$2" "$3" "${@:4}")" = "$1" ]; }
 ready() { [ "$(curl -s -o /dev/null -w '%{http_code}' "http://127.0.0.1:1972$1/ready")" = 200 ]; }
 runs() { curl -s http://127.0.0.1:19701/runs http://127.0.0.1:19702/runs | grep -o "\"$1\":[0-9]*" | cut -d: -f2 | awk '{sum += $1} END {print sum + 0}'; }
-gone() { ! kill -0 "$1"; }
 
 gateway() {  # NUMBER
   cat >"$dir/gateway$1.json" <<JSON
