--- a/tests/item_table_test.cc
+++ b/tests/item_table_test.cc
@@ -3,8 +3,6 @@
 
 #include <doctest/doctest.h>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <string>
 #include <utility>
@@ -12,6 +10,7 @@
 
 #include "http/client.h"
 #include "standin/store_standin.h"
+#include "tests/run_task.h"
 
 namespace hornbeamspool::platform {
 namespace {
@@ -28,15 +27,7 @@
 
   template <typename T>
   T Run(http::Task<T> task) {
-    T result{};
-    boost::asio::co_spawn(io, std::move(task),
-                          [&](const std::exception_ptr&, T value) {
-                            result = std::move(value);
-                            io.stop();
-                          });
-    io.restart();
-    io.run();
-    return result;
+    return RunTask(this->io, std::move(task));
   }
 
   void SetFaults(std::string text) {
--- /dev/null
+++ b/tests/run_task.h
@@ -0,0 +1,26 @@
+// Runs a task to its end on an io_context, for tests.
+#pragma once
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+#include <exception>
+#include <utility>
+
+#include "http/task.h"
+
+namespace hornbeamspool {
+
+template <typename T>
+T RunTask(boost::asio::io_context& io, http::Task<T> task) {
+  T result{};
+  boost::asio::co_spawn(io, std::move(task),
+                        [&](const std::exception_ptr&, T value) {
+                          result = std::move(value);
+                          io.stop();
+                        });
+  io.restart();
+  io.run();
+  return result;
+}
+
+}  // namespace hornbeamspool
--- a/tests/table_worker_test.cc
+++ b/tests/table_worker_test.cc
@@ -3,7 +3,6 @@
 
 #include <doctest/doctest.h>
 
-#include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
 #include <string>
 #include <utility>
@@ -13,23 +12,11 @@
 #include "http/client.h"
 #include "platform/item_table.h"
 #include "standin/store_standin.h"
+#include "tests/run_task.h"
 
 namespace hornbeamspool {
 namespace {
 
-template <typename T>
-T Run(boost::asio::io_context& io, http::Task<T> task) {
-  T result{};
-  boost::asio::co_spawn(io, std::move(task),
-                        [&](const std::exception_ptr&, T value) {
-                          result = std::move(value);
-                          io.stop();
-                        });
-  io.restart();
-  io.run();
-  return result;
-}
-
 TEST_CASE("a write whose answers are lost is tried a few times, in one place") {
   boost::asio::io_context io{1};
   standin::StoreStandin standin(io);
@@ -46,12 +33,12 @@
   faults.target = "/faults";
   faults.body = R"({"down": true})";
   const http::FetchOptions options;
-  Run(io, client.Fetch(address, faults, options));
+  RunTask(io, client.Fetch(address, faults, options));
 
   policy::CommitIntent intent;
   intent.organisation = "o";
   intent.request_key = "k";
-  const policy::TableReply reply = Run(io, worker.Carry(intent));
+  const policy::TableReply reply = RunTask(io, worker.Carry(intent));
   REQUIRE(std::holds_alternative<policy::IntentCommitted>(reply));
   CHECK(std::get<policy::IntentCommitted>(reply).status ==
         policy::TableStatus::kUnknown);
