Logs tell which request was in hand when an upstream went down

What callers saw: nothing new. Cause of the change: the log named the upstream and a count, so that the three hypotheses of the incident could not be told apart from it: whether the request that took the upstream down was noted, by which gateway, and how often.

Change: send_failed, broken and refused lines bear the request's fingerprint; a line event=crash for each request in hand, with the crashes known of it and whether the VM saw it or a peer told it; counters crashes_seen, crashes_told, suspect_refusals. Lines of the kind are bounded, 50 a second.

--- a/gateway/event_log.cc
+++ b/gateway/event_log.cc
@@ -30,6 +30,7 @@
     {"stopped", 10, log4cplus::INFO_LOG_LEVEL},
     {"config", 20, log4cplus::INFO_LOG_LEVEL},
     {"upstream", 50, log4cplus::INFO_LOG_LEVEL},
+    {"crash", 50, log4cplus::WARN_LOG_LEVEL},
     {"dependency", 20, log4cplus::WARN_LOG_LEVEL},
     {"move", 20, log4cplus::INFO_LOG_LEVEL},
     {"budget", 20, log4cplus::INFO_LOG_LEVEL},
--- a/gateway/event_log.h
+++ b/gateway/event_log.h
@@ -19,6 +19,7 @@
   kStopped,
   kConfig,      // a configuration is in force, or can't be read
   kUpstream,    // an upstream came, changed or went
+  kCrash,       // an upstream went down with a request in hand
   kDependency,  // the store was lost or regained
   kMove,        // an order to move to another version, or how far one is
   kBudget,      // limits were written, or could not be
--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -88,6 +88,7 @@
   http::Task<void> AnswerReadiness(http::Exchange& exchange);
   http::Task<void> AnswerMetrics(http::Exchange& exchange);
   void OnPeersCrash(const transport::CrashMessage& message);
+  void LogCrash(const policy::CrashNotice& notice, std::string_view source);
   void TellCrashes();
   void LookAtLoad(Duration lateness);
   http::Task<void> ExpireUpstreams();
@@ -300,7 +301,26 @@
 }
 
 void Gateway::State::OnPeersCrash(const transport::CrashMessage& message) {
-  this->core.Suspects().Learn({message.upstream, message.fingerprints}, Now());
+  const policy::CrashNotice notice{message.upstream, message.fingerprints};
+  this->core.Suspects().Learn(notice, Now());
+  this->metrics.Add(Counter::kCrashesTold);
+  this->LogCrash(notice, "peer");
+}
+
+// One line for each request that was in hand, with the upstreams that are known
+// to have gone down with it.
+void Gateway::State::LogCrash(const policy::CrashNotice& notice,
+                              std::string_view source) {
+  const TimePoint now = Now();
+  for (const std::uint64_t fingerprint : notice.fingerprints) {
+    const std::size_t crashes =
+        this->core.Suspects().CrashesOf(fingerprint, now);
+    std::string pairs = KeyValue("upstream", notice.upstream);
+    pairs += ' ' + KeyValue("fingerprint", policy::Hex(fingerprint));
+    pairs += ' ' + KeyValue("crashes", static_cast<std::int64_t>(crashes));
+    pairs += ' ' + KeyValue("source", source);
+    this->log.Write(LogKind::kCrash, pairs, now);
+  }
 }
 
 void Gateway::State::TellCrashes() {
@@ -311,6 +331,8 @@
                         KeyValue("in_hand", static_cast<std::int64_t>(
                                                 notice.fingerprints.size())),
                     Now());
+    this->metrics.Add(Counter::kCrashesSeen);
+    this->LogCrash(notice, "own");
     this->channel.SendToAll(
         {std::move(notice.upstream), std::move(notice.fingerprints)});
   }
--- a/gateway/request_relay.cc
+++ b/gateway/request_relay.cc
@@ -86,6 +86,7 @@
   http::Canceller canceller;
   std::optional<Ticket> ticket;
   std::string request_id;
+  std::uint64_t fingerprint = 0;
   std::optional<http::Response>
       upstream_error;  // shown when no other try helps
 };
@@ -101,6 +102,7 @@
     co_return;
   }
   this->request_id = request->id;
+  this->fingerprint = request->fingerprint;
   this->context->metrics->Add(Counter::kRequests);
   this->context->core->Link().AddReceived(
       kHeadBytes +
@@ -296,6 +298,7 @@
 http::Task<void> RequestRelay::Refuse(const Refusal& refusal) {
   const policy::ErrorAnswer& answer = policy::AnswerFor(refusal.kind);
   std::string pairs = KeyValue("request", this->request_id);
+  pairs += ' ' + KeyValue("fingerprint", policy::Hex(this->fingerprint));
   pairs += ' ' + KeyValue("reason", answer.name);
   pairs += ' ' + KeyValue("status", std::int64_t{answer.status});
   pairs += ' ' + KeyValue("after_ms", Milliseconds(Now() - this->arrived));
@@ -311,6 +314,9 @@
   const bool budget = refusal.kind == ErrorKind::kBudgetUnavailable ||
                       refusal.kind == ErrorKind::kBudgetExhausted;
   if (budget) this->context->metrics->Add(Counter::kBudgetRefusals);
+  if (refusal.kind == ErrorKind::kCrashSuspect) {
+    this->context->metrics->Add(Counter::kSuspectRefusals);
+  }
   policy::Refused refused;
   refused.kind = refusal.kind;
   refused.retry_after_s = 0;
@@ -343,6 +349,7 @@
   this->context->metrics->Add(counter);
   if (this->ticket->sends > 1) this->context->metrics->Add(Counter::kRetries);
   std::string pairs = KeyValue("request", this->request_id);
+  pairs += ' ' + KeyValue("fingerprint", policy::Hex(this->fingerprint));
   pairs += ' ' + KeyValue("route", this->ticket->route->name);
   pairs += ' ' + KeyValue("upstream", order.upstream.id);
   pairs += ' ' + KeyValue("outcome", NameOf(outcome));
--- a/hornbeamspool/metrics.cc
+++ b/hornbeamspool/metrics.cc
@@ -45,7 +45,10 @@
     "store_calls",
     "store_failures",
     "tokens_given",
-    "tokens_received"};
+    "tokens_received",
+    "crashes_seen",
+    "crashes_told",
+    "suspect_refusals"};
 constexpr std::array<std::string_view, kTimings> kTimingNames{
     "first_token_seconds", "token_gap_seconds", "whole_answer_seconds",
     "admission_seconds", "table_call_seconds"};
--- a/hornbeamspool/metrics.h
+++ b/hornbeamspool/metrics.h
@@ -34,6 +34,9 @@
   kStoreFailures,
   kTokensGiven,
   kTokensReceived,
+  kCrashesSeen,      // upstreams that went down with requests in hand
+  kCrashesTold,      // the same, as peers told
+  kSuspectRefusals,  // requests refused for what they took down
   kCount
 };
 
--- a/policy/event.cc
+++ b/policy/event.cc
@@ -1,6 +1,7 @@
 #include "policy/event.h"
 
 #include <array>
+#include <charconv>
 #include <cstddef>
 
 namespace hornbeamspool::policy {
@@ -59,4 +60,14 @@
   return KeyValue(key, std::to_string(value));
 }
 
+std::string Hex(std::uint64_t value) {
+  constexpr std::size_t kDigits = 16;
+  std::array<char, kDigits> digits{};
+  const char* end =
+      std::to_chars(digits.data(), digits.data() + kDigits, value, 16).ptr;
+  const auto written = static_cast<std::size_t>(end - digits.data());
+  return std::string(kDigits - written, '0') +
+         std::string(digits.data(), written);
+}
+
 }  // namespace hornbeamspool::policy
--- a/policy/event.h
+++ b/policy/event.h
@@ -50,4 +50,7 @@
 std::string KeyValue(std::string_view key, std::string_view value);
 std::string KeyValue(std::string_view key, std::int64_t value);
 
+// 16 digits, for fingerprints.
+std::string Hex(std::uint64_t value);
+
 }  // namespace hornbeamspool::policy
