Reproduced: a request that ends its servers is sent on and on

What callers saw: as the users reported, three servers ended under a request and it went on to others.

--- a/standin/server_standin.cc
+++ b/standin/server_standin.cc
@@ -4,6 +4,8 @@
 #include <boost/json/serialize.hpp>
 #include <charconv>
 #include <chrono>
+#include <cstdlib>
+#include <iostream>
 #include <utility>
 
 namespace hornbeamspool::standin {
@@ -12,6 +14,18 @@
 constexpr int kEvents = 10;
 constexpr coordination::Duration kEventPause = std::chrono::milliseconds(20);
 
+// A request whose body holds this ends the process of the server that begins
+// it, as a fault in the server would.
+constexpr std::string_view kCrashMark = "CRASH-THE-SERVER";
+
+[[noreturn]] void Crash(const http::Request& request) {
+  const auto now = std::chrono::duration_cast<std::chrono::milliseconds>(
+      std::chrono::system_clock::now().time_since_epoch());
+  std::cout << "crash at_ms=" << now.count() << " body=" << request.body
+            << std::endl;
+  std::_Exit(1);
+}
+
 }  // namespace
 
 ServerStandin::ServerStandin(boost::asio::io_context& io, std::string id)
@@ -46,6 +60,7 @@
     co_return;
   }
   ++this->runs[attempt];
+  if (request.body.find(kCrashMark) != std::string::npos) Crash(request);
   answer.headers.push_back({"Server-Stamp", "stamp-" + this->id});
   answer.headers.push_back({"Instance-Load", "1,0,8"});
   if (request.Path().starts_with("/stream/")) {
--- a/standin/server_standin.h
+++ b/standin/server_standin.h
@@ -1,6 +1,6 @@
 // A stand-in for the platform's servers: answers each request with the marks
 // that the platform's servers set, and streams events on /stream/. Counts how
-// often each request ran.
+// often each request ran. A marked request ends its process.
 #pragma once
 
 #include <boost/asio/io_context.hpp>
--- a/tests/process/gateway_test.sh
+++ b/tests/process/gateway_test.sh
@@ -10,56 +10,10 @@
 pids=()
 trap 'kill -9 "${pids[@]}" 2>/dev/null; [ -n "${KEEP:-}" ] || rm -rf "$dir"' EXIT
 source tests/process/checks.sh
-store=127.0.0.1:19700
-
-row() { curl -s -X PUT "http://$store/rows/$1" -d "$2" >/dev/null; }
-fault() { curl -s -X PUT "http://127.0.0.1:$1/faults" -d "$2" >/dev/null; }
-key=key
-# call GATEWAY PATH [curl arguments]: the answer's body. ID names the attempt.
-call() {
-  local port=1971$1 path=$2
-  shift 2
-  curl -sN -m 20 -H 'Host: a.example' -H "Attempt-Id: ${ID:-$BASHPID-$RANDOM}" -H "Authorization: Bearer $key" "$@" "http://127.0.0.1:$port$path"
-}
-status() { call "$@" -o /dev/null -w '%{http_code}'; }
-status_is() { [ "$(status "$2" "$3" "${@:4}")" = "$1" ]; }
-ready() { [ "$(curl -s -o /dev/null -w '%{http_code}' "http://127.0.0.1:1972$1/ready")" = 200 ]; }
+source tests/process/gateways.sh
 runs() { curl -s http://127.0.0.1:19701/runs http://127.0.0.1:19702/runs | grep -o "\"$1\":[0-9]*" | cut -d: -f2 | awk '{sum += $1} END {print sum + 0}'; }
 
-gateway() {  # NUMBER
-  cat >"$dir/gateway$1.json" <<JSON
-{ "kind": "gateway", "vm": "vm-$1", "availability_zone": "z1",
-  "listen": "127.0.0.1:1971$1", "readiness": { "address": "127.0.0.1:1972$1", "path": "/ready" },
-  "store": "$store", "peers": "127.0.0.1:1973$1", "metrics": "127.0.0.1:1974$1",
-  "retries": { "share": 0.2, "extra": 40, "window_s": 10 }, "stop_s": 20 }
-JSON
-  "$bin/hornbeamspool" --gateway="$dir/gateway$1.json" >>"$dir/gateway$1.log" 2>&1 &
-  pids+=($!)
-  declare -g "gateway$1=$!"
-}
-
-config() {  # VERSION KEY PREPAID
-  local route='"host":"a.example","timeout_ms":10000,"target_latency_ms":600,"priority":1,"attempts":2,"public":false'
-  row op/config "{\"version\":$1,\"routes\":[
-    {\"name\":\"lookup\",\"prefix\":\"/lookup/\",\"kind\":\"idempotent\",\"service\":\"s\",$route},
-    {\"name\":\"order\",\"prefix\":\"/order/\",\"kind\":\"non_idempotent\",\"service\":\"s\",$route},
-    {\"name\":\"stream\",\"prefix\":\"/stream/\",\"kind\":\"stream\",\"stream_resume\":true,\"service\":\"s\",$route}],
-    \"services\":[{\"name\":\"s\",\"health_path\":\"/h\",\"max_connections\":100,
-      \"engine\":{\"slot_count\":8,\"kv_capacity_tokens\":100000,\"stride\":1}}],
-    \"limits\":{},\"tenants\":[{\"name\":\"t\",\"api_keys\":[\"$2\"],\"prepaid\":$3}]}"
-}
-
-server_row() {  # ID PORT STATE [VERSION]
-  row "servers/$1" "{\"service\":\"s\",\"address\":\"127.0.0.1:$2\",\"zone\":\"z1\",\"version\":\"${4:-v1}\",\"slot_count\":8,\"state\":\"$3\",\"seq\":1}"
-}
-
-# Another run of this test, or a left one, would answer in place of ours.
-for port in 19700 19701 19702 19703 19704 19711 19712; do
-  if (exec 3<>"/dev/tcp/127.0.0.1/$port") 2>/dev/null; then
-    echo "FAILED: port $port is in use"
-    exit 1
-  fi
-done
+ports_are_free 19700 19701 19702 19703 19704 19711 19712 || exit 1
 
 "$bin/standin" store --listen=$store & pids+=($!)
 "$bin/standin" server --listen=127.0.0.1:19701 --name=i-1 & pids+=($!)
