A request that was sent is never reported as unsent; resends are repeats

Cause: the client sent a request again by itself when a kept connection ended, without asking anybody. Its fresh connection was refused, because the server had just ended, and it reported that last step: no byte was sent. The decisions took the request as one that never ran: no note beside the crash, no run counted, the next upstream tried. Where the server lived, the resend was an arrival that the fleet's allowance of repeats never saw. One class: a layer repeats or judges by its last step alone, and the layer above takes that as the whole.

Change: once sent, a request is kBroken whatever follows. The client asks before it sends again, and only if no byte of an answer has come; the gateway's answer takes one of the fleet's repeats and heeds crash suspects. A refused connection is told by its error instead of by having failed within 100 ms. In the chat-completions router the same mistake gave tokens back for requests that may have run.

--- a/gateway/request_relay.cc
+++ b/gateway/request_relay.cc
@@ -57,9 +57,9 @@
 std::string_view NameOf(SendOutcome outcome) {
   static constexpr std::array<std::string_view,
                               static_cast<std::size_t>(SendOutcome::kCount)>
-      kNames{"answered",    "upstream_error", "rejected",
-             "misdirected", "unreachable",    "no_room",
-             "broken",      "silent",         "abandoned"};
+      kNames{"answered",    "upstream_error", "rejected", "misdirected",
+             "unreachable", "not_listening",  "no_room",  "broken",
+             "silent",      "abandoned"};
   return kNames.at(static_cast<std::size_t>(outcome));
 }
 
@@ -208,7 +208,9 @@
   options.first_byte_timeout = order.left;
   options.read_timeout = order.left;
   options.deadline = ticket.deadline;
-  options.resend_when_stale = ticket.route->MayRepeat();
+  options.may_resend = [this] {
+    return this->context->core->MayResend(*this->ticket, Now());
+  };
   if (!ticket.route->MayRepeat()) options.longest_idle = kLongestIdleForOrders;
   options.max_connections = order.max_connections;
   options.canceller = &this->canceller;
@@ -218,6 +220,9 @@
       kHeadBytes + static_cast<std::int64_t>(sent.body.size()), Now());
   const http::OpenResult opened = co_await this->context->client->Open(
       order.upstream.address, sent, options);
+  if (opened.status == http::FetchStatus::kRefused) {
+    co_return SendOutcome::kNotListening;
+  }
   if (opened.status == http::FetchStatus::kUnreachable) {
     co_return this->canceller.Cancelled() ? SendOutcome::kAbandoned
                                           : SendOutcome::kUnreachable;
--- a/hornbeamctl/explain.cc
+++ b/hornbeamctl/explain.cc
@@ -15,7 +15,7 @@
   std::string_view text;
 };
 
-constexpr std::array<Cause, 19> kCauses{{
+constexpr std::array<Cause, 20> kCauses{{
     {"budget_exhausted",
      "the organisation's prepaid tokens can't cover the request at its most"},
     {"budget_unavailable",
@@ -39,6 +39,7 @@
     {"rejected", "the upstream did not run the request"},
     {"misdirected", "another upstream has the address"},
     {"unreachable", "the upstream could not be reached"},
+    {"not_listening", "the upstream's address refused the connection"},
     {"no_room", "this VM has its share of the upstream's connections in use"},
     {"broken", "the upstream's answer broke off"},
     {"silent", "the upstream gave no answer in time"},
--- a/hornbeamspool/model_relay.cc
+++ b/hornbeamspool/model_relay.cc
@@ -253,7 +253,7 @@
   const http::OpenResult opened = co_await attempt.context->client->Open(
       attempt.admitted->address, UpstreamRequest(attempt), options);
   if (opened.status != http::FetchStatus::kOk) {
-    const bool reached = opened.status != http::FetchStatus::kUnreachable;
+    const bool reached = http::MayHaveArrived(opened.status);
     co_return TryResult{TryEnd::kFailed, reached};
   }
   http::ResponseStream& stream = *opened.stream;
--- a/hornbeamspool/plain_relay.cc
+++ b/hornbeamspool/plain_relay.cc
@@ -122,7 +122,7 @@
     if (IsFailedTry(result, admitted->repeatable)) {
       reservation.Release();
       context.metrics->Add(Counter::kRetries);
-      const bool reached = result.status != http::FetchStatus::kUnreachable;
+      const bool reached = http::MayHaveArrived(result.status);
       reply = co_await context.gate->Retry(admitted->reservation, reached);
       continue;
     }
--- a/http/client.cc
+++ b/http/client.cc
@@ -176,6 +176,9 @@
   void Arm(coordination::Duration longest, coordination::TimePoint now) {
     this->guard->Arm(std::min(longest, this->options.deadline - now));
   }
+  bool AnswerBegan() const {
+    return this->parser.got_some() || this->buffer.size() > 0;
+  }
   FetchStatus Failure() const {
     return this->guard->Fired() ? FetchStatus::kTimeout : FetchStatus::kBroken;
   }
@@ -273,11 +276,16 @@
 
 namespace {
 
-Task<std::unique_ptr<Stream>> Connect(net::io_context& io,
-                                      std::string_view address,
-                                      const FetchOptions& options) {
+struct Connected {
+  std::unique_ptr<Stream> stream;  // null when there is none
+  bool refused = false;
+};
+
+Task<Connected> Connect(net::io_context& io, std::string_view address,
+                        const FetchOptions& options) {
+  Connected connected;
   const auto endpoint = ParseTcp(address);
-  if (!endpoint) co_return nullptr;
+  if (!endpoint) co_return connected;
   auto stream = std::make_unique<Stream>(io);
   if (options.canceller) {
     options.canceller->SetHook([&stream] { stream->cancel(); });
@@ -287,13 +295,31 @@
   error_code error;
   co_await stream->async_connect(*endpoint, net::redirect_error(kAwait, error));
   if (options.canceller) options.canceller->SetHook(nullptr);
-  if (error) co_return nullptr;
-  if (options.canceller && options.canceller->Cancelled()) co_return nullptr;
+  connected.refused = error == net::error::connection_refused;
+  if (error) co_return connected;
+  if (options.canceller && options.canceller->Cancelled()) co_return connected;
   stream->expires_never();
   stream->socket().set_option(tcp::no_delay(true), error);
   ::setsockopt(stream->socket().native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT,
                &kUnacknowledgedMs, sizeof(kUnacknowledgedMs));
-  co_return stream;
+  connected.stream = std::move(stream);
+  co_return connected;
+}
+
+// Gives the call a fresh connection; kOk when it has one.
+Task<FetchStatus> Reach(ResponseStream::State& state) {
+  Client::Pool& pool = *state.pool;
+  if (pool.OpenCount(state.address) >= state.options.max_connections) {
+    co_return FetchStatus::kNoRoom;
+  }
+  ++pool.open[state.address];
+  Connected connected =
+      co_await Connect(*pool.io, state.address, state.options);
+  state.stream = std::move(connected.stream);
+  if (state.stream) co_return FetchStatus::kOk;
+  pool.Closed(state.address);
+  co_return connected.refused ? FetchStatus::kRefused
+                              : FetchStatus::kUnreachable;
 }
 
 // Sends the request and reads the head of the answer.
@@ -325,8 +351,8 @@
 Task<OpenResult> Client::Open(std::string_view address, const Request& request,
                               const FetchOptions& options) {
   const auto message = ToBeast(address, request);
-  // A pooled connection may be dead already; then a fresh one is tried.
   bool pooled = !options.fresh_connection;
+  bool sent = false;
   while (true) {
     auto state = std::make_unique<ResponseStream::State>();
     state->pool = this->pool;
@@ -336,25 +362,24 @@
     if (pooled) state->stream = this->pool->Take(address, options, Now());
     pooled = state->stream != nullptr;
     if (!pooled) {
-      if (this->pool->OpenCount(address) >= options.max_connections) {
-        co_return OpenResult{FetchStatus::kNoRoom, nullptr};
+      const FetchStatus status = co_await Reach(*state);
+      if (status != FetchStatus::kOk) {
+        // What was sent before may have arrived.
+        co_return OpenResult{sent ? FetchStatus::kBroken : status, nullptr};
       }
-      ++this->pool->open[state->address];
-      state->stream = co_await Connect(*this->pool->io, address, options);
-      if (!state->stream) this->pool->Closed(address);
     }
-    if (!state->stream) co_return OpenResult{};
     state->Watch();
     const FetchStatus status = co_await SendAndReadHead(*state, message);
     if (status == FetchStatus::kOk) {
       co_return OpenResult{status,
                            std::make_unique<ResponseStream>(std::move(state))};
     }
+    sent = true;
     const bool cancelled = options.canceller && options.canceller->Cancelled();
-    const bool resend = pooled && options.resend_when_stale && !cancelled;
-    if (!resend || status == FetchStatus::kTimeout) {
-      co_return OpenResult{status, nullptr};
-    }
+    const bool resend = pooled && status == FetchStatus::kBroken &&
+                        !state->AnswerBegan() && !cancelled &&
+                        options.may_resend && options.may_resend();
+    if (!resend) co_return OpenResult{status, nullptr};
     pooled = false;
   }
 }
--- a/http/client.h
+++ b/http/client.h
@@ -19,12 +19,19 @@
 enum class FetchStatus : std::uint8_t {
   kOk,
   kUnreachable,  // no byte of the request was sent
+  kRefused,      // neither: nobody listens at the address
   kNoRoom,       // neither: the address has its most connections already
   kBroken,       // sent, and the connection failed
   kTimeout,      // sent, and no answer came in time
   kCount
 };
 
+// Whether the server may have the request, or a part of it.
+constexpr bool MayHaveArrived(FetchStatus status) {
+  return status == FetchStatus::kOk || status == FetchStatus::kBroken ||
+         status == FetchStatus::kTimeout;
+}
+
 // Ends a call from outside: its connection is closed, and the call returns
 // kBroken, or kUnreachable when nothing was sent yet.
 class Canceller {
@@ -51,9 +58,10 @@
   coordination::Duration longest_idle = std::chrono::seconds(60);
   // The whole call ends by then, whatever the other limits say.
   coordination::TimePoint deadline = coordination::TimePoint::max();
-  // A request that fails on a pooled connection is sent once more on a fresh
-  // one: only for requests that may run twice.
-  bool resend_when_stale = true;
+  // A pooled connection may have been closed before the request came. Asked,
+  // when one ends without a byte of an answer, whether the request may be sent
+  // once more on a fresh one: the server may have begun it. Null: never.
+  std::function<bool()> may_resend = [] { return true; };
   // Open connections to one address, of all calls together.
   std::size_t max_connections = SIZE_MAX;
   Canceller* canceller = nullptr;  // outlives the call and its answer
--- a/policy/gateway_core.cc
+++ b/policy/gateway_core.cc
@@ -28,10 +28,6 @@
 
 constexpr std::int64_t kLeastUrgent = 9;
 
-// A connection that is refused fails at once; one that is cut off takes its
-// timeout, which says nothing of the upstream.
-constexpr Duration kRefusedWithin = std::chrono::milliseconds(100);
-
 // VMs that may have been added and are not known yet, for the share of a
 // upstream's connections.
 constexpr std::int64_t kMoreVms = 3;
@@ -285,8 +281,7 @@
     this->suspects.OnAnswered(fingerprint);
   } else if (outcome == SendOutcome::kBroken) {
     this->suspects.OnBroken(fingerprint, upstream, now);
-  } else if (outcome == SendOutcome::kUnreachable &&
-             now - order.record.sent_at < kRefusedWithin) {
+  } else if (outcome == SendOutcome::kNotListening) {
     this->suspects.OnDown(upstream, now);
   }
 }
@@ -298,11 +293,12 @@
   this->NoteCrash(ticket, order, outcome, now);
   const bool tells =
       outcome != SendOutcome::kAbandoned && outcome != SendOutcome::kNoRoom;
-  if (tells) this->reach.Add(outcome != SendOutcome::kUnreachable, now);
+  const bool arrived = outcome != SendOutcome::kUnreachable &&
+                       outcome != SendOutcome::kNotListening;
+  if (tells) this->reach.Add(arrived, now);
   const bool not_run = outcome == SendOutcome::kRejected ||
                        outcome == SendOutcome::kMisdirected ||
-                       outcome == SendOutcome::kNoRoom ||
-                       outcome == SendOutcome::kUnreachable;
+                       outcome == SendOutcome::kNoRoom || !arrived;
   if (!not_run) {
     ++ticket.runs;
     ticket.prompt_read = true;
@@ -322,6 +318,12 @@
   return ticket.sends - ticket.runs < kMostRejectedSends;
 }
 
+bool GatewayCore::MayResend(const Ticket& ticket, TimePoint now) {
+  if (!ticket.route->MayRepeat()) return false;
+  if (this->suspects.IsSuspect(ticket.request.fingerprint, now)) return false;
+  return this->AllowanceOf(ticket.service->name).Take(this->fleet_size, now);
+}
+
 Refusal GatewayCore::FinalRefusal(const Ticket& ticket,
                                   SendOutcome outcome) const {
   if (ticket.runs == 0) {
--- a/policy/gateway_core.h
+++ b/policy/gateway_core.h
@@ -100,6 +100,10 @@
   // NextSend says whether and where.
   bool OnSendEnded(Ticket& ticket, const SendOrder& order, SendOutcome outcome,
                    coordination::TimePoint now);
+  // Whether the request may be sent to its upstream once more, where its kept
+  // connection had ended. Takes one of the fleet's repeats: the upstream may
+  // have the request already.
+  bool MayResend(const Ticket& ticket, coordination::TimePoint now);
   // The refusal after the last send failed with this outcome.
   Refusal FinalRefusal(const Ticket& ticket, SendOutcome outcome) const;
   // An upstream's entry is about to go, or to be that of a new start.
--- a/policy/upstream_board.cc
+++ b/policy/upstream_board.cc
@@ -304,6 +304,7 @@
   if (!record.started) state.unread_tokens -= record.unread_tokens;
   if (outcome == SendOutcome::kAbandoned) return;
   const bool absent = outcome == SendOutcome::kUnreachable ||
+                      outcome == SendOutcome::kNotListening ||
                       outcome == SendOutcome::kMisdirected;
   const bool failed = absent || outcome == SendOutcome::kBroken ||
                       outcome == SendOutcome::kSilent;
--- a/policy/upstream_board.h
+++ b/policy/upstream_board.h
@@ -33,6 +33,7 @@
   kRejected,       // the upstream said that it did not run the request
   kMisdirected,    // another upstream has the address; the request has not run
   kUnreachable,    // no byte was sent
+  kNotListening,   // neither: nobody listens at the upstream's address
   kNoRoom,         // not sent: this VM has its most connections to the upstream
   kBroken,         // sent; the answer failed or belongs to another request
   kSilent,         // sent; no answer came in time
--- a/tests/gateway_policy_test.cc
+++ b/tests/gateway_policy_test.cc
@@ -77,10 +77,12 @@
   return entry;
 }
 
+constexpr RetryBounds kRetries{0.2, 0, seconds(10)};
+
 GatewayCore MakeCore() {
   GatewayOptions options;
   options.availability_zone = "z1";
-  options.retries = {0.2, 0, seconds(10)};
+  options.retries = kRetries;
   return GatewayCore(options, {1, At(0)});
 }
 
@@ -153,14 +155,15 @@
 TEST_CASE("a non-idempotent request is sent again only when it has not run") {
   for (const SendOutcome outcome :
        {SendOutcome::kBroken, SendOutcome::kSilent, SendOutcome::kRejected,
-        SendOutcome::kUnreachable}) {
+        SendOutcome::kUnreachable, SendOutcome::kNotListening}) {
     GatewayCore core = MakeCore();
     Prepare(core, {"s1", "s2"});
     Ticket ticket =
         std::get<Ticket>(core.Admit(MakeRequest("/orders/1"), At(0)));
     const auto order = std::get<SendOrder>(core.NextSend(ticket, At(1)));
     const bool not_run = outcome == SendOutcome::kRejected ||
-                         outcome == SendOutcome::kUnreachable;
+                         outcome == SendOutcome::kUnreachable ||
+                         outcome == SendOutcome::kNotListening;
     CHECK(core.OnSendEnded(ticket, order, outcome, At(2)) == not_run);
     // A refusal that promises "not run" must be true.
     const Refusal refusal = core.FinalRefusal(ticket, outcome);
@@ -183,6 +186,24 @@
   CHECK_FALSE(core.OnSendEnded(ticket, second, SendOutcome::kBroken, At(4)));
 }
 
+// Guards against BUDGET: requests that were sent again on a fresh connection
+// passed the fleet's allowance of repeats.
+TEST_CASE("a request sent again on a fresh connection is one of the repeats") {
+  GatewayCore core = MakeCore();
+  Prepare(core, {"s1", "s2"});
+  constexpr int kRequests = 100;
+  int resent = 0;
+  for (int i = 0; i < kRequests; ++i) {
+    Ticket ticket = std::get<Ticket>(core.Admit(MakeRequest("/x"), At(i)));
+    if (core.MayResend(ticket, At(i))) ++resent;
+    core.Finish(ticket);
+  }
+  CHECK(resent > 0);
+  CHECK(resent <= kRequests * kRetries.share);
+  Ticket order = std::get<Ticket>(core.Admit(MakeRequest("/orders/1"), At(0)));
+  CHECK_FALSE(core.MayResend(order, At(60'000)));
+}
+
 TEST_CASE("no send begins that the deadline would cut at once") {
   GatewayCore core = MakeCore();
   Prepare(core, {"s1"});
--- a/tests/http_client_test.cc
+++ b/tests/http_client_test.cc
@@ -1,6 +1,4 @@
 // The HTTP client against servers that end, or answer with what is no answer.
-#include "http/client.h"
-
 #include <doctest/doctest.h>
 
 #include <boost/asio/buffer.hpp>
@@ -13,6 +11,7 @@
 #include <thread>
 #include <utility>
 
+#include "http/client.h"
 #include "run_task.h"
 
 namespace hornbeamspool::http {
@@ -21,7 +20,8 @@
 namespace net = boost::asio;
 using net::ip::tcp;
 
-constexpr const char* kAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+constexpr const char* kAnswer =
+    "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
 
 // A server whose behaviour is a function on a thread of its own.
 class ScriptedServer {
