What proves that an upstream went down, and what that proves of a request

The count of crashes stayed behind the crashes, or fell.

Cause: proof was taken from too few signals, and the lack of one was taken as its contrary. (1) Crashes were counted by the upstream's id, so that one which starts again under its id counted once. (2) Any answer cleared a request, also an upstream's own error. (3) A request still in hand, or given up by its caller, was not noted when the entry of a silent upstream went. (4) Another upstream at the address was no proof. (5) Entries that are not back after the store's return were dropped without a word, and what broke off was forgotten after 8 s, shorter than an outage. (6) Copies under way were not held. (7) A suspicion ended after two minutes although the request never stopped coming. (8) Where too many were remembered, the smallest fingerprint went instead of what matters least. (9) Of an upstream's requests 128 were told, the rest not; and of a third crash the other VMs were told half a second to a second late.

Change: a crash belongs to one start of an upstream; sends in hand are known by start; only a whole answer that is no failure clears; a refused connection, another upstream at the address, another start under the id, an entry that goes while the store is in reach, or that is not back after its return, are proof. With two crashes one copy at a time is sent from a VM.

Evidence: seven tests in gateway_policy_test and three in crash_suspects_test failed on the code before, one for each point, two for the last.

Ruled out: to count broken answers without proof of an end: servers that reset connections would bring innocent requests under suspicion.

Not yet: what one VM knows reaches the others by one datagram, and no VM that starts later.

--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -248,7 +248,7 @@
           this->core.Upstreams().Find(row.key);
       const bool reborn = before && before->born_ms != entry->born_ms;
       if (reborn) {
-        this->core.NoteUpstreamGone(row.key, now);
+        this->core.NoteUpstreamDown(*before, now);
         this->core.Board().Forget(row.key);
       }
       pairs += ' ' + KeyValue("service", entry->service);
@@ -315,7 +315,7 @@
   for (const std::uint64_t fingerprint : notice.fingerprints) {
     const std::size_t crashes =
         this->core.Suspects().CrashesOf(fingerprint, now);
-    std::string pairs = KeyValue("upstream", notice.upstream);
+    std::string pairs = KeyValue("upstream", notice.start);
     pairs += ' ' + KeyValue("fingerprint", policy::Hex(fingerprint));
     pairs += ' ' + KeyValue("crashes", static_cast<std::int64_t>(crashes));
     pairs += ' ' + KeyValue("source", source);
@@ -326,7 +326,7 @@
 void Gateway::State::TellCrashes() {
   for (policy::CrashNotice& notice : this->core.Suspects().TakeNotices(Now())) {
     this->log.Write(LogKind::kUpstream,
-                    KeyValue("upstream", notice.upstream) + ' ' +
+                    KeyValue("upstream", notice.start) + ' ' +
                         KeyValue("state", "down") + ' ' +
                         KeyValue("in_hand", static_cast<std::int64_t>(
                                                 notice.fingerprints.size())),
@@ -334,7 +334,7 @@
     this->metrics.Add(Counter::kCrashesSeen);
     this->LogCrash(notice, "own");
     this->channel.SendToAll(
-        {std::move(notice.upstream), std::move(notice.fingerprints)});
+        {std::move(notice.start), std::move(notice.fingerprints)});
   }
 }
 
@@ -368,8 +368,7 @@
     this->LookAtLoad(std::chrono::duration_cast<Duration>(
         std::chrono::steady_clock::now() - timer.expiry()));
     this->TellCrashes();
-    for (const std::string& id : this->core.Upstreams().Expire(Now())) {
-      this->core.Board().Forget(id);
+    for (const std::string& id : this->core.ExpireUpstreams(Now())) {
       this->log.Write(
           LogKind::kUpstream,
           KeyValue("upstream", id) + ' ' + KeyValue("state", "not_back"),
--- a/policy/crash_suspects.cc
+++ b/policy/crash_suspects.cc
@@ -1,5 +1,6 @@
 #include "policy/crash_suspects.h"
 
+#include <algorithm>
 #include <chrono>
 #include <utility>
 
@@ -13,23 +14,48 @@
 // lapses after three missed heartbeats.
 constexpr Duration kNoticed = std::chrono::seconds(8);
 
-// Callers come again within their deadlines, of some tens of seconds.
-constexpr Duration kMemory = std::chrono::minutes(2);
-
-// The other VMs are told after this time; what was in hand beside the cause has
-// mostly been answered elsewhere by then.
+// The other VMs are told of a first crash after this time; what was in hand
+// beside the cause has mostly been answered elsewhere by then.
 constexpr Duration kNoticeDelay = std::chrono::milliseconds(500);
 
-// Breaks and suspects remembered; the oldest are forgotten first.
+// A suspect that is brought again and again is told of anew after this time.
+constexpr Duration kToldAgain = CrashSuspects::kMemory / 4;
+
+// A start is asked again after this time.
+constexpr Duration kProbePause = std::chrono::seconds(1);
+
+// Breaks and suspects remembered.
 constexpr std::size_t kMostRemembered = 4096;
 
+// Part of the suspects that go when there are too many.
+constexpr std::size_t kForgottenPart = 4;
+
 }  // namespace
 
-void CrashSuspects::OnBroken(std::uint64_t fingerprint,
-                             std::string_view upstream, TimePoint now) {
+void CrashSuspects::OnSent(std::uint64_t fingerprint, std::string_view start) {
+  auto found = this->in_hand.find(start);
+  if (found == this->in_hand.end()) {
+    found = this->in_hand.emplace(start, std::vector<std::uint64_t>{}).first;
+  }
+  found->second.push_back(fingerprint);
+}
+
+void CrashSuspects::OnEnded(std::uint64_t fingerprint, std::string_view start) {
+  const auto found = this->in_hand.find(start);
+  if (found == this->in_hand.end()) return;
+  std::vector<std::uint64_t>& held = found->second;
+  const auto ended = std::find(held.begin(), held.end(), fingerprint);
+  if (ended == held.end()) return;
+  *ended = held.back();
+  held.pop_back();
+  if (held.empty()) this->in_hand.erase(found);
+}
+
+void CrashSuspects::OnBroken(std::uint64_t fingerprint, std::string_view start,
+                             TimePoint now) {
   this->Forget(now);
   if (this->breaks.size() >= kMostRemembered) this->breaks.pop_front();
-  this->breaks.push_back({fingerprint, std::string(upstream), now});
+  this->breaks.push_back({fingerprint, std::string(start), now});
 }
 
 void CrashSuspects::OnAnswered(std::uint64_t fingerprint) {
@@ -39,55 +65,119 @@
   });
 }
 
-void CrashSuspects::OnDown(std::string_view upstream, TimePoint now) {
-  this->Forget(now);
-  CrashNotice notice;
-  notice.upstream = upstream;
+// What the start has in hand, and what broke off there.
+std::vector<std::uint64_t> CrashSuspects::TakeInHand(std::string_view start) {
+  std::vector<std::uint64_t> held;
+  if (const auto found = this->in_hand.find(start);
+      found != this->in_hand.end()) {
+    held = found->second;
+  }
   for (const Break& seen : this->breaks) {
-    if (seen.upstream != upstream) continue;
-    notice.fingerprints.push_back(seen.fingerprint);
+    if (seen.start == start) held.push_back(seen.fingerprint);
   }
-  std::erase_if(this->breaks, [upstream](const Break& seen) {
-    return seen.upstream == upstream;
-  });
-  if (notice.fingerprints.empty()) return;
-  this->Learn(notice, now);
-  this->pending.push_back({std::move(notice), now + kNoticeDelay});
+  std::erase_if(this->breaks,
+                [start](const Break& seen) { return seen.start == start; });
+  std::sort(held.begin(), held.end());
+  held.erase(std::unique(held.begin(), held.end()), held.end());
+  return held;
 }
 
-void CrashSuspects::Learn(const CrashNotice& notice, TimePoint now) {
-  for (const std::uint64_t fingerprint : notice.fingerprints) {
-    if (this->suspects.size() >= kMostRemembered) {
-      this->suspects.erase(this->suspects.begin());
+void CrashSuspects::OnDown(std::string_view start, TimePoint now) {
+  this->Forget(now);
+  for (const std::uint64_t fingerprint : this->TakeInHand(start)) {
+    const auto known = this->suspects.find(fingerprint);
+    if (known != this->suspects.end() && known->second.starts.contains(start)) {
+      continue;
     }
+    this->Learn({std::string(start), {fingerprint}}, now);
+    const bool several = this->suspects[fingerprint].starts.size() > 1;
+    this->Tell(start, fingerprint, several ? now : now + kNoticeDelay);
+  }
+}
+
+void CrashSuspects::Learn(const CrashNotice& notice, TimePoint seen_at) {
+  for (const std::uint64_t fingerprint : notice.fingerprints) {
+    if (this->suspects.size() >= kMostRemembered) this->MakeRoom();
     Suspect& suspect = this->suspects[fingerprint];
-    suspect.upstreams.insert(notice.upstream);
-    suspect.last = now;
+    suspect.starts.insert(notice.start);
+    suspect.last = std::max(suspect.last, seen_at);
+    suspect.told_at = std::max(suspect.told_at, seen_at);
   }
 }
 
+void CrashSuspects::HoldBroken(TimePoint now) {
+  for (Break& seen : this->breaks) seen.at = now;
+}
+
 std::size_t CrashSuspects::CrashesOf(std::uint64_t fingerprint, TimePoint now) {
   const auto found = this->suspects.find(fingerprint);
   if (found == this->suspects.end()) return 0;
-  if (now - found->second.last < kMemory) return found->second.upstreams.size();
+  if (now - found->second.last < kMemory) return found->second.starts.size();
   this->suspects.erase(found);
   return 0;
 }
 
+bool CrashSuspects::IsInHand(std::uint64_t fingerprint) const {
+  return std::any_of(
+      this->in_hand.begin(), this->in_hand.end(), [&](const auto& entry) {
+        const std::vector<std::uint64_t>& held = entry.second;
+        return std::find(held.begin(), held.end(), fingerprint) != held.end();
+      });
+}
+
+bool CrashSuspects::MaySend(std::uint64_t fingerprint, TimePoint now) {
+  const std::size_t crashes = this->CrashesOf(fingerprint, now);
+  if (crashes >= kMostCrashes) return false;
+  return crashes + 1 < kMostCrashes || !this->IsInHand(fingerprint);
+}
+
+void CrashSuspects::OnRefused(std::uint64_t fingerprint, TimePoint now) {
+  const auto found = this->suspects.find(fingerprint);
+  if (found == this->suspects.end()) return;
+  Suspect& suspect = found->second;
+  suspect.last = now;
+  if (now - suspect.told_at < kToldAgain) return;
+  suspect.told_at = now;
+  for (const std::string& start : suspect.starts) {
+    this->Tell(start, fingerprint, now);
+  }
+}
+
+bool CrashSuspects::WantsProbe(std::string_view start, TimePoint now) {
+  this->Forget(now);
+  std::erase_if(this->probed, [now](const auto& entry) {
+    return now - entry.second >= kProbePause;
+  });
+  const bool broke =
+      std::any_of(this->breaks.begin(), this->breaks.end(),
+                  [start](const Break& seen) { return seen.start == start; });
+  return broke && this->probed.emplace(start, now).second;
+}
+
+// Adds the request to what is due of the start at that time.
+void CrashSuspects::Tell(std::string_view start, std::uint64_t fingerprint,
+                         TimePoint due) {
+  for (Pending& each : this->pending) {
+    if (each.due != due || each.notice.start != start) continue;
+    if (each.notice.fingerprints.size() >= kMostNoticed) continue;
+    each.notice.fingerprints.push_back(fingerprint);
+    return;
+  }
+  this->pending.push_back({{std::string(start), {fingerprint}}, due});
+}
+
 std::vector<CrashNotice> CrashSuspects::TakeNotices(TimePoint now) {
   std::vector<CrashNotice> notices;
-  while (!this->pending.empty() && this->pending.front().due <= now) {
-    CrashNotice notice;
-    notice.upstream = this->pending.front().notice.upstream;
-    for (const std::uint64_t fingerprint :
-         this->pending.front().notice.fingerprints) {
-      if (!this->suspects.contains(fingerprint)) continue;
-      if (notice.fingerprints.size() >= kMostNoticed) break;
-      notice.fingerprints.push_back(fingerprint);
-    }
-    this->pending.pop_front();
-    if (!notice.fingerprints.empty()) notices.push_back(std::move(notice));
+  for (Pending& each : this->pending) {
+    if (each.due > now) continue;
+    std::erase_if(each.notice.fingerprints, [&](std::uint64_t fingerprint) {
+      return !this->suspects.contains(fingerprint);
+    });
+    if (each.notice.fingerprints.empty()) continue;
+    notices.push_back(std::move(each.notice));
   }
+  std::erase_if(this->pending,
+                [now](const Pending& each) { return each.due <= now; });
   return notices;
 }
 
@@ -97,4 +187,26 @@
   }
 }
 
+// Drops the requests with the fewest crashes, of these the oldest.
+void CrashSuspects::MakeRoom() {
+  using Entry = std::map<std::uint64_t, Suspect>::iterator;
+  std::vector<Entry> entries;
+  for (auto it = this->suspects.begin(); it != this->suspects.end(); ++it) {
+    entries.push_back(it);
+  }
+  const auto dropped =
+      static_cast<std::ptrdiff_t>(entries.size() / kForgottenPart);
+  const auto less = [](const Entry& a, const Entry& b) {
+    const std::size_t crashes_a = a->second.starts.size();
+    const std::size_t crashes_b = b->second.starts.size();
+    if (crashes_a != crashes_b) return crashes_a < crashes_b;
+    return a->second.last < b->second.last;
+  };
+  std::nth_element(entries.begin(), entries.begin() + dropped, entries.end(),
+                   less);
+  for (auto it = entries.begin(); it != entries.begin() + dropped; ++it) {
+    this->suspects.erase(*it);
+  }
+}
+
 }  // namespace hornbeamspool::policy
--- a/policy/gateway_core.cc
+++ b/policy/gateway_core.cc
@@ -17,9 +17,6 @@
 constexpr Duration kRetryLink = std::chrono::milliseconds(300);
 constexpr Duration kRetryUpstream = std::chrono::milliseconds(700);
 
-// A suspicion ends when nobody has brought the request for this long.
-constexpr Duration kRetrySuspect = std::chrono::minutes(2);
-
 // A send with less time than this is not worth the upstream's work.
 constexpr Duration kLeastTime = std::chrono::milliseconds(20);
 
@@ -103,8 +100,8 @@
   }
 
   // Step 3: what takes upstreams down.
-  if (this->suspects.IsSuspect(request.fingerprint, now)) {
-    return Refusal{ErrorKind::kCrashSuspect, kRetrySuspect};
+  if (!this->suspects.MaySend(request.fingerprint, now)) {
+    return this->RefuseSuspect(request.fingerprint, now);
   }
 
   // Step 4: the VM's link. Another VM may have room.
@@ -124,6 +121,15 @@
   return ticket;
 }
 
+// A suspect comes back in vain until the suspicion has ended; one that is tried
+// here just now may come back soon.
+Refusal GatewayCore::RefuseSuspect(std::uint64_t fingerprint, TimePoint now) {
+  const bool suspect = this->suspects.IsSuspect(fingerprint, now);
+  if (suspect) this->suspects.OnRefused(fingerprint, now);
+  return {ErrorKind::kCrashSuspect,
+          suspect ? CrashSuspects::kMemory : kRetryUpstream};
+}
+
 const Service* GatewayCore::ChooseService(const RouteTable& table,
                                           const Route& route,
                                           const GatewayRequest& request) const {
@@ -158,9 +164,9 @@
 
 std::variant<Refusal, SendOrder> GatewayCore::NextSend(Ticket& ticket,
                                                        TimePoint now) {
-  if (ticket.sends > 0 &&
-      this->suspects.IsSuspect(ticket.request.fingerprint, now)) {
-    return Refusal{ErrorKind::kUpstreamFailed, {}};
+  if (!this->suspects.MaySend(ticket.request.fingerprint, now)) {
+    if (ticket.runs > 0) return Refusal{ErrorKind::kUpstreamFailed, {}};
+    return this->RefuseSuspect(ticket.request.fingerprint, now);
   }
   const Duration left = ticket.deadline - now;
   if (left < kLeastTime) {
@@ -200,6 +206,7 @@
   order.urgency = std::clamp<std::int64_t>(priority, 0, kLeastUrgent);
   order.max_connections = this->MostConnections(*ticket.service);
   order.record = this->board.OnSent(*upstream, choice.demand, now);
+  this->suspects.OnSent(ticket.request.fingerprint, upstream->Start());
   order.move_revision =
       this->moves.OnSent(ticket.service->name, upstream->version);
   return order;
@@ -266,23 +273,48 @@
 // was away meanwhile: then entries of live upstreams go too.
 void GatewayCore::NoteUpstreamGone(std::string_view id, TimePoint now) {
   const UpstreamEntry* entry = this->upstreams.Find(id);
-  if (entry == nullptr || entry->draining) return;
-  if (this->upstreams.InDoubt(now)) return;
-  this->suspects.OnDown(id, now);
+  if (entry == nullptr || this->upstreams.InDoubt(now)) return;
+  this->NoteUpstreamDown(*entry, now);
+}
+
+void GatewayCore::NoteUpstreamDown(const UpstreamEntry& entry, TimePoint now) {
+  const UpstreamEntry* known = this->upstreams.Find(entry.id);
+  const bool leaving = entry.draining || (known != nullptr && known->draining);
+  if (!leaving) this->suspects.OnDown(entry.Start(), now);
+}
+
+std::vector<std::string> GatewayCore::ExpireUpstreams(TimePoint now) {
+  if (this->upstreams.InDoubt(now)) this->suspects.HoldBroken(now);
+  std::vector<std::string> gone;
+  for (const UpstreamEntry& entry : this->upstreams.Expire(now)) {
+    this->NoteUpstreamDown(entry, now);
+    this->board.Forget(entry.id);
+    gone.push_back(entry.id);
+  }
+  return gone;
 }
 
 // Evidence of upstreams that go down while they run a request.
 void GatewayCore::NoteCrash(const Ticket& ticket, const SendOrder& order,
                             SendOutcome outcome, TimePoint now) {
   const std::uint64_t fingerprint = ticket.request.fingerprint;
-  const std::string& upstream = order.upstream.id;
-  if (outcome == SendOutcome::kAnswered ||
-      outcome == SendOutcome::kUpstreamError) {
-    this->suspects.OnAnswered(fingerprint);
-  } else if (outcome == SendOutcome::kBroken) {
-    this->suspects.OnBroken(fingerprint, upstream, now);
-  } else if (outcome == SendOutcome::kNotListening) {
-    this->suspects.OnDown(upstream, now);
+  const std::string start = order.upstream.Start();
+  this->suspects.OnEnded(fingerprint, start);
+  switch (outcome) {
+    case SendOutcome::kAnswered:
+      this->suspects.OnAnswered(fingerprint);
+      return;
+    case SendOutcome::kBroken:
+    case SendOutcome::kSilent:
+    case SendOutcome::kAbandoned:
+      this->suspects.OnBroken(fingerprint, start, now);
+      return;
+    case SendOutcome::kNotListening:
+    case SendOutcome::kMisdirected:
+      this->NoteUpstreamDown(order.upstream, now);
+      return;
+    default:
+      return;  // nothing of the request ran, or its upstream lives
   }
 }
 
@@ -320,7 +352,8 @@
 
 bool GatewayCore::MayResend(const Ticket& ticket, TimePoint now) {
   if (!ticket.route->MayRepeat()) return false;
-  if (this->suspects.IsSuspect(ticket.request.fingerprint, now)) return false;
+  const std::uint64_t fingerprint = ticket.request.fingerprint;
+  if (this->suspects.CrashesOf(fingerprint, now) > 0) return false;
   return this->AllowanceOf(ticket.service->name).Take(this->fleet_size, now);
 }
 
--- a/policy/gateway_core.h
+++ b/policy/gateway_core.h
@@ -106,8 +106,14 @@
   bool MayResend(const Ticket& ticket, coordination::TimePoint now);
   // The refusal after the last send failed with this outcome.
   Refusal FinalRefusal(const Ticket& ticket, SendOutcome outcome) const;
-  // An upstream's entry is about to go, or to be that of a new start.
+  // An upstream's entry is about to go.
   void NoteUpstreamGone(std::string_view id, coordination::TimePoint now);
+  // This start of an upstream has surely ended: its entry is that of another
+  // start, its address refuses connections, or it has not come back.
+  void NoteUpstreamDown(const UpstreamEntry& entry,
+                        coordination::TimePoint now);
+  // Forgets upstreams that did not come back with the store. Returns their ids.
+  std::vector<std::string> ExpireUpstreams(coordination::TimePoint now);
   // Ends the request and settles its budget.
   void Finish(Ticket& ticket);
 
@@ -125,6 +131,7 @@
                                const GatewayRequest& request) const;
   std::vector<const UpstreamEntry*> UpstreamsFor(Ticket& ticket,
                                                  coordination::TimePoint now);
+  Refusal RefuseSuspect(std::uint64_t fingerprint, coordination::TimePoint now);
   void NoteCrash(const Ticket& ticket, const SendOrder& order,
                  SendOutcome outcome, coordination::TimePoint now);
   void NoteEnd(const Ticket& ticket, const SendOrder& order,
--- a/policy/upstream_directory.cc
+++ b/policy/upstream_directory.cc
@@ -62,13 +62,13 @@
   this->reachable = reachable;
 }
 
-std::vector<std::string> UpstreamDirectory::Expire(
+std::vector<UpstreamEntry> UpstreamDirectory::Expire(
     coordination::TimePoint now) {
-  std::vector<std::string> gone;
+  std::vector<UpstreamEntry> gone;
   for (auto it = this->entries.begin(); it != this->entries.end();) {
     const auto here = it++;
     if (!here->second.missing || now < here->second.drop_at) continue;
-    gone.push_back(here->first);
+    gone.push_back(std::move(here->second.entry));
     this->entries.erase(here);
   }
   return gone;
--- a/policy/upstream_directory.h
+++ b/policy/upstream_directory.h
@@ -23,6 +23,12 @@
   std::int64_t slots = 1;
   std::int64_t born_ms = 0;  // Unix time of its start; 0 when not told
   bool draining = false;
+
+  // Names this start: an upstream may start again under its id.
+  std::string Start() const {
+    return this->born_ms == 0 ? this->id
+                              : this->id + '@' + std::to_string(this->born_ms);
+  }
 };
 
 class UpstreamDirectory {
@@ -54,8 +60,8 @@
   // away, or has just come back.
   bool InDoubt(coordination::TimePoint now) const;
 
-  // Forgets entries whose grace has passed. Returns their ids.
-  std::vector<std::string> Expire(coordination::TimePoint now);
+  // Forgets entries whose grace has passed, and returns them.
+  std::vector<UpstreamEntry> Expire(coordination::TimePoint now);
 
   // Upstreams of a service that may get new work.
   std::vector<const UpstreamEntry*> Usable(std::string_view service,
--- a/tests/crash_suspects_test.cc
+++ b/tests/crash_suspects_test.cc
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <string>
+#include <vector>
 
 namespace hornbeamspool::policy {
 namespace {
@@ -84,6 +85,65 @@
   CHECK(there.CrashesOf(kBystander, At(1'100)) == 2);
 }
 
+// Guards against BUDGET: the fingerprint that sorts first was forgotten instead
+// of the one that matters least.
+TEST_CASE("what fell with many bystanders is not forgotten for them") {
+  CrashSuspects suspects;
+  for (const char* upstream : {"a", "b", "c"}) Crash(suspects, upstream, 0);
+  for (std::uint64_t other = 100; other < 10'000; ++other) {
+    suspects.Learn({"d", {other}}, At(1'000));
+  }
+  CHECK(suspects.IsSuspect(kCause, At(2'000)));
+}
+
+// Guards against BUDGET: the other VMs were told of a third crash half a second
+// to a second late.
+TEST_CASE("the other VMs are told at once of what fell more than once") {
+  CrashSuspects suspects;
+  Crash(suspects, "a", 0);
+  CHECK(suspects.TakeNotices(At(60)).empty());
+  Crash(suspects, "b", 100);
+  const auto notices = suspects.TakeNotices(At(150));
+  REQUIRE(notices.size() == 1);
+  CHECK(notices.front().fingerprints.size() == 2);
+}
+
+// Guards against BUDGET: of a full upstream's requests only the first 128 were
+// told.
+TEST_CASE("the other VMs are told of all that an upstream had in hand") {
+  constexpr std::size_t kInHand = 300;
+  CrashSuspects suspects;
+  for (std::uint64_t i = 0; i < kInHand; ++i) {
+    suspects.OnBroken(i, "a", At(0));
+  }
+  suspects.OnDown("a", At(10));
+  std::size_t told = 0;
+  for (const CrashNotice& notice : suspects.TakeNotices(At(1'000))) {
+    CHECK(notice.fingerprints.size() <= CrashSuspects::kMostNoticed);
+    told += notice.fingerprints.size();
+  }
+  CHECK(told == kInHand);
+}
+
+TEST_CASE("a suspect that is brought again is told of again") {
+  CrashSuspects suspects;
+  for (const char* upstream : {"a", "b", "c"}) Crash(suspects, upstream, 0);
+  CHECK(suspects.TakeNotices(At(1'000)).size() >= 3);
+  suspects.OnRefused(kCause, At(2'000));
+  CHECK(suspects.TakeNotices(At(2'000)).empty());
+  suspects.OnRefused(kCause, At(40'000));
+  CHECK(suspects.TakeNotices(At(40'000)).size() == 3);
+}
+
+TEST_CASE("an upstream is asked if it is there when an answer broke off") {
+  CrashSuspects suspects;
+  CHECK_FALSE(suspects.WantsProbe("a", At(0)));
+  suspects.OnBroken(kCause, "a", At(0));
+  CHECK(suspects.WantsProbe("a", At(1)));
+  CHECK_FALSE(suspects.WantsProbe("a", At(2)));
+  CHECK_FALSE(suspects.WantsProbe("b", At(2)));
+}
+
 TEST_CASE("a suspicion ends when nobody brought the request for long") {
   CrashSuspects suspects;
   for (const char* upstream : {"a", "b", "c"}) Crash(suspects, upstream, 0);
--- a/tests/gateway_policy_test.cc
+++ b/tests/gateway_policy_test.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <memory>
 #include <string>
 #include <utility>
 #include <variant>
@@ -374,7 +375,9 @@
   CHECK(upstreams.Usable("engines", At(17'000)).size() == 2);
   CHECK(upstreams.Expire(At(16'000)).empty());
   CHECK(upstreams.Usable("engines", At(17'200)).size() == 1);
-  CHECK(upstreams.Expire(At(18'000)) == std::vector<std::string>{"s1"});
+  const std::vector<UpstreamEntry> gone = upstreams.Expire(At(18'000));
+  REQUIRE(gone.size() == 1);
+  CHECK(gone.front().id == "s1");
   CHECK(upstreams.Usable("engines", At(18'000)).size() == 1);
 }
 
@@ -495,7 +498,7 @@
     Ticket ticket = std::get<Ticket>(core.Admit(request, At(i)));
     const auto order = std::get<SendOrder>(core.NextSend(ticket, At(i)));
     core.OnSendEnded(ticket, order, SendOutcome::kBroken, At(i));
-    core.Suspects().OnDown(order.upstream.id, At(i));
+    core.Suspects().OnDown(order.upstream.Start(), At(i));
     core.Upstreams().Remove(order.upstream.id, At(i));
     core.Finish(ticket);
   }
@@ -507,6 +510,140 @@
   CHECK(std::holds_alternative<Ticket>(core.Admit(request, At(10))));
 }
 
+// Times at which the registry is in no doubt any more.
+TimePoint Later(std::int64_t ms) { return At(10'000 + ms); }
+
+// One request that ends what runs it, for the tests below.
+struct CrashRun {
+  CrashRun() {
+    Prepare(this->core, {"s1", "s2", "s3", "s4"});
+    this->request.fingerprint = 99;
+  }
+
+  // Sends a copy; null where it is refused.
+  Ticket* Send(std::int64_t ms) {
+    auto admission = this->core.Admit(this->request, Later(ms));
+    if (std::holds_alternative<Refusal>(admission)) return nullptr;
+    this->tickets.push_back(
+        std::make_unique<Ticket>(std::get<Ticket>(std::move(admission))));
+    Ticket& ticket = *this->tickets.back();
+    auto next = this->core.NextSend(ticket, Later(ms));
+    if (std::holds_alternative<Refusal>(next)) return nullptr;
+    this->order = std::get<SendOrder>(std::move(next));
+    return &ticket;
+  }
+  // A copy, and what became of it.
+  void Run(SendOutcome outcome, std::int64_t ms) {
+    Ticket* ticket = this->Send(ms);
+    REQUIRE(ticket != nullptr);
+    this->core.OnSendEnded(*ticket, this->order, outcome, Later(ms));
+  }
+  // A copy whose upstream goes with it.
+  void Crash(std::int64_t ms) {
+    this->Run(SendOutcome::kBroken, ms);
+    this->core.NoteUpstreamGone(this->order.upstream.id, Later(ms));
+  }
+  std::size_t Crashes(std::int64_t ms) {
+    return this->core.Suspects().CrashesOf(this->request.fingerprint,
+                                           Later(ms));
+  }
+
+  GatewayCore core = MakeCore();
+  GatewayRequest request = MakeRequest("/x");
+  std::vector<std::unique_ptr<Ticket>> tickets;
+  SendOrder order;
+};
+
+// Guards against BUDGET: crashes of one upstream that starts again under its id
+// counted as one.
+TEST_CASE("an upstream that starts again under its id goes down each time") {
+  CrashRun run;
+  for (const char* other : {"s2", "s3", "s4"}) {
+    run.core.Upstreams().Remove(other, Later(0));
+  }
+  for (int start = 1; start <= 3; ++start) {
+    UpstreamEntry entry = MakeUpstream("s1");
+    entry.born_ms = start;
+    run.core.Upstreams().Put(entry);
+    run.Crash(start * 10'000);
+  }
+  CHECK(run.Crashes(31'000) == 3);
+  CHECK(run.Send(31'000) == nullptr);
+}
+
+// Guards against BUDGET: an upstream that failed of itself cleared the request.
+TEST_CASE("an upstream's own error does not clear a request") {
+  CrashRun run;
+  run.Crash(0);
+  run.Run(SendOutcome::kUpstreamError, 100);
+  CHECK(run.Crashes(200) == 1);
+  run.Run(SendOutcome::kAnswered, 300);
+  CHECK(run.Crashes(400) == 0);
+}
+
+// Guards against BUDGET: an upstream that fell silent was no crash for what it
+// had in hand.
+TEST_CASE("a request in hand when its upstream's entry goes was there") {
+  CrashRun run;
+  REQUIRE(run.Send(0) != nullptr);
+  run.core.NoteUpstreamGone(run.order.upstream.id, Later(4'000));
+  CHECK(run.Crashes(4'000) == 1);
+  // So was one whose caller did not wait for the end.
+  run.Run(SendOutcome::kAbandoned, 5'000);
+  run.core.NoteUpstreamGone(run.order.upstream.id, Later(6'000));
+  CHECK(run.Crashes(6'000) == 2);
+}
+
+TEST_CASE("another upstream at the address tells that the first is gone") {
+  CrashRun run;
+  run.Run(SendOutcome::kBroken, 0);
+  Ticket* other = run.Send(10);
+  REQUIRE(other != nullptr);
+  SendOrder order = run.order;
+  order.upstream =
+      run.tickets.front()->failed_upstreams.front() == "s1"
+          ? MakeUpstream("s1")
+          : MakeUpstream(run.tickets.front()->failed_upstreams.front());
+  run.core.OnSendEnded(*other, order, SendOutcome::kMisdirected, Later(20));
+  CHECK(run.Crashes(20) == 1);
+}
+
+// Guards against BUDGET: what went down while the store was away proved nothing
+// for good.
+TEST_CASE("an upstream that is not back after the store's return went down") {
+  CrashRun run;
+  run.core.Upstreams().SetReachable(false, Later(0));
+  run.Run(SendOutcome::kBroken, 1'000);
+  for (std::int64_t ms = 1'000; ms < 20'000; ms += 500) {
+    (void)run.core.ExpireUpstreams(Later(ms));
+  }
+  run.core.Upstreams().SetReachable(true, Later(20'000));
+  run.core.Upstreams().Remove(run.order.upstream.id, Later(20'010));
+  CHECK(run.Crashes(20'010) == 0);
+  CHECK(run.core.ExpireUpstreams(Later(22'200)) ==
+        std::vector<std::string>{run.order.upstream.id});
+  CHECK(run.Crashes(22'200) == 1);
+}
+
+// Guards against BUDGET: copies under way ended upstreams one after the other.
+TEST_CASE("of a request near its bound one copy is under way at a time") {
+  CrashRun run;
+  run.Crash(0);
+  run.Crash(100);
+  REQUIRE(run.Send(200) != nullptr);
+  CHECK(run.Send(210) == nullptr);
+  run.request.fingerprint = 100;
+  CHECK(run.Send(220) != nullptr);
+}
+
+// Guards against BUDGET: a request that never stopped coming was let in again.
+TEST_CASE("a suspicion goes on while the request is brought") {
+  CrashRun run;
+  for (int i = 0; i < 3; ++i) run.Crash(i * 100);
+  for (int i = 1; i <= 10; ++i) CHECK(run.Send(i * 60'000) == nullptr);
+  CHECK(run.Send(10 * 60'000 + 130'000) != nullptr);
+}
+
 TEST_CASE("an entry that goes while the store is away proves no crash") {
   GatewayCore core = MakeCore();
   Prepare(core, {"s1", "s2"});
