Every gateway knows of requests that end upstreams, also one that starts later

Cause: what one process learns and all must heed was carried by one datagram, sent once. One that is lost, a peer that is cut off, paused, killed, replaced or added: each starts from nothing. Besides, the gateway that saw an answer break off had to wait for another request to be refused there, or for the entry to lapse after 3.6 s, longer than contact_ms.

Change: gateway/crash_watch. A gateway asks an upstream whose answer broke off, by a bare connection, at most once a second, whether it is still there. Notices go out by datagram at once, and stand in the gateway's row of the table 'crashes', written within half a second, read by all and by its successor, which is not ready before. A record lapses two minutes after the request was last brought. Rows cost nothing while nothing goes down: one waiting call of the feed.

Ruled out: repeated datagrams alone, which no successor gets; the operators' configuration, which the system may not write.

--- a/gateway/context.h
+++ b/gateway/context.h
@@ -17,6 +17,7 @@
 
 class EventLog;
 class BudgetKeeper;
+class CrashWatch;
 class PeerChannel;
 class TokenBroker;
 
@@ -27,6 +28,7 @@
   BudgetKeeper* budget_keeper = nullptr;
   TokenBroker* token_broker = nullptr;
   PeerChannel* peers = nullptr;
+  CrashWatch* crashes = nullptr;
   EventLog* log = nullptr;
   Metrics* metrics = nullptr;
 };
--- /dev/null
+++ b/gateway/crash_watch.cc
@@ -0,0 +1,189 @@
+#include "gateway/crash_watch.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/vector.hpp>
+#include <chrono>
+#include <utility>
+
+#include "gateway/event_log.h"
+#include "gateway/peer_channel.h"
+#include "gateway/row_codec.h"
+#include "hornbeamspool/clock.h"
+#include "hornbeamspool/metrics.h"
+#include "http/client.h"
+#include "platform/own_row.h"
+#include "policy/event.h"
+#include "policy/gateway_core.h"
+
+namespace hornbeamspool::gateway {
+namespace {
+
+using coordination::Duration;
+using coordination::Milliseconds;
+using coordination::TimePoint;
+using platform::StoreRow;
+using policy::CrashNotice;
+using policy::CrashRecord;
+using policy::KeyValue;
+
+constexpr std::string_view kTable = "crashes";  // VM to its records
+
+// A connection that is refused comes back within a round trip; one that takes
+// this long says nothing.
+constexpr Duration kProbeLimit = std::chrono::milliseconds(500);
+
+// Pause between writes of the row, so that the crashes of an outage come with
+// few of them.
+constexpr Duration kKeepPause = std::chrono::milliseconds(500);
+
+static_assert(policy::CrashSuspects::kMostNoticed <=
+                  transport::kMostFingerprints,
+              "peers would drop a notice as unsound");
+
+// One record as the store keeps it.
+struct KeptRecord {
+  std::string start;
+  std::vector<std::uint64_t> fingerprints;
+  std::int64_t told_ms = 0;  // by the store's clock
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(this->start, this->fingerprints, this->told_ms);
+  }
+};
+
+}  // namespace
+
+CrashWatch::CrashWatch(const Context& context, platform::StoreClient& store,
+                       std::string vm)
+    : context(context),
+      store(&store),
+      vm(std::move(vm)),
+      table(*context.io, store, std::string(kTable),
+            {[this](const auto& rows) { this->OnRows(rows); },
+             [this](const auto& rows) { this->OnRows(rows); }, [](bool) {}}) {}
+
+void CrashWatch::Start() { this->table.Start(); }
+
+void CrashWatch::OnSendFailed(const policy::UpstreamEntry& upstream,
+                              policy::SendOutcome outcome) {
+  this->Tell();
+  if (outcome != policy::SendOutcome::kBroken) return;
+  policy::CrashSuspects& suspects = this->context.core->Suspects();
+  if (!suspects.WantsProbe(upstream.Start(), Now())) return;
+  boost::asio::co_spawn(*this->context.io, this->Probe(upstream),
+                        boost::asio::detached);
+}
+
+http::Task<void> CrashWatch::Probe(policy::UpstreamEntry upstream) {
+  const http::FetchStatus status =
+      co_await this->context.client->Probe(upstream.address, kProbeLimit);
+  if (status != http::FetchStatus::kRefused) co_return;
+  this->context.core->NoteUpstreamDown(upstream, Now());
+  this->Tell();
+}
+
+void CrashWatch::Tell() {
+  const TimePoint now = Now();
+  for (CrashNotice& notice : this->context.core->Suspects().TakeNotices(now)) {
+    this->context.metrics->Add(Counter::kCrashesSeen);
+    this->records.Add(notice, now);
+    this->changed = true;
+    this->Log(notice, "own");
+    this->context.peers->SendToAll(
+        {std::move(notice.start), std::move(notice.fingerprints)});
+  }
+  const bool due = this->changed && !this->keeping && this->known &&
+                   now - this->kept_at >= kKeepPause;
+  if (!due) return;
+  this->keeping = true;
+  boost::asio::co_spawn(*this->context.io, this->Keep(), boost::asio::detached);
+}
+
+// Writes the records to this VM's row. What could not be written stays due.
+http::Task<void> CrashWatch::Keep() {
+  this->changed = false;
+  this->kept_at = Now();
+  std::string value = this->EncodeRecords(this->kept_at);
+  const bool kept = co_await platform::WriteOwnRow(
+      *this->store, std::string(kTable), this->vm, std::move(value));
+  this->keeping = false;
+  if (!kept) this->changed = true;
+}
+
+std::string CrashWatch::EncodeRecords(TimePoint now) {
+  const std::int64_t store_ms = this->table.Clock().At(now);
+  std::vector<KeptRecord> kept;
+  for (CrashRecord& record : this->records.Current(now)) {
+    const std::int64_t told_ms = store_ms - Milliseconds(now - record.told_at);
+    kept.push_back({std::move(record.notice.start),
+                    std::move(record.notice.fingerprints), told_ms});
+  }
+  return EncodeRow(kept);
+}
+
+void CrashWatch::OnRows(const std::vector<StoreRow>& rows) {
+  for (const StoreRow& row : rows) {
+    // Later, the own row tells nothing new.
+    if (this->known && row.key == this->vm) continue;
+    if (!row.removed) this->OnRow(row);
+  }
+  this->known = true;
+}
+
+void CrashWatch::OnRow(const StoreRow& row) {
+  const TimePoint now = Now();
+  const std::int64_t store_ms = this->table.Clock().At(now);
+  std::vector<KeptRecord> kept;
+  try {
+    kept = DecodeRow<std::vector<KeptRecord>>(row.value);
+  } catch (const cereal::Exception&) {
+    this->context.log->Write(
+        LogKind::kCrash,
+        KeyValue("outcome", "unreadable_row") + ' ' + KeyValue("row", row.key),
+        now);
+    return;
+  }
+  for (KeptRecord& record : kept) {
+    const Duration age = std::chrono::milliseconds(store_ms - record.told_ms);
+    if (age >= policy::CrashSuspects::kMemory) continue;
+    std::int64_t& last = this->learned[record.start];
+    if (record.told_ms <= last) continue;
+    last = record.told_ms;
+    const CrashNotice notice{std::move(record.start),
+                             std::move(record.fingerprints)};
+    // What the predecessor told, this VM goes on to keep.
+    if (row.key == this->vm) this->records.Add(notice, now - age);
+    this->Learn(notice, "store", now - age);
+  }
+}
+
+void CrashWatch::OnMessage(const transport::CrashMessage& message) {
+  this->context.metrics->Add(Counter::kCrashesTold);
+  this->Learn({message.upstream, message.fingerprints}, "peer", Now());
+}
+
+void CrashWatch::Learn(const CrashNotice& notice, std::string_view source,
+                       TimePoint seen_at) {
+  this->context.core->Suspects().Learn(notice, seen_at);
+  this->Log(notice, source);
+}
+
+// One line for each request that was in hand, with the starts of upstreams that
+// are known to have gone down with it.
+void CrashWatch::Log(const CrashNotice& notice, std::string_view source) {
+  const TimePoint now = Now();
+  for (const std::uint64_t fingerprint : notice.fingerprints) {
+    const std::size_t crashes =
+        this->context.core->Suspects().CrashesOf(fingerprint, now);
+    std::string pairs = KeyValue("upstream", notice.start);
+    pairs += ' ' + KeyValue("fingerprint", policy::Hex(fingerprint));
+    pairs += ' ' + KeyValue("crashes", static_cast<std::int64_t>(crashes));
+    pairs += ' ' + KeyValue("source", source);
+    this->context.log->Write(LogKind::kCrash, pairs, now);
+  }
+}
+
+}  // namespace hornbeamspool::gateway
--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -12,6 +12,7 @@
 
 #include "gateway/budget_keeper.h"
 #include "gateway/context.h"
+#include "gateway/crash_watch.h"
 #include "gateway/event_log.h"
 #include "gateway/move_driver.h"
 #include "gateway/peer_channel.h"
@@ -52,10 +53,6 @@
 
 constexpr double kBytesPerMbit = 125'000;
 
-static_assert(policy::CrashSuspects::kMostNoticed <=
-                  transport::kMostFingerprints,
-              "peers would drop a notice as unsound");
-
 std::uint64_t RandomIncarnation() {
   std::random_device random;
   return (std::uint64_t{random()} << 32U) | random();
@@ -87,9 +84,6 @@
   bool Ready() const;
   http::Task<void> AnswerReadiness(http::Exchange& exchange);
   http::Task<void> AnswerMetrics(http::Exchange& exchange);
-  void OnPeersCrash(const transport::CrashMessage& message);
-  void LogCrash(const policy::CrashNotice& notice, std::string_view source);
-  void TellCrashes();
   void LookAtLoad(Duration lateness);
   http::Task<void> ExpireUpstreams();
   http::Task<void> Stop();
@@ -109,6 +103,7 @@
   BudgetKeeper keeper;
   PeerChannel channel;
   TokenBroker broker;
+  CrashWatch crashes;
   MoveDriver mover;
   http::Server callers;
   http::Server readiness;
@@ -130,8 +125,9 @@
       store_http(this->io),
       store(this->store_http, this->settings.store_address),
       core(OptionsOf(this->settings), {this->incarnation, Now()}),
-      context{&this->io,     &this->core,    &this->client, &this->keeper,
-              &this->broker, &this->channel, &this->log,    &this->metrics},
+      context{&this->io,      &this->core,   &this->client,
+              &this->keeper,  &this->broker, &this->channel,
+              &this->crashes, &this->log,    &this->metrics},
       keeper(this->context, this->store, this->settings.vm),
       channel(this->context, this->store, this->settings.vm,
               this->settings.peer_address,
@@ -139,13 +135,14 @@
                  this->broker.OnMessage(message);
                },
                [this](const transport::CrashMessage& message) {
-                 this->OnPeersCrash(message);
+                 this->crashes.OnMessage(message);
                },
                [this](const transport::PromptMessage& message) {
                  this->core.Board().OnPeersSend(message.upstream,
                                                 message.unread_tokens, Now());
                }}),
       broker(this->context, this->channel, this->incarnation),
+      crashes(this->context, this->store, this->settings.vm),
       mover(this->context, this->store, this->channel),
       callers(
           this->io, this->LimitsOf({}),
@@ -281,7 +278,7 @@
 
 bool Gateway::State::Ready() const {
   return !this->stopping && !this->crowded && this->core.Table() != nullptr &&
-         this->upstreams_known && this->mover.Ready();
+         this->upstreams_known && this->mover.Ready() && this->crashes.Ready();
 }
 
 http::Task<void> Gateway::State::AnswerReadiness(http::Exchange& exchange) {
@@ -300,44 +297,6 @@
   co_await exchange.Send(std::move(response));
 }
 
-void Gateway::State::OnPeersCrash(const transport::CrashMessage& message) {
-  const policy::CrashNotice notice{message.upstream, message.fingerprints};
-  this->core.Suspects().Learn(notice, Now());
-  this->metrics.Add(Counter::kCrashesTold);
-  this->LogCrash(notice, "peer");
-}
-
-// One line for each request that was in hand, with the upstreams that are known
-// to have gone down with it.
-void Gateway::State::LogCrash(const policy::CrashNotice& notice,
-                              std::string_view source) {
-  const TimePoint now = Now();
-  for (const std::uint64_t fingerprint : notice.fingerprints) {
-    const std::size_t crashes =
-        this->core.Suspects().CrashesOf(fingerprint, now);
-    std::string pairs = KeyValue("upstream", notice.start);
-    pairs += ' ' + KeyValue("fingerprint", policy::Hex(fingerprint));
-    pairs += ' ' + KeyValue("crashes", static_cast<std::int64_t>(crashes));
-    pairs += ' ' + KeyValue("source", source);
-    this->log.Write(LogKind::kCrash, pairs, now);
-  }
-}
-
-void Gateway::State::TellCrashes() {
-  for (policy::CrashNotice& notice : this->core.Suspects().TakeNotices(Now())) {
-    this->log.Write(LogKind::kUpstream,
-                    KeyValue("upstream", notice.start) + ' ' +
-                        KeyValue("state", "down") + ' ' +
-                        KeyValue("in_hand", static_cast<std::int64_t>(
-                                                notice.fingerprints.size())),
-                    Now());
-    this->metrics.Add(Counter::kCrashesSeen);
-    this->LogCrash(notice, "own");
-    this->channel.SendToAll(
-        {std::move(notice.start), std::move(notice.fingerprints)});
-  }
-}
-
 // A crowded VM can't be relieved by refusals, which take its link and its
 // processor too: the balancer is told to leave it out, and answers end their
 // connections, so that callers come back elsewhere.
@@ -367,7 +326,7 @@
     co_await timer.async_wait(http::kAwait);
     this->LookAtLoad(std::chrono::duration_cast<Duration>(
         std::chrono::steady_clock::now() - timer.expiry()));
-    this->TellCrashes();
+    this->crashes.Tell();
     for (const std::string& id : this->core.ExpireUpstreams(Now())) {
       this->log.Write(
           LogKind::kUpstream,
@@ -462,6 +421,7 @@
   state.upstream_table.Start();
   state.keeper.Start();
   state.broker.Start();
+  state.crashes.Start();
   boost::asio::co_spawn(state.io, state.ExpireUpstreams(),
                         boost::asio::detached);
   state.io.run();
--- a/gateway/request_relay.cc
+++ b/gateway/request_relay.cc
@@ -8,6 +8,7 @@
 #include <utility>
 #include <variant>
 
+#include "gateway/crash_watch.h"
 #include "gateway/event_log.h"
 #include "gateway/peer_channel.h"
 #include "gateway/stream_relay.h"
@@ -168,6 +169,9 @@
     const SendOutcome outcome = co_await this->Send(order);
     const bool again = core.OnSendEnded(*this->ticket, order, outcome, Now());
     this->LogSend(order, outcome);
+    if (outcome != SendOutcome::kAnswered) {
+      this->context->crashes->OnSendFailed(order.upstream, outcome);
+    }
     if (outcome == SendOutcome::kAnswered) co_return;
     const bool gone =
         outcome == SendOutcome::kAbandoned || this->canceller.Cancelled();
--- a/http/client.cc
+++ b/http/client.cc
@@ -16,6 +16,7 @@
 #include <vector>
 
 #include "http/address.h"
+#include "http/clock.h"
 #include "http/task.h"
 #include "http/watchdog.h"
 
@@ -46,11 +47,6 @@
 // Bytes asked of the socket at once.
 constexpr std::size_t kReadBytes = 8 * 1024;
 
-coordination::TimePoint Now() {
-  return std::chrono::time_point_cast<coordination::Duration>(
-      std::chrono::steady_clock::now());
-}
-
 bhttp::request<bhttp::string_body> ToBeast(std::string_view address,
                                            const Request& request) {
   bhttp::request<bhttp::string_body> message;
@@ -279,6 +275,11 @@
 struct Connected {
   std::unique_ptr<Stream> stream;  // null when there is none
   bool refused = false;
+
+  FetchStatus Status() const {
+    if (this->stream) return FetchStatus::kOk;
+    return this->refused ? FetchStatus::kRefused : FetchStatus::kUnreachable;
+  }
 };
 
 Task<Connected> Connect(net::io_context& io, std::string_view address,
@@ -315,11 +316,10 @@
   ++pool.open[state.address];
   Connected connected =
       co_await Connect(*pool.io, state.address, state.options);
+  const FetchStatus status = connected.Status();
   state.stream = std::move(connected.stream);
-  if (state.stream) co_return FetchStatus::kOk;
-  pool.Closed(state.address);
-  co_return connected.refused ? FetchStatus::kRefused
-                              : FetchStatus::kUnreachable;
+  if (status != FetchStatus::kOk) pool.Closed(state.address);
+  co_return status;
 }
 
 // Sends the request and reads the head of the answer.
@@ -384,6 +384,15 @@
   }
 }
 
+Task<FetchStatus> Client::Probe(std::string address,
+                                coordination::Duration timeout) {
+  FetchOptions options;
+  options.connect_timeout = timeout;
+  const Connected connected =
+      co_await Connect(*this->pool->io, address, options);
+  co_return connected.Status();
+}
+
 Task<FetchResult> Client::Fetch(std::string_view address,
                                 const Request& request,
                                 const FetchOptions& options) {
--- a/http/client.h
+++ b/http/client.h
@@ -112,6 +112,10 @@
   Task<OpenResult> Open(std::string_view address, const Request& request,
                         const FetchOptions& options);
 
+  // Opens a connection and closes it: kOk when somebody listens, else kRefused
+  // or kUnreachable.
+  Task<FetchStatus> Probe(std::string address, coordination::Duration timeout);
+
   // Sends a request and reads the whole answer.
   Task<FetchResult> Fetch(std::string_view address, const Request& request,
                           const FetchOptions& options);
--- a/http/watchdog.cc
+++ b/http/watchdog.cc
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <utility>
 
+#include "http/clock.h"
 #include "http/task.h"
 
 namespace hornbeamspool::http {
@@ -15,11 +16,6 @@
 // A deadline is noticed at most this late.
 constexpr coordination::Duration kSweepInterval = std::chrono::milliseconds(50);
 
-coordination::TimePoint Now() {
-  return std::chrono::time_point_cast<coordination::Duration>(
-      std::chrono::steady_clock::now());
-}
-
 }  // namespace
 
 struct Watchdog::State {
--- a/tests/crash_suspects_test.cc
+++ b/tests/crash_suspects_test.cc
@@ -4,9 +4,12 @@
 #include <doctest/doctest.h>
 
 #include <chrono>
+#include <numeric>
 #include <string>
 #include <vector>
 
+#include "policy/crash_records.h"
+
 namespace hornbeamspool::policy {
 namespace {
 
@@ -144,6 +147,23 @@
   CHECK_FALSE(suspects.WantsProbe("b", At(2)));
 }
 
+TEST_CASE("records are kept while they matter, the latest where room ends") {
+  CrashRecords records;
+  records.Add({"a", {kCause}}, At(0));
+  records.Add({"a", {kCause, kBystander}}, At(100));
+  REQUIRE(records.Current(At(200)).size() == 1);
+  CHECK(records.Current(At(200)).front().notice.fingerprints ==
+        std::vector<std::uint64_t>{kCause, kBystander});
+  std::vector<std::uint64_t> many(900);
+  std::iota(many.begin(), many.end(), 1'000);
+  records.Add({"b", many}, At(300));
+  records.Add({"c", many}, At(400));
+  const auto current = records.Current(At(500));
+  REQUIRE(current.size() == 1);
+  CHECK(current.front().notice.start == "c");
+  CHECK(records.Current(At(130'000)).empty());
+}
+
 TEST_CASE("a suspicion ends when nobody brought the request for long") {
   CrashSuspects suspects;
   for (const char* upstream : {"a", "b", "c"}) Crash(suspects, upstream, 0);
