A version is judged by the answers that are missing, and step by step

Cause: only sends that had ended were evidence, and of these not the ones that the caller gave up. The slower a version, the fewer of its answers come before the verdict: the few that do are its fastest, and none at all was taken as nothing bad.

Change: a send that is out for longer than the old version's answers typically take counts with the time that it has taken so far, at both versions; so does one that the caller gave up.

version_move_test ended every send in the moment in which it was made, so it could not show this; its sends now end when their time has passed.

Ruled out: a longer trial; the part of the requests in it.

--- a/gateway/move_driver.cc
+++ b/gateway/move_driver.cc
@@ -40,7 +40,7 @@
 template <typename Archive>
 void serialize(Archive& archive, MoveReport& report) {
   archive(report.order_revision, report.phase, report.kept_in_flight,
-          report.routes);
+          report.routes, report.moved_by_step);
 }
 
 }  // namespace hornbeamspool::policy
@@ -200,7 +200,7 @@
   row.table = kReportTable;
   row.part = service;
   row.key = this->channel->Vm();
-  row.value = EncodeRow(move->report);
+  row.value = EncodeRow(this->context.core->Moves().ReportAt(service, Now()));
   row.version = this->rows[service].report_version;
   const std::vector<StoreRow> rows{std::move(row)};
   const platform::StoreAnswer answer = co_await this->store->Write(rows);
--- a/policy/gateway_core.cc
+++ b/policy/gateway_core.cc
@@ -42,6 +42,12 @@
   return std::min(kMostLinkDelay, route.target_latency / kLinkPart);
 }
 
+// The send as the moves between versions count it.
+VersionMoves::Send MoveSend(const Ticket& ticket, const SendOrder& order) {
+  return {ticket.service->name, ticket.route->name, order.upstream.version,
+          order.record.sent_at};
+}
+
 // Spreads the callers' return over half of the time more.
 Duration Spread(Duration after, std::string_view request_id) {
   const std::uint64_t hash = coordination::StableHash(request_id);
@@ -207,8 +213,7 @@
   order.max_connections = this->MostConnections(*ticket.service);
   order.record = this->board.OnSent(*upstream, choice.demand, now);
   this->suspects.OnSent(ticket.request.fingerprint, upstream->Start());
-  order.move_revision =
-      this->moves.OnSent(ticket.service->name, upstream->version);
+  order.move_revision = this->moves.OnSent(MoveSend(ticket, order));
   return order;
 }
 
@@ -243,20 +248,20 @@
 
 void GatewayCore::NoteEnd(const Ticket& ticket, const SendOrder& order,
                           SendOutcome outcome, TimePoint now) {
-  VersionMoves::EndedSend send;
-  send.revision = order.move_revision;
-  send.service = ticket.service->name;
-  send.route = ticket.route->name;
-  send.version = order.upstream.version;
-  send.took = now - order.record.sent_at;
+  VersionMoves::EndedSend ended;
+  ended.send = MoveSend(ticket, order);
+  ended.revision = order.move_revision;
+  ended.ended_at = now;
   if (outcome == SendOutcome::kAnswered) {
-    send.outcome = VersionMoves::Outcome::kAnswered;
+    ended.outcome = VersionMoves::Outcome::kAnswered;
   } else if (outcome == SendOutcome::kUpstreamError ||
              outcome == SendOutcome::kBroken ||
              outcome == SendOutcome::kSilent) {
-    send.outcome = VersionMoves::Outcome::kFailed;
+    ended.outcome = VersionMoves::Outcome::kFailed;
+  } else if (outcome == SendOutcome::kAbandoned) {
+    ended.outcome = VersionMoves::Outcome::kGivenUp;
   }
-  this->moves.OnEnded(send);
+  this->moves.OnEnded(ended);
 }
 
 // Connections of this VM to one upstream of the service. All VMs share what the
--- a/policy/version_move.cc
+++ b/policy/version_move.cc
@@ -59,17 +59,29 @@
   return 1 / static_cast<double>(std::max<std::int64_t>(1, count));
 }
 
-bool FailsMoreOften(const RouteEvidence& evidence) {
+// What it takes to say that a version fails more often.
+struct Proof {
+  std::int64_t least_answers;
+  double worse_rate;
+  double deviations;
+};
+constexpr Proof kWholeProof{kLeastAnswers, kWorseRate, kDeviations};
+// One step's answers are looked at many times beside those of others: more is
+// asked of them.
+constexpr Proof kStepProof{50, kWorseRate, 4};
+
+bool FailsMoreOften(const RouteEvidence& evidence,
+                    const Proof& proof = kWholeProof) {
   const VersionCounts& moved = evidence.moved;
   const VersionCounts& kept = evidence.kept;
-  if (moved.answers < kLeastAnswers) return false;
+  if (moved.answers < proof.least_answers) return false;
   const double difference = Rate(moved) - Rate(kept);
-  if (difference < kWorseRate) return false;
+  if (difference < proof.worse_rate) return false;
   const double common = static_cast<double>(moved.bad + kept.bad) *
                         Inverse(moved.answers + kept.answers);
   const double variance =
       common * (1 - common) * (Inverse(moved.answers) + Inverse(kept.answers));
-  return difference > kDeviations * std::sqrt(variance);
+  return difference > proof.deviations * std::sqrt(variance);
 }
 
 bool IsSlower(const RouteEvidence& evidence) {
@@ -98,6 +110,18 @@
   this->log_ms += other.log_ms;
 }
 
+void VersionCounts::AddTime(Duration took) {
+  ++this->timed;
+  const double ms = std::chrono::duration<double, std::milli>(took).count();
+  this->log_ms += std::log(std::max(1.0, ms));
+}
+
+Duration VersionCounts::TypicalTime() const {
+  const std::chrono::duration<double, std::milli> ms(
+      std::exp(this->log_ms * Inverse(this->timed)));
+  return std::chrono::duration_cast<Duration>(ms);
+}
+
 MoveProgress BeginMove(const MoveOrder& order, std::int64_t store_ms) {
   MoveProgress progress;
   progress.order_revision = order.revision;
@@ -117,10 +141,24 @@
   return kAfterTrial;
 }
 
+std::int32_t StepAt(const MoveProgress& progress, std::int64_t store_ms) {
+  const double passed = PassedPart(progress, store_ms);
+  std::int32_t index = 0;
+  for (const TrialStep& step : kTrial) {
+    if (passed < step.until) return index;
+    ++index;
+  }
+  return passed < kTrialEnd ? index : index + 1;
+}
+
 bool IsVersionBad(std::span<const MoveReport> reports) {
   std::map<std::string_view, RouteEvidence> routes;
   RouteEvidence all;
+  std::map<std::int32_t, VersionCounts> steps;
   for (const MoveReport& report : reports) {
+    for (const auto& [step, moved] : report.moved_by_step) {
+      steps[step].Add(moved);
+    }
     for (const auto& [route, evidence] : report.routes) {
       routes[route].moved.Add(evidence.moved);
       routes[route].kept.Add(evidence.kept);
@@ -130,6 +168,9 @@
   }
   // Times of all routes together tell of their mix, not of the version.
   if (FailsMoreOften(all)) return true;
+  for (const auto& [step, moved] : steps) {
+    if (FailsMoreOften({moved, all.kept}, kStepProof)) return true;
+  }
   return std::any_of(routes.begin(), routes.end(), [](const auto& route) {
     return FailsMoreOften(route.second) || IsSlower(route.second);
   });
@@ -233,36 +274,73 @@
   return moved ? Fit::kPreferred : Fit::kAllowed;
 }
 
-std::uint64_t VersionMoves::OnSent(std::string_view service,
-                                   std::string_view version) {
-  Move* move = this->FindMove(service);
+std::uint64_t VersionMoves::OnSent(const Send& send) {
+  Move* move = this->FindMove(send.service);
   if (move == nullptr) return 0;
   ++move->sends;
-  if (version == move->order.version) {
+  OpenSends& open = move->open[std::string(send.route)];
+  if (send.version == move->order.version) {
     ++move->moved_sends;
+    open.moved.insert(send.sent_at);
   } else {
     ++move->report.kept_in_flight;
+    open.kept.insert(send.sent_at);
   }
   return move->order.revision;
 }
 
-void VersionMoves::OnEnded(const EndedSend& send) {
+void VersionMoves::OnEnded(const EndedSend& ended) {
+  const Send& send = ended.send;
   Move* move = this->FindMove(send.service);
-  if (move == nullptr || send.revision != move->order.revision) return;
+  if (move == nullptr || ended.revision != move->order.revision) return;
   const bool moved = send.version == move->order.version;
   if (!moved) --move->report.kept_in_flight;
-  if (send.outcome == Outcome::kNotRun) return;
+  OpenSends& open = move->open[std::string(send.route)];
+  std::multiset<TimePoint>& times = moved ? open.moved : open.kept;
+  if (const auto found = times.find(send.sent_at); found != times.end()) {
+    times.erase(found);
+  }
+  if (ended.outcome == Outcome::kNotRun) return;
   RouteEvidence& evidence = move->report.routes[std::string(send.route)];
   VersionCounts& counts = moved ? evidence.moved : evidence.kept;
-  ++counts.answers;
-  if (send.outcome == Outcome::kFailed) {
-    ++counts.bad;
+  const Duration took = ended.ended_at - send.sent_at;
+  if (ended.outcome == Outcome::kGivenUp) {
+    const bool overdue =
+        evidence.kept.timed > 0 && took > evidence.kept.TypicalTime();
+    if (overdue) counts.AddTime(took);
     return;
   }
-  ++counts.timed;
-  const double ms =
-      std::chrono::duration<double, std::milli>(send.took).count();
-  counts.log_ms += std::log(std::max(1.0, ms));
+  const bool failed = ended.outcome == Outcome::kFailed;
+  ++counts.answers;
+  if (failed) ++counts.bad;
+  if (!failed) counts.AddTime(took);
+  if (!moved) return;
+  VersionCounts& step = move->report.moved_by_step[StepAt(
+      move->progress, this->store_clock.At(send.sent_at))];
+  ++step.answers;
+  if (failed) ++step.bad;
+}
+
+MoveReport VersionMoves::ReportAt(std::string_view service,
+                                  TimePoint now) const {
+  const Move* move = this->Find(service);
+  if (move == nullptr) return {};
+  MoveReport report = move->report;
+  const auto add_overdue = [now](const std::multiset<TimePoint>& open,
+                                 Duration typical, VersionCounts& counts) {
+    for (const TimePoint sent_at : open) {
+      if (now - sent_at <= typical) break;
+      counts.AddTime(now - sent_at);
+    }
+  };
+  for (const auto& [route, open] : move->open) {
+    RouteEvidence& evidence = report.routes[route];
+    if (evidence.kept.timed == 0) continue;
+    const Duration typical = evidence.kept.TypicalTime();
+    add_overdue(open.moved, typical, evidence.moved);
+    add_overdue(open.kept, typical, evidence.kept);
+  }
+  return report;
 }
 
 }  // namespace hornbeamspool::policy
--- a/policy/version_move.h
+++ b/policy/version_move.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -57,6 +58,9 @@
   double log_ms = 0;         // sum of the logarithms of their times
 
   void Add(const VersionCounts& other);
+  void AddTime(coordination::Duration took);
+  // The typical time: the mean of the logarithms, as a time.
+  coordination::Duration TypicalTime() const;
 };
 
 struct RouteEvidence {
@@ -70,6 +74,9 @@
   MovePhase phase = MovePhase::kTrial;  // the one that the VM follows
   std::int64_t kept_in_flight = 0;      // requests at the old version
   std::map<std::string, RouteEvidence> routes;
+  // Of the new version on all routes, by the step in which it was sent: each
+  // has another load.
+  std::map<std::int32_t, VersionCounts> moved_by_step;
 };
 
 // The progress with which a move begins.
@@ -78,8 +85,12 @@
 // The part of a service's requests for the new version, 0 to 1.
 double MovedShare(const MoveProgress& progress, std::int64_t store_ms);
 
+// The step of a move at this time: each brings the new version another part of
+// the requests.
+std::int32_t StepAt(const MoveProgress& progress, std::int64_t store_ms);
+
 // Whether the new version fails more often, or answers more slowly, than the
-// old one, on all routes together or on one.
+// old one, on all routes together or on one, or fails in one step.
 bool IsVersionBad(std::span<const MoveReport> reports);
 
 // The phase that follows from the reports of `vms` VMs.
@@ -113,26 +124,49 @@
   Fit FitOf(std::string_view service, std::string_view version,
             bool takes_part) const;
 
-  // Returns the revision of the order in force, for OnEnded; 0: none.
-  std::uint64_t OnSent(std::string_view service, std::string_view version);
-  // `answered`: a whole answer came after `took`; otherwise the send failed
-  // after an upstream may have run it. A send that did not run tells nothing.
-  enum class Outcome : std::uint8_t { kAnswered, kFailed, kNotRun, kCount };
-  struct EndedSend {
-    std::uint64_t revision = 0;  // as OnSent gave it
+  struct Send {
     std::string_view service;
     std::string_view route;
     std::string_view version;
+    coordination::TimePoint sent_at{};
+  };
+  // Returns the revision of the order in force, for OnEnded; 0: none.
+  std::uint64_t OnSent(const Send& send);
+  // A send that did not run tells nothing; one that the caller gave up tells
+  // that it would have taken longer.
+  enum class Outcome : std::uint8_t {
+    kAnswered,  // whole, and no failure
+    kFailed,    // after an upstream may have run it
+    kGivenUp,
+    kNotRun,
+    kCount
+  };
+  struct EndedSend {
+    Send send;
+    std::uint64_t revision = 0;  // as OnSent gave it
     Outcome outcome = Outcome::kNotRun;
-    coordination::Duration took{};
+    coordination::TimePoint ended_at{};
+  };
+  void OnEnded(const EndedSend& ended);
+
+  // What this VM has seen of the service's move: answers, and sends that are
+  // still out after longer than this VM's answers of the old version took.
+  // Without these a version would seem the faster the fewer of its answers come
+  // in time.
+  MoveReport ReportAt(std::string_view service,
+                      coordination::TimePoint now) const;
+
+  struct OpenSends {
+    std::multiset<coordination::TimePoint> moved;  // to the new version
+    std::multiset<coordination::TimePoint> kept;
   };
-  void OnEnded(const EndedSend& send);
-
   struct Move {
     MoveOrder order;
     MoveProgress progress;
     bool begun = false;  // `progress` belongs to `order`
     MoveReport report;
+    // When the sends were made that are out, by route.
+    std::map<std::string, OpenSends, std::less<>> open;
     std::int64_t sends = 0;        // since the order
     std::int64_t moved_sends = 0;  // of these, to the new version
   };
--- a/tests/version_move_test.cc
+++ b/tests/version_move_test.cc
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <cmath>
 #include <functional>
+#include <map>
 #include <random>
 #include <string>
 #include <vector>
@@ -19,8 +20,8 @@
 constexpr std::int64_t kBeganMs = 100'000;
 constexpr std::int64_t kAllowedMs = 20'000;
 
-MoveOrder Order() {
-  return {"llm", "v2", std::chrono::milliseconds(kAllowedMs), 7};
+MoveOrder Order(std::int64_t allowed_ms = kAllowedMs) {
+  return {"llm", "v2", std::chrono::milliseconds(allowed_ms), 7};
 }
 
 coordination::TimePoint At(std::int64_t ms) {
@@ -32,12 +33,17 @@
 struct Behaviour {
   std::function<double(double second, double share, int route)> failure_rate;
   std::function<double(double second, double share, int route)> slowness;
+  double typical_ms = 200;            // of an answer of the old version
+  std::int64_t patience_ms = 60'000;  // after which callers leave
 };
 
 Behaviour Good() {
   const auto none = [](double, double, int) { return 0.0; };
   const auto same = [](double, double, int) { return 1.0; };
-  return {none, same};
+  Behaviour good;
+  good.failure_rate = none;
+  good.slowness = same;
+  return good;
 }
 
 struct FleetOutcome {
@@ -52,23 +58,26 @@
 // driver looks.
 class Fleet {
  public:
-  explicit Fleet(std::size_t vms) {
+  explicit Fleet(std::size_t vms, std::int64_t allowed_ms = kAllowedMs,
+                 std::uint32_t seed = 5)
+      : allowed_ms(allowed_ms), random(seed) {
     for (std::size_t i = 0; i < vms; ++i) {
       this->vms.emplace_back(i);
       this->vms.back().SetFleetSize(static_cast<std::int64_t>(vms));
-      this->vms.back().SetOrder(Order());
+      this->vms.back().SetOrder(Order(allowed_ms));
     }
   }
 
   FleetOutcome Run(const Behaviour& behaviour, double per_second) {
     FleetOutcome outcome;
-    MoveProgress progress = BeginMove(Order(), kBeganMs);
+    MoveProgress progress = BeginMove(Order(this->allowed_ms), kBeganMs);
     std::int64_t bad = 0;
     std::int64_t bad_since = 0;  // when there were 50
     std::int64_t moved_before = 0;
     std::int64_t requests_before = 0;
     double share = 0;
-    for (std::int64_t ms = 0; ms < kAllowedMs + 5'000; ms += 10) {
+    for (std::int64_t ms = 0; ms < this->allowed_ms + 5'000; ms += 10) {
+      this->EndSends(ms, bad, bad_since);
       if (ms % 500 == 0) this->Look(progress, ms);
       if (ms % 1'000 == 0) {
         const auto sent =
@@ -93,34 +102,37 @@
         const bool moved =
             vm.FitOf("llm", "v2", takes_part) == VersionMoves::Fit::kPreferred;
         const std::string version = moved ? "v2" : "v1";
-        if (ms < kAllowedMs) {
+        if (ms < this->allowed_ms) {
           ++outcome.requests;
           if (moved) ++outcome.moved;
         }
         if (moved && bad_since != 0 && ms > bad_since + 2'000) {
           ++outcome.moved_late;
         }
-        VersionMoves::EndedSend send;
-        send.revision = vm.OnSent("llm", version);
-        send.service = "llm";
-        const std::string route_name = "route-" + std::to_string(route);
-        send.route = route_name;
-        send.version = version;
+        OpenSend open;
+        open.vm = &vm;
+        open.route = "route-" + std::to_string(route);
+        open.version = version;
+        open.sent_at = At(ms);
+        open.ended.revision =
+            vm.OnSent({"llm", open.route, version, open.sent_at});
         const double second = static_cast<double>(ms) / 1'000;
         const double rate =
             moved ? behaviour.failure_rate(second, share, route) : 0.02;
         const double slowness =
             moved ? behaviour.slowness(second, share, route) : 1;
-        std::lognormal_distribution<double> took(std::log(200), 0.8);
-        send.took = std::chrono::milliseconds(
-            static_cast<std::int64_t>(took(this->random) * slowness));
+        std::lognormal_distribution<double> took(std::log(behaviour.typical_ms),
+                                                 0.8);
+        const auto took_ms =
+            static_cast<std::int64_t>(took(this->random) * slowness);
         std::uniform_real_distribution<double> chance(0, 1);
-        send.outcome =
+        open.ended.outcome =
             chance(this->random) < rate ? Outcome::kFailed : Outcome::kAnswered;
-        if (moved && send.outcome == Outcome::kFailed && ++bad == 50) {
-          bad_since = ms;
+        if (took_ms > behaviour.patience_ms) {
+          open.ended.outcome = Outcome::kGivenUp;
         }
-        vm.OnEnded(send);
+        this->open.emplace(ms + std::min(took_ms, behaviour.patience_ms),
+                           std::move(open));
       }
     }
     outcome.phase = progress.phase;
@@ -128,10 +140,31 @@
   }
 
  private:
+  // A send that is out, and how it will end.
+  struct OpenSend {
+    VersionMoves* vm = nullptr;
+    std::string route;
+    std::string version;
+    coordination::TimePoint sent_at{};
+    VersionMoves::EndedSend ended;
+  };
+
+  void EndSends(std::int64_t ms, std::int64_t& bad, std::int64_t& bad_since) {
+    while (!this->open.empty() && this->open.begin()->first <= ms) {
+      OpenSend& open = this->open.begin()->second;
+      open.ended.send = {"llm", open.route, open.version, open.sent_at};
+      open.ended.ended_at = At(ms);
+      open.vm->OnEnded(open.ended);
+      const bool failed = open.ended.outcome == Outcome::kFailed;
+      if (open.version == "v2" && failed && ++bad == 50) bad_since = ms;
+      this->open.erase(this->open.begin());
+    }
+  }
+
   void Look(MoveProgress& progress, std::int64_t ms) {
     std::vector<MoveReport> reports;
     for (VersionMoves& vm : this->vms) {
-      reports.push_back(vm.Find("llm")->report);
+      reports.push_back(vm.ReportAt("llm", At(ms)));
     }
     progress.phase =
         NextPhase(progress, reports, this->vms.size(), kBeganMs + ms);
@@ -141,8 +174,10 @@
     }
   }
 
+  std::int64_t allowed_ms;
   std::vector<VersionMoves> vms;
-  std::mt19937_64 random{5};
+  std::multimap<std::int64_t, OpenSend> open;  // by the time of their end
+  std::mt19937_64 random;
 };
 
 // At most a tenth of the requests until the deadline, and 50.
@@ -158,6 +193,19 @@
   }
 }
 
+TEST_CASE("a good version is not taken back by chance") {
+  constexpr std::uint32_t kSeeds = 100;
+  Behaviour good = Good();
+  for (const double typical_ms : {200.0, 1'500.0}) {
+    good.typical_ms = typical_ms;
+    for (std::uint32_t seed = 1; seed <= kSeeds; ++seed) {
+      CAPTURE(seed);
+      const FleetOutcome outcome = Fleet(7, 8'000, seed).Run(good, 100);
+      CHECK(outcome.phase == MovePhase::kCompleted);
+    }
+  }
+}
+
 TEST_CASE("a version that fails from the start is cut after few requests") {
   Behaviour bad = Good();
   bad.failure_rate = [](double, double, int) { return 0.4; };
@@ -178,6 +226,22 @@
   CHECK(IsExposureBounded(outcome));
 }
 
+// Guards against EXPOSURE: a version so slow that its answers outlast the trial
+// showed nothing bad, and got all requests.
+TEST_CASE("a version whose answers do not come in the trial is taken back") {
+  constexpr std::int64_t kShortMs = 8'000;
+  Behaviour slow = Good();
+  slow.slowness = [](double, double, int) { return 12.0; };
+  slow.typical_ms = 1'000;
+  slow.patience_ms = 4'000;
+  for (const std::uint32_t seed : {1, 2, 3, 4, 5, 6, 7, 8}) {
+    CAPTURE(seed);
+    const FleetOutcome outcome = Fleet(7, kShortMs, seed).Run(slow, 100);
+    CHECK(outcome.phase == MovePhase::kTakenBack);
+    CHECK(IsExposureBounded(outcome));
+  }
+}
+
 TEST_CASE("a version that fails on one route only is taken back") {
   Behaviour bad = Good();
   bad.failure_rate = [](double, double, int route) {
