A short move ends before its deadline

Cause: a move whose old version still works ends at 0.95 of its time. Of 8 s that leaves 0.4 s, less than a driver's look (0.5 s) and its write.

Change: and 1.2 s before the deadline at the latest.

--- a/policy/version_move.cc
+++ b/policy/version_move.cc
@@ -31,8 +31,11 @@
 constexpr double kMostShare = 0.08;
 constexpr std::int64_t kFirstSends = 30;  // of the whole fleet
 
-// A move ends by this part of its time even if the old version still works.
+// A move ends by this part of its time, and so long before its deadline, even
+// if the old version still works: the driver looks twice a second, and its
+// write takes a call of the store.
 constexpr double kLatestEnd = 0.95;
+constexpr std::int64_t kEndMarginMs = 1200;
 
 // A VM that has not heard of the store for this long takes no part in a trial:
 // the verdict may have fallen.
@@ -191,8 +194,9 @@
     if (switched && report.kept_in_flight == 0) ++done;
   }
   const bool all_done = done >= vms;
-  return all_done || passed >= kLatestEnd ? MovePhase::kCompleted
-                                          : MovePhase::kSwitched;
+  const bool due =
+      passed >= kLatestEnd || store_ms >= progress.deadline_ms - kEndMarginMs;
+  return all_done || due ? MovePhase::kCompleted : MovePhase::kSwitched;
 }
 
 VersionMoves::Move* VersionMoves::FindMove(std::string_view service) {
--- a/tests/version_move_test.cc
+++ b/tests/version_move_test.cc
@@ -320,6 +320,23 @@
   CHECK_FALSE(moves.Find("llm")->begun);
 }
 
+// Guards against a missed deadline: of a short move, the last part was shorter
+// than a driver's look and its write.
+TEST_CASE("a short move ends in time, whatever the old version still has") {
+  constexpr std::int64_t kShortMs = 8'000;
+  constexpr std::int64_t kLookAndWriteMs = 1'000;
+  MoveProgress progress = BeginMove(Order(kShortMs), kBeganMs);
+  progress.phase = MovePhase::kSwitched;
+  std::vector<MoveReport> reports(1);
+  reports[0].phase = MovePhase::kSwitched;
+  reports[0].kept_in_flight = 3;
+  CHECK(NextPhase(progress, reports, 1, kBeganMs + kShortMs / 2) ==
+        MovePhase::kSwitched);
+  CHECK(
+      NextPhase(progress, reports, 1, kBeganMs + kShortMs - kLookAndWriteMs) ==
+      MovePhase::kCompleted);
+}
+
 TEST_CASE("a move ends when the old version has nothing left anywhere") {
   MoveProgress progress = BeginMove(Order(), kBeganMs);
   progress.phase = MovePhase::kSwitched;
