A failure that the caller gets is no good answer of its upstream

Cause: where a request may not be sent again, the upstream's own failure is relayed, and the relay reported that as 'answered'. Every judge of upstreams took it so: the evidence of a move, the crash suspects, the counters.

Change: an outcome of its own, error_relayed; it counts as the upstream's failure, clears no suspect, and is logged as a send that failed.

Ruled out: the trial's share; thresholds.

--- a/gateway/request_relay.cc
+++ b/gateway/request_relay.cc
@@ -58,9 +58,9 @@
 std::string_view NameOf(SendOutcome outcome) {
   static constexpr std::array<std::string_view,
                               static_cast<std::size_t>(SendOutcome::kCount)>
-      kNames{"answered",    "upstream_error", "rejected", "misdirected",
-             "unreachable", "not_listening",  "no_room",  "broken",
-             "silent",      "abandoned"};
+      kNames{"answered",    "upstream_error", "error_relayed", "rejected",
+             "misdirected", "unreachable",    "not_listening", "no_room",
+             "broken",      "silent",         "abandoned"};
   return kNames.at(static_cast<std::size_t>(outcome));
 }
 
@@ -172,7 +172,7 @@
     if (outcome != SendOutcome::kAnswered) {
       this->context->crashes->OnSendFailed(order.upstream, outcome);
     }
-    if (outcome == SendOutcome::kAnswered) co_return;
+    if (policy::IsAnswer(outcome)) co_return;
     const bool gone =
         outcome == SendOutcome::kAbandoned || this->canceller.Cancelled();
     if (gone) {
@@ -290,8 +290,8 @@
   answer.body = std::move(*body);
   this->context->core->Link().AddReceived(
       kHeadBytes + static_cast<std::int64_t>(answer.body.size()), Now());
-  const bool may_try_again =
-      answer.status >= 500 && this->ticket->route->MayRepeat();
+  const bool failure = answer.status >= 500;
+  const bool may_try_again = failure && this->ticket->route->MayRepeat();
   if (may_try_again && !this->ticket->started) {
     this->upstream_error = std::move(answer);
     co_return SendOutcome::kUpstreamError;
@@ -301,7 +301,8 @@
   this->context->core->Link().AddSent(
       kHeadBytes + static_cast<std::int64_t>(answer.body.size()), Now());
   const bool sent = co_await this->exchange->Send(std::move(answer));
-  co_return sent ? SendOutcome::kAnswered : SendOutcome::kAbandoned;
+  if (!sent) co_return SendOutcome::kAbandoned;
+  co_return failure ? SendOutcome::kErrorRelayed : SendOutcome::kAnswered;
 }
 
 http::Task<void> RequestRelay::Refuse(const Refusal& refusal) {
--- a/hornbeamctl/explain.cc
+++ b/hornbeamctl/explain.cc
@@ -15,7 +15,7 @@
   std::string_view text;
 };
 
-constexpr std::array<Cause, 20> kCauses{{
+constexpr std::array<Cause, 21> kCauses{{
     {"budget_exhausted",
      "the organisation's prepaid tokens can't cover the request at its most"},
     {"budget_unavailable",
@@ -36,6 +36,9 @@
      "answer in time"},
     {"answered", "the upstream's answer was relayed to its end"},
     {"upstream_error", "the upstream answered that it had failed"},
+    {"error_relayed",
+     "the upstream answered that it had failed, and the caller got that "
+     "answer"},
     {"rejected", "the upstream did not run the request"},
     {"misdirected", "another upstream has the address"},
     {"unreachable", "the upstream could not be reached"},
--- a/policy/gateway_core.cc
+++ b/policy/gateway_core.cc
@@ -255,6 +255,7 @@
   if (outcome == SendOutcome::kAnswered) {
     ended.outcome = VersionMoves::Outcome::kAnswered;
   } else if (outcome == SendOutcome::kUpstreamError ||
+             outcome == SendOutcome::kErrorRelayed ||
              outcome == SendOutcome::kBroken ||
              outcome == SendOutcome::kSilent) {
     ended.outcome = VersionMoves::Outcome::kFailed;
@@ -340,8 +341,7 @@
     ++ticket.runs;
     ticket.prompt_read = true;
   }
-  const bool final = outcome == SendOutcome::kAnswered ||
-                     outcome == SendOutcome::kAbandoned ||
+  const bool final = IsAnswer(outcome) || outcome == SendOutcome::kAbandoned ||
                      outcome == SendOutcome::kSilent;
   if (final) return false;
   ticket.failed_upstreams.push_back(order.upstream.id);
--- a/policy/upstream_board.h
+++ b/policy/upstream_board.h
@@ -29,7 +29,8 @@
 enum class SendOutcome : std::uint8_t {
   kAnswered,       // the upstream's whole answer
   kUpstreamError,  // the upstream's whole answer, which tells of its own
-                   // failure
+                   // failure, and was held back
+  kErrorRelayed,   // such an answer, which the caller got
   kRejected,       // the upstream said that it did not run the request
   kMisdirected,    // another upstream has the address; the request has not run
   kUnreachable,    // no byte was sent
@@ -41,6 +42,12 @@
   kCount
 };
 
+// Whether the caller has its answer.
+constexpr bool IsAnswer(SendOutcome outcome) {
+  return outcome == SendOutcome::kAnswered ||
+         outcome == SendOutcome::kErrorRelayed;
+}
+
 // One request at one upstream.
 struct SendRecord {
   std::string upstream;
--- a/standin/fault_gate.cc
+++ b/standin/fault_gate.cc
@@ -35,6 +35,7 @@
   };
   set_flag("down", this->faults.down);
   set_flag("frozen", this->faults.frozen);
+  set_flag("fail", this->faults.fail);
   set_duration("slow_ms", this->faults.slow);
   set_number("lose_answers", this->faults.lose_answers);
   set_duration("lag_ms", this->faults.lag);
@@ -74,6 +75,7 @@
     exchange.Abort();
     co_return;
   }
+  if (this->faults.fail) response.status = 500;
   co_await exchange.Send(std::move(response));
 }
 
--- a/tests/gateway_policy_test.cc
+++ b/tests/gateway_policy_test.cc
@@ -571,11 +571,29 @@
   CHECK(run.Send(31'000) == nullptr);
 }
 
+// Guards against EXPOSURE: a failure that the caller of an order got counted as
+// a good answer of the new version.
+TEST_CASE("an upstream's own failure tells against its version") {
+  GatewayCore core = MakeCore();
+  Prepare(core, {"s1"});
+  MoveOrder move{"engines", "v2", seconds(20), 7};
+  core.Moves().SetOrder(move);
+  Ticket ticket = std::get<Ticket>(core.Admit(MakeRequest("/orders/1"), At(0)));
+  const auto order = std::get<SendOrder>(core.NextSend(ticket, At(1)));
+  CHECK_FALSE(
+      core.OnSendEnded(ticket, order, SendOutcome::kErrorRelayed, At(2)));
+  const MoveReport report = core.Moves().ReportAt("engines", At(3));
+  REQUIRE(report.routes.size() == 1);
+  CHECK(report.routes.begin()->second.kept.answers == 1);
+  CHECK(report.routes.begin()->second.kept.bad == 1);
+}
+
 // Guards against BUDGET: an upstream that failed of itself cleared the request.
 TEST_CASE("an upstream's own error does not clear a request") {
   CrashRun run;
   run.Crash(0);
   run.Run(SendOutcome::kUpstreamError, 100);
+  run.Run(SendOutcome::kErrorRelayed, 150);
   CHECK(run.Crashes(200) == 1);
   run.Run(SendOutcome::kAnswered, 300);
   CHECK(run.Crashes(400) == 0);
--- a/tests/process/gateway_test.sh
+++ b/tests/process/gateway_test.sh
@@ -61,8 +61,12 @@
 fault 19702 '{"lose_answers":1}'
 check 'an order whose answer is lost is not repeated' 502 "$(ID=order-1 status 1 /order/1 -d x)"
 check 'and ran once' 1 "$(runs order-1)"
-fault 19701 '{"lose_answers":0}'
-fault 19702 '{"lose_answers":0}'
+fault 19701 '{"lose_answers":0,"fail":true}'
+fault 19702 '{"lose_answers":0,"fail":true}'
+check 'an order that its server fails gets the server'"'"'s answer' '*500*Server-Stamp: stamp-i-*' "$(ID=order-2 call 1 /order/1 -d x -i)"
+check 'which is no answer of a sound server' 1 "$(grep -c 'request=order-2 .*outcome=error_relayed' "$dir/gateway1.log")"
+fault 19701 '{"fail":false}'
+fault 19702 '{"fail":false}'
 
 # Another server has the address.
 server_row i-3 19701 ready
