Bytes without end between the pieces of a body end the answer

Cause, shown by the test: the client bounded a head and a body, but not what stands between: a chunk's size or extension, and trailers. It took 4 to 8 GB of such bytes in 20 s, until the deadline of the call. A head of the class 1xx was taken as the answer.

Change: 16 KB at most between two pieces of a body or after the last; heads under 200 are no answer, as nobody asked for them. Ruled out: the head's own limit holds.

--- a/http/client.cc
+++ b/http/client.cc
@@ -44,6 +44,13 @@
 // Sent bytes that nobody acknowledges end their connection after this time.
 constexpr unsigned kUnacknowledgedMs = 3000;
 
+// Bytes between two pieces of a body, or after the last: sizes of chunks and
+// trailers are short; more is no answer.
+constexpr std::size_t kMostFraming = 16 * 1024;
+
+// Heads of interim answers (1xx) are not asked for.
+constexpr unsigned kFirstFinalStatus = 200;
+
 // Bytes asked of the socket at once.
 constexpr std::size_t kReadBytes = 8 * 1024;
 
@@ -159,6 +166,7 @@
   FetchOptions options;
   Response head;
   std::optional<Watchdog::Guard> guard;
+  std::size_t framing = 0;  // received since the last byte of the body
 
   void Watch() {
     const auto close = [this] {
@@ -247,6 +255,10 @@
     error_code error;
     const std::size_t count = ParseBuffered(state, into, error);
     if (error) co_return ReadResult{FetchStatus::kBroken, 0};
+    if (count > 0) state.framing = 0;
+    if (state.framing > kMostFraming) {
+      co_return ReadResult{FetchStatus::kBroken, 0};
+    }
     if (count > 0 || state.parser.is_done()) {
       co_return ReadResult{FetchStatus::kOk, count};
     }
@@ -257,6 +269,7 @@
             net::redirect_error(kAwait, error));
     state.guard->Disarm();
     state.buffer.commit(received);
+    state.framing += received;
     if (error == net::error::eof) {
       state.parser.put_eof(error);
       if (!error && state.parser.is_done()) continue;
@@ -338,6 +351,7 @@
   state.guard->Disarm();
   state.parser.eager(true);
   const auto& head = state.parser.get();
+  if (head.result_int() < kFirstFinalStatus) co_return FetchStatus::kBroken;
   state.head.status = static_cast<std::uint16_t>(head.result_int());
   for (const auto& field : head) {
     state.head.headers.push_back(
--- a/tests/http_client_test.cc
+++ b/tests/http_client_test.cc
@@ -1,17 +1,21 @@
 // The HTTP client against servers that end, or answer with what is no answer.
 #include <doctest/doctest.h>
 
+#include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
+#include <chrono>
 #include <functional>
 #include <string>
 #include <thread>
 #include <utility>
+#include <vector>
 
 #include "http/client.h"
+#include "http/clock.h"
 #include "run_task.h"
 
 namespace hornbeamspool::http {
@@ -90,5 +94,80 @@
   CHECK(Get(io, client, server.Address()).status == FetchStatus::kOk);
 }
 
+// What a server sends without end after these first bytes.
+struct EndlessAnswer {
+  std::string name;
+  std::string first;
+  std::string repeated;
+};
+
+std::vector<EndlessAnswer> EndlessHeads() {
+  const std::string status = "HTTP/1.1 200 OK\r\n";
+  return {{"bytes that are no head", "", "xxxxxxxx"},
+          {"a status line", "HTTP/1.1 200 ", "xxxxxxxx"},
+          {"one header", status + "A: ", "xxxxxxxx"},
+          {"headers", status, "A: b\r\n"},
+          {"blank lines", "", "\r\n"},
+          {"heads that go on", "", "HTTP/1.1 100 Continue\r\n\r\n"}};
+}
+
+std::vector<EndlessAnswer> EndlessBodies() {
+  const std::string head = "HTTP/1.1 200 OK\r\n";
+  const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+  return {{"a body without a length", head + "\r\n", "xxxxxxxx"},
+          {"chunks", chunked, "8\r\nxxxxxxxx\r\n"},
+          {"a chunk's size", chunked, "00000000"},
+          {"a chunk's extension", chunked + "8;a=", "xxxxxxxx"},
+          {"a trailer", chunked + "0\r\nA: ", "xxxxxxxx"},
+          {"trailers", chunked + "0\r\n", "A: b\r\n"}};
+}
+
+// Sends the answer until the client closes. Returns how many bytes it took.
+std::size_t SendEndless(tcp::acceptor& acceptor, const EndlessAnswer& answer) {
+  constexpr std::size_t kPiece = 64 * 1024;
+  std::string piece;
+  while (piece.size() < kPiece) piece += answer.repeated;
+  tcp::socket socket = acceptor.accept();
+  ReadRequest(socket);
+  boost::system::error_code error;
+  std::size_t taken = net::write(socket, net::buffer(answer.first), error);
+  while (!error) taken += net::write(socket, net::buffer(piece), error);
+  return taken;
+}
+
+// The status of a call that gets the answer, with the bytes that it took.
+FetchStatus GetEndless(const EndlessAnswer& answer, std::size_t& taken) {
+  constexpr std::uint64_t kBodyBytes = 1U << 20U;
+  FetchStatus status = FetchStatus::kOk;
+  {
+    const ScriptedServer server([&](tcp::acceptor& acceptor) {
+      taken = SendEndless(acceptor, answer);
+    });
+    net::io_context io{1};
+    Client client(io);
+    FetchOptions options;
+    options.body_bytes = kBodyBytes;
+    options.deadline = Now() + std::chrono::seconds(20);
+    options.may_resend = nullptr;
+    status = Get(io, client, server.Address(), options).status;
+  }
+  return status;
+}
+
+// Guards against a VM that runs out of memory, or waits for its whole deadline,
+// on bytes that are no answer and have no end. Bounds: what an answer may hold,
+// and what the two sockets do.
+TEST_CASE("an answer without end is given up by its size") {
+  constexpr std::size_t kMostTaken = 16U << 20U;
+  for (const auto& answers : {EndlessHeads(), EndlessBodies()}) {
+    for (const EndlessAnswer& answer : answers) {
+      CAPTURE(answer.name);
+      std::size_t taken = 0;
+      CHECK(GetEndless(answer, taken) == FetchStatus::kBroken);
+      CHECK(taken < kMostTaken);
+    }
+  }
+}
+
 }  // namespace
 }  // namespace hornbeamspool::http
