Answers that are not whole yet share a bounded part of the memory

What callers saw: nothing yet. Eighty plain requests at once to upstreams whose bodies have no end took a gateway to 1,348 MB (peak, by hand, release build); a VM of 260 MB would have been killed, with every request on it.

Cause: an answer that is held until it is whole may have 16 MB, and nothing counted all of them together; an event of a stream might have 1 MB.

Change: all answers that are held share an eighth of the process's memory, a new setting memory_mb; one that finds no room is broken off at its upstream. Events of the gateway's streams are at most 256 KB.

Ruled out: a smaller limit for each answer, which would refuse large answers that deployments may have.

--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -52,6 +52,7 @@
 constexpr std::int64_t kOwnDescriptors = 200;
 
 constexpr double kBytesPerMbit = 125'000;
+constexpr double kBytesPerMb = 1 << 20;
 
 std::uint64_t RandomIncarnation() {
   std::random_device random;
@@ -66,6 +67,8 @@
   options.retries.window = settings.retry_window;
   options.link_bytes_per_second =
       static_cast<std::int64_t>(settings.link_mbps * kBytesPerMbit);
+  options.memory_bytes =
+      static_cast<std::int64_t>(settings.memory_mb * kBytesPerMb);
   options.budgets.bridged_outage = settings.bridged_outage;
   return options;
 }
--- a/gateway/request_relay.cc
+++ b/gateway/request_relay.cc
@@ -64,10 +64,33 @@
   return kNames.at(static_cast<std::size_t>(outcome));
 }
 
+// What one request holds of its VM's room for answers; given back at its end.
+class HeldAnswer {
+ public:
+  explicit HeldAnswer(policy::HeldBytes& room) : room(&room) {}
+  HeldAnswer(const HeldAnswer&) = delete;
+  HeldAnswer& operator=(const HeldAnswer&) = delete;
+  ~HeldAnswer() { this->room->Give(this->taken); }
+
+  bool Take(std::size_t bytes) {
+    const auto count = static_cast<std::int64_t>(bytes);
+    if (!this->room->Take(count)) return false;
+    this->taken += count;
+    return true;
+  }
+
+ private:
+  policy::HeldBytes* room;
+  std::int64_t taken = 0;
+};
+
 class RequestRelay {
  public:
   RequestRelay(const Context& context, http::Exchange& exchange)
-      : context(&context), exchange(&exchange), arrived(Now()) {}
+      : context(&context),
+        exchange(&exchange),
+        arrived(Now()),
+        held(context.core->Held()) {}
 
   http::Task<void> Run();
 
@@ -84,6 +107,7 @@
   const Context* context;
   http::Exchange* exchange;
   coordination::TimePoint arrived;
+  HeldAnswer held;
   http::Canceller canceller;
   std::optional<Ticket> ticket;
   std::string request_id;
@@ -267,6 +291,7 @@
   co_return co_await this->RelayWhole(stream);
 }
 
+// Empty when the body broke off, or there is no room to hold it.
 http::Task<std::optional<std::string>> RequestRelay::ReadBody(
     http::ResponseStream& stream) {
   std::string body;
@@ -275,6 +300,7 @@
     const http::ReadResult read = co_await stream.Read(piece);
     if (read.status != http::FetchStatus::kOk) co_return std::nullopt;
     if (read.count == 0) co_return body;
+    if (!this->held.Take(read.count)) co_return std::nullopt;
     body.append(piece.data(), read.count);
   }
 }
--- a/gateway/stream_relay.h
+++ b/gateway/stream_relay.h
@@ -31,6 +31,10 @@
   http::Task<policy::SendOutcome> Run();
 
  private:
+  // Engines send events of under 1 KB. Bytes that are no event end the stream
+  // here, before many streams of them fill the VM.
+  static constexpr std::size_t kMostEventBytes = 256 * 1024;
+
   void TakeEvent(std::string_view raw);
   void NoteTime(coordination::TimePoint now);
   http::Task<bool> Show();
@@ -40,7 +44,7 @@
   policy::SendOrder* order;
   http::Exchange* exchange;
   http::ResponseStream* stream;
-  http::EventReader events;
+  http::EventReader events{kMostEventBytes};
   std::string due;  // whole events that the caller has not been sent
   std::int64_t due_events = 0;
 };
--- a/http/event_stream.cc
+++ b/http/event_stream.cc
@@ -27,7 +27,7 @@
   this->buffer.erase(0, this->taken);
   this->taken = 0;
   this->buffer.append(bytes);
-  return this->buffer.size() <= kMaxEventBytes;
+  return this->buffer.size() <= this->most_bytes;
 }
 
 std::optional<StreamEvent> EventReader::Next() {
--- a/http/event_stream.h
+++ b/http/event_stream.h
@@ -16,6 +16,10 @@
 
 class EventReader {
  public:
+  // An event may not be longer.
+  explicit EventReader(std::size_t most_bytes = kMaxEventBytes)
+      : most_bytes(most_bytes) {}
+
   // Adds bytes. Views of earlier events end here. Returns false when an event
   // grows over the limit.
   bool Feed(std::string_view bytes);
@@ -29,6 +33,7 @@
  private:
   static constexpr std::size_t kMaxEventBytes = 1024 * 1024;
 
+  std::size_t most_bytes;
   std::string buffer;
   std::size_t taken = 0;
 };
--- a/policy/gateway_core.cc
+++ b/policy/gateway_core.cc
@@ -25,6 +25,10 @@
 
 constexpr std::int64_t kLeastUrgent = 9;
 
+// Of the process's memory, one part in so many holds answers that are not whole
+// yet.
+constexpr std::int64_t kHeldPart = 8;
+
 // VMs that may have been added and are not known yet, for the share of a
 // upstream's connections.
 constexpr std::int64_t kMoreVms = 3;
@@ -63,7 +67,8 @@
       board(this->options.availability_zone),
       budgets(start, this->options.budgets),
       moves(start.incarnation),
-      link(this->options.link_bytes_per_second) {}
+      link(this->options.link_bytes_per_second),
+      held(this->options.memory_bytes / kHeldPart) {}
 
 bool GatewayCore::SetConfig(GatewayConfig config) {
   if (this->table && config.version <= this->table->Config().version) {
--- a/policy/gateway_core.h
+++ b/policy/gateway_core.h
@@ -16,6 +16,7 @@
 #include "policy/crash_suspects.h"
 #include "policy/error_kind.h"
 #include "policy/gateway_request.h"
+#include "policy/held_bytes.h"
 #include "policy/link_meter.h"
 #include "policy/reach_meter.h"
 #include "policy/retry_allowance.h"
@@ -71,6 +72,7 @@
   RetryBounds retries;
   BudgetDeskOptions budgets;
   std::int64_t link_bytes_per_second = 0;  // of this VM; 0: not known
+  std::int64_t memory_bytes = std::int64_t{256} << 20U;  // of this process
 };
 
 class GatewayCore {
@@ -123,6 +125,8 @@
   CrashSuspects& Suspects() { return this->suspects; }
   VersionMoves& Moves() { return this->moves; }
   LinkMeter& Link() { return this->link; }
+  // Answers that are held until they are whole.
+  HeldBytes& Held() { return this->held; }
   ReachMeter& Reach() { return this->reach; }
   std::size_t InFlight() const { return this->in_flight; }
 
@@ -148,6 +152,7 @@
   VersionMoves moves;
   CrashSuspects suspects;
   LinkMeter link;
+  HeldBytes held;
   ReachMeter reach;
   std::map<std::string, RetryAllowance, std::less<>> allowances;  // by service
   std::size_t in_flight = 0;
--- a/settings/gateway_settings.cc
+++ b/settings/gateway_settings.cc
@@ -11,6 +11,8 @@
 
 constexpr double kMostSeconds = 3600;
 constexpr double kMostMbps = 1e6;
+constexpr double kLeastMemoryMb = 32;
+constexpr double kMostMemoryMb = 1e6;
 
 coordination::Duration SecondsOr(ObjectReader& reader, std::string_view key,
                                  double fallback) {
@@ -48,6 +50,8 @@
     });
     gateway.stop_time = SecondsOr(root, "stop_s", 8);
     gateway.bridged_outage = SecondsOr(root, "bridged_outage_s", 10);
+    gateway.memory_mb = root.NumberOr("memory_mb", kLeastMemoryMb,
+                                      kMostMemoryMb, gateway.memory_mb);
     gateway.link_mbps = root.NumberOr("link_mbps", 0, kMostMbps, 0);
     gateway.descriptors =
         root.IntegerOr("descriptors", IntegerRange{256, 1'000'000}, 4096);
--- a/settings/gateway_settings.h
+++ b/settings/gateway_settings.h
@@ -22,6 +22,7 @@
   std::string metrics_address;  // empty: no metrics page
   std::string log_level;
   std::int64_t descriptors = 4096;  // open files and sockets, at most
+  double memory_mb = 256;           // of the process, at most
   double link_mbps = 0;             // of the VM's own link; 0: not known
   // From a stop's signal until the process is killed.
   coordination::Duration stop_time{};
--- a/standin/fault_gate.cc
+++ b/standin/fault_gate.cc
@@ -2,6 +2,7 @@
 
 #include <boost/json/object.hpp>
 #include <boost/json/parse.hpp>
+#include <string>
 #include <utility>
 
 #include "http/task.h"
@@ -9,6 +10,8 @@
 namespace hornbeamspool::standin {
 namespace {
 
+constexpr std::size_t kEndlessPiece = 8 * 1024;
+
 constexpr coordination::Duration kFrozenPoll = std::chrono::milliseconds(5);
 
 }  // namespace
@@ -36,6 +39,7 @@
   set_flag("down", this->faults.down);
   set_flag("frozen", this->faults.frozen);
   set_flag("fail", this->faults.fail);
+  set_flag("endless", this->faults.endless);
   set_duration("slow_ms", this->faults.slow);
   set_number("lose_answers", this->faults.lose_answers);
   set_duration("lag_ms", this->faults.lag);
@@ -76,6 +80,12 @@
     co_return;
   }
   if (this->faults.fail) response.status = 500;
+  if (this->faults.endless) {
+    const std::string bytes(kEndlessPiece, 'x');
+    bool open = co_await exchange.BeginStream(std::move(response));
+    while (open) open = co_await exchange.Write(bytes);
+    co_return;
+  }
   co_await exchange.Send(std::move(response));
 }
 
--- a/standin/fault_gate.h
+++ b/standin/fault_gate.h
@@ -13,7 +13,8 @@
 namespace hornbeamspool::standin {
 
 // {"down": true, "frozen": true, "slow_ms": 200, "lose_answers": 3,
-//  "lag_ms": 5000, "gap_every": 7, "fail": true}
+//  "lag_ms": 5000, "gap_every": 7, "fail": true,
+//  "endless": true}
 struct Faults {
   bool down = false;              // connections are cut without an answer
   bool frozen = false;            // requests wait until it thaws
@@ -22,6 +23,7 @@
   coordination::Duration lag{};   // age of lists and reports; 0: the usual
   std::int64_t gap_every = 0;     // one event in so many is lost; 0: the usual
   bool fail = false;              // answers tell of a failure
+  bool endless = false;           // bodies that go on until the caller closes
 };
 
 class FaultGate {
--- a/standin/server_standin.cc
+++ b/standin/server_standin.cc
@@ -63,7 +63,9 @@
   if (request.body.find(kCrashMark) != std::string::npos) Crash(request);
   answer.headers.push_back({"Server-Stamp", "stamp-" + this->id});
   answer.headers.push_back({"Instance-Load", "1,0,8"});
-  if (request.Path().starts_with("/stream/")) {
+  const bool streams =
+      request.Path().starts_with("/stream/") && !this->gate.Get().endless;
+  if (streams) {
     co_await this->Stream(exchange, std::move(answer));
     co_return;
   }
--- a/tests/process/gateway_test.sh
+++ b/tests/process/gateway_test.sh
@@ -8,6 +8,7 @@
 bin=$1
 dir=$(mktemp -d)
 pids=()
+endless=()
 trap 'kill -9 "${pids[@]}" 2>/dev/null; [ -n "${KEEP:-}" ] || rm -rf "$dir"' EXIT
 source tests/process/checks.sh
 source tests/process/gateways.sh
@@ -157,6 +158,19 @@
 until_true ready 2
 check 'a gateway that starts after the move is ready with it' 'stamp-i-4' "$(served_by 2)"
 
+# Bodies without end, many at once.
+for port in 19701 19702 19703; do fault $port '{"endless":true}'; done
+for i in $(seq 24); do
+  path=/lookup/x
+  [ $((i % 2)) = 0 ] || path=/stream/x
+  echo "$(key=key2 status 1 $path)" >>"$dir/endless" & endless+=($!)
+done
+wait "${endless[@]}"
+check 'bodies without end are no answers' 502 "$(sort -u "$dir/endless" | paste -sd' ')"
+for port in 19701 19702 19703; do fault $port '{"endless":false}'; done
+key=key2 until_true status_is 200 1 /lookup/x
+check 'and the gateway goes on' 200 "$(key=key2 status 1 /lookup/x)"
+
 # A planned stop finishes what runs.
 key=key2 call 1 /stream/x >"$dir/stream" &
 reader=$!
