The chat-completions router counts every send to an upstream

What callers saw: nothing measured. The same class as the incident's, found by looking for it: the client's own resends passed the router's budget of retries too, and a request might reach an upstream twice for one decision.

Change: its two relays let the client resend nothing; a kept connection that was closed costs a retry of the router's. fleet_test passes as before.

--- a/hornbeamspool/model_relay.cc
+++ b/hornbeamspool/model_relay.cc
@@ -250,6 +250,8 @@
   http::FetchOptions options;
   options.first_byte_timeout = attempt.admitted->first_byte_timeout;
   options.read_timeout = attempt.admitted->deadline;
+  // The decisions count each send.
+  options.may_resend = nullptr;
   const http::OpenResult opened = co_await attempt.context->client->Open(
       attempt.admitted->address, UpstreamRequest(attempt), options);
   if (opened.status != http::FetchStatus::kOk) {
--- a/hornbeamspool/plain_relay.cc
+++ b/hornbeamspool/plain_relay.cc
@@ -92,6 +92,8 @@
   options.read_timeout = admitted.deadline;
   // A pooled connection would leave it open whether the order was sent.
   options.fresh_connection = !admitted.repeatable;
+  // The decisions count each send.
+  options.may_resend = nullptr;
   co_return co_await context.client->Fetch(admitted.address, request, options);
 }
 
