A VM that has not read who its peers are takes nothing of what they share

What callers saw: nothing measured. After a stop of all, each of eight VMs would take the whole fleet's extra repeats, connections to an upstream and first sends to a version on trial, until it had read the table of gateways; with a store that loses answers that is seconds.

Change: until then it takes its share of its own requests only, and is not ready.

Evidence: gateway_policy_test, ten requests, 56 extra repeats: ten resent before (two are its share), at most two after. A test of the moves now says that its VM knows its fleet.

--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -281,7 +281,8 @@
 
 bool Gateway::State::Ready() const {
   return !this->stopping && !this->crowded && this->core.Table() != nullptr &&
-         this->upstreams_known && this->mover.Ready() && this->crashes.Ready();
+         this->upstreams_known && this->mover.Ready() &&
+         this->crashes.Ready() && this->channel.Ready();
 }
 
 http::Task<void> Gateway::State::AnswerReadiness(http::Exchange& exchange) {
--- a/gateway/peer_channel.cc
+++ b/gateway/peer_channel.cc
@@ -64,6 +64,7 @@
                }
                this->directory.Replace(std::move(peers));
                this->context.core->SetFleetSize(this->directory.Size() + 1);
+               this->known = true;
              },
              [this](const auto& rows) { this->OnRows(rows); }, [](bool) {}}),
       random(std::random_device{}()) {}
--- a/gateway/peer_channel.h
+++ b/gateway/peer_channel.h
@@ -49,6 +49,9 @@
   void SendToSome(const transport::PromptMessage& message,
                   coordination::TimePoint now);
 
+  // The table of the gateways was read.
+  bool Ready() const { return this->known; }
+
   policy::PeerDirectory& Directory() { return this->directory; }
   const std::string& Vm() const { return this->vm; }
 
@@ -75,6 +78,7 @@
   // Datagrams that SendToSome may send now.
   double allowance = 0;
   coordination::TimePoint allowance_at{};
+  bool known = false;
   bool leaving = false;
 };
 
--- a/policy/gateway_core.cc
+++ b/policy/gateway_core.cc
@@ -275,7 +275,9 @@
 std::size_t GatewayCore::MostConnections(const Service& service) const {
   if (service.max_connections <= 0) return SIZE_MAX;
   const std::int64_t even =
-      service.max_connections / (this->fleet_size + kMoreVms);
+      this->fleet_size == 0
+          ? 0
+          : service.max_connections / (this->fleet_size + kMoreVms);
   const std::int64_t busy = service.max_connections / kBusyPart;
   return static_cast<std::size_t>(std::max<std::int64_t>(1, even + busy));
 }
--- a/policy/gateway_core.h
+++ b/policy/gateway_core.h
@@ -79,7 +79,8 @@
  public:
   GatewayCore(GatewayOptions options, ProcessStart start);
 
-  // The number of VMs in the fleet, this one included.
+  // The number of VMs in the fleet, this one included. Until it is known, this
+  // VM takes nothing of what the fleet shares.
   void SetFleetSize(std::size_t vms) {
     this->fleet_size = static_cast<std::int64_t>(vms);
     this->moves.SetFleetSize(this->fleet_size);
@@ -156,7 +157,7 @@
   ReachMeter reach;
   std::map<std::string, RetryAllowance, std::less<>> allowances;  // by service
   std::size_t in_flight = 0;
-  std::int64_t fleet_size = 1;
+  std::int64_t fleet_size = 0;  // VMs; 0: not known yet
   bool confirmed = false;
 };
 
--- a/policy/retry_allowance.cc
+++ b/policy/retry_allowance.cc
@@ -33,10 +33,12 @@
     requests += slice.requests;
     repeats += slice.repeats;
   }
-  const double allowed =
-      static_cast<double>(requests) * this->bounds.share * kUsedPart +
-      static_cast<double>(this->bounds.extra) * kUsedExtra /
-          static_cast<double>(std::max<std::int64_t>(1, sharers));
+  double allowed =
+      static_cast<double>(requests) * this->bounds.share * kUsedPart;
+  if (sharers > 0) {
+    allowed += static_cast<double>(this->bounds.extra) * kUsedExtra /
+               static_cast<double>(sharers);
+  }
   if (static_cast<double>(repeats + 1) > allowed) return false;
   ++current.repeats;
   return true;
--- a/policy/retry_allowance.h
+++ b/policy/retry_allowance.h
@@ -22,7 +22,8 @@
 
   void NoteRequest(coordination::TimePoint now);
   // Takes one repeat. False when the window has none left. `sharers` is the
-  // number of VMs that share the fleet's extra repeats.
+  // number of VMs that share the fleet's extra repeats; 0: not known, and this
+  // VM takes none of them.
   bool Take(std::int64_t sharers, coordination::TimePoint now);
 
  private:
--- a/policy/version_move.cc
+++ b/policy/version_move.cc
@@ -249,9 +249,12 @@
     return progress.phase != MovePhase::kTakenBack;
   }
   if (!this->StoreKnown(now)) return false;
+  const double first = this->fleet_size == 0
+                           ? 0
+                           : static_cast<double>(kFirstSends) /
+                                 static_cast<double>(this->fleet_size);
   const auto most = static_cast<std::int64_t>(
-      kMostShare * static_cast<double>(move->sends) +
-      static_cast<double>(kFirstSends) / static_cast<double>(this->fleet_size));
+      kMostShare * static_cast<double>(move->sends) + first);
   if (move->moved_sends >= most) return false;
   const double point =
       static_cast<double>((coordination::StableHash(request_id) ^ this->seed) %
--- a/policy/version_move.h
+++ b/policy/version_move.h
@@ -184,7 +184,7 @@
 
   std::map<std::string, Move, std::less<>> moves;  // by service
   StoreClock store_clock;
-  std::int64_t fleet_size = 1;
+  std::int64_t fleet_size = 0;  // 0: not known yet
   std::uint64_t seed;
 };
 
--- a/tests/gateway_policy_test.cc
+++ b/tests/gateway_policy_test.cc
@@ -205,6 +205,30 @@
   CHECK_FALSE(core.MayResend(order, At(60'000)));
 }
 
+// Guards against BUDGET: a VM that had not read who its peers are took all of
+// the fleet's extra repeats, as every VM did after a stop of all.
+TEST_CASE("a VM that does not know its fleet takes no part of what it shares") {
+  constexpr RetryBounds kBounds{0.2, 56, seconds(10)};
+  constexpr int kRequests = 10;
+  const auto resent = [&](std::size_t vms) {
+    GatewayOptions options;
+    options.retries = kBounds;
+    GatewayCore core(options, {1, At(0)});
+    Prepare(core, {"s1"});
+    if (vms > 0) core.SetFleetSize(vms);
+    int count = 0;
+    for (int i = 0; i < kRequests; ++i) {
+      Ticket ticket = std::get<Ticket>(core.Admit(MakeRequest("/x"), At(i)));
+      if (core.MayResend(ticket, At(i))) ++count;
+      core.Finish(ticket);
+    }
+    return count;
+  };
+  CHECK(resent(0) <= kRequests * kBounds.share);
+  CHECK(resent(8) > resent(0));
+  CHECK(resent(8) <= kRequests * kBounds.share + 56.0 / 8);
+}
+
 TEST_CASE("no send begins that the deadline would cut at once") {
   GatewayCore core = MakeCore();
   Prepare(core, {"s1"});
--- a/tests/version_move_test.cc
+++ b/tests/version_move_test.cc
@@ -289,6 +289,7 @@
 
 TEST_CASE("a VM that does not hear of the store leaves the trial") {
   VersionMoves moves(1);
+  moves.SetFleetSize(1);
   moves.SetOrder(Order());
   moves.SetProgress("llm", BeginMove(Order(), kBeganMs));
   moves.SetStoreClock(kBeganMs + 11'000, At(0));
