A gateway that starts again goes on from what it had seen of a move

What callers saw: nothing measured. Evidence of a bad version was lost with each kill.

Change: a report names the process that wrote it; one that finds another's in its place adds it to its own, with the sends that it tells of.

Readers of other versions of the gateway can't read the new report: they log it and judge without it.

--- a/gateway/move_driver.cc
+++ b/gateway/move_driver.cc
@@ -39,8 +39,8 @@
 
 template <typename Archive>
 void serialize(Archive& archive, MoveReport& report) {
-  archive(report.order_revision, report.phase, report.kept_in_flight,
-          report.routes, report.moved_by_step);
+  archive(report.order_revision, report.incarnation, report.phase,
+          report.kept_in_flight, report.routes, report.moved_by_step);
 }
 
 }  // namespace hornbeamspool::policy
@@ -154,10 +154,7 @@
   try {
     this->TakeProgress(row.key, DecodeRow<MoveProgress>(row.value));
   } catch (const std::exception& fault) {
-    this->context.log->Write(
-        LogKind::kMove,
-        KeyValue("service", row.key) + ' ' + KeyValue("fault", fault.what()),
-        Now());
+    this->LogFault(row.key, fault.what());
   }
 }
 
@@ -207,12 +204,26 @@
   if (answer.status == StoreStatus::kConflict) {
     this->rows[service].report_version =
         answer.rows.empty() ? 0 : answer.rows.front().version;
+    if (!answer.rows.empty())
+      this->TakeLeftReport(service, answer.rows.front());
   }
   if (answer.status != StoreStatus::kOk) co_return;
   this->rows[service].report_version = answer.version;
   this->context.core->Moves().SetStoreClock(answer.store_ms, Now());
 }
 
+// A row in the place of this VM's report: its predecessor's, or its own of a
+// write whose outcome was not known.
+void MoveDriver::TakeLeftReport(const std::string& service,
+                                const StoreRow& row) {
+  try {
+    this->context.core->Moves().Inherit(service,
+                                        DecodeRow<MoveReport>(row.value));
+  } catch (const std::exception& fault) {
+    this->LogFault(service, fault.what());
+  }
+}
+
 // The driver goes on; when it is silent, the next in line, then anybody.
 bool MoveDriver::IsToDrive(const std::string& service,
                            const policy::VersionMoves::Move& move) const {
@@ -249,10 +260,7 @@
           move != nullptr && report.order_revision == move->order.revision;
       if (current) reports.push_back(std::move(report));
     } catch (const std::exception& fault) {
-      this->context.log->Write(
-          LogKind::kMove,
-          KeyValue("service", service) + ' ' + KeyValue("fault", fault.what()),
-          Now());
+      this->LogFault(service, fault.what());
     }
   }
   co_return reports;
--- a/gateway/move_driver.h
+++ b/gateway/move_driver.h
@@ -62,6 +62,8 @@
   void TakeProgress(const std::string& service,
                     const policy::MoveProgress& progress);
   void TakeProgressRow(const platform::StoreRow& row);
+  void TakeLeftReport(const std::string& service,
+                      const platform::StoreRow& row);
   void LogFault(std::string_view service, std::string_view fault);
 
   Context context;
--- a/policy/version_move.cc
+++ b/policy/version_move.cc
@@ -215,6 +215,7 @@
   Move next;
   next.order = std::move(order);
   next.report.order_revision = next.order.revision;
+  next.report.incarnation = this->incarnation;
   // Progress may have come before the order that it belongs to.
   const MoveProgress known = std::move(move.progress);
   move = std::move(next);
@@ -236,6 +237,24 @@
   move.report.phase = progress.phase;
 }
 
+void VersionMoves::Inherit(std::string_view service, const MoveReport& report) {
+  Move* move = this->FindMove(service);
+  if (move == nullptr) return;
+  MoveReport& own = move->report;
+  const bool older = report.order_revision == own.order_revision &&
+                     report.incarnation != own.incarnation;
+  if (!older) return;
+  for (const auto& [route, evidence] : report.routes) {
+    own.routes[route].moved.Add(evidence.moved);
+    own.routes[route].kept.Add(evidence.kept);
+    move->moved_sends += evidence.moved.answers;
+    move->sends += evidence.moved.answers + evidence.kept.answers;
+  }
+  for (const auto& [step, moved] : report.moved_by_step) {
+    own.moved_by_step[step].Add(moved);
+  }
+}
+
 bool VersionMoves::StoreKnown(TimePoint now) const {
   return this->store_clock.HeardWithin(kHeardLately, now);
 }
@@ -257,8 +276,9 @@
       kMostShare * static_cast<double>(move->sends) + first);
   if (move->moved_sends >= most) return false;
   const double point =
-      static_cast<double>((coordination::StableHash(request_id) ^ this->seed) %
-                          kHashSteps) /
+      static_cast<double>(
+          (coordination::StableHash(request_id) ^ this->incarnation) %
+          kHashSteps) /
       static_cast<double>(kHashSteps);
   return point < MovedShare(progress, this->store_clock.At(now));
 }
--- a/policy/version_move.h
+++ b/policy/version_move.h
@@ -68,9 +68,10 @@
   VersionCounts kept;   // the others
 };
 
-// What one VM has seen of a move.
+// What one VM has seen of a move, its predecessors included.
 struct MoveReport {
   std::uint64_t order_revision = 0;
+  std::uint64_t incarnation = 0;        // of the process that wrote it
   MovePhase phase = MovePhase::kTrial;  // the one that the VM follows
   std::int64_t kept_in_flight = 0;      // requests at the old version
   std::map<std::string, RouteEvidence> routes;
@@ -102,7 +103,7 @@
 // what came of it.
 class VersionMoves {
  public:
-  explicit VersionMoves(std::uint64_t seed) : seed(seed) {}
+  explicit VersionMoves(std::uint64_t incarnation) : incarnation(incarnation) {}
 
   void SetOrder(MoveOrder order);
   void RemoveOrder(std::string_view service);
@@ -112,6 +113,9 @@
   void SetStoreClock(std::int64_t store_ms, coordination::TimePoint now) {
     this->store_clock.Set(store_ms, now);
   }
+  // What this VM's predecessor has seen of a move counts on, and so do the
+  // sends that it made.
+  void Inherit(std::string_view service, const MoveReport& report);
   // The number of VMs that send to the service's upstreams.
   void SetFleetSize(std::int64_t vms) { this->fleet_size = vms; }
 
@@ -185,7 +189,7 @@
   std::map<std::string, Move, std::less<>> moves;  // by service
   StoreClock store_clock;
   std::int64_t fleet_size = 0;  // 0: not known yet
-  std::uint64_t seed;
+  std::uint64_t incarnation;    // of this process
 };
 
 }  // namespace hornbeamspool::policy
--- a/tests/version_move_test.cc
+++ b/tests/version_move_test.cc
@@ -278,6 +278,32 @@
   CHECK_FALSE(IsVersionBad(reports));
 }
 
+// Guards against EXPOSURE: what a VM had seen of a bad version was forgotten
+// when its process was killed.
+TEST_CASE("a successor goes on from what its predecessor saw of a move") {
+  const VersionMoves::Send moved{"llm", "lookup", "v2", At(0)};
+  VersionMoves before(1);
+  before.SetOrder(Order());
+  for (int i = 0; i < 10; ++i) {
+    VersionMoves::EndedSend ended;
+    ended.send = moved;
+    ended.revision = before.OnSent(moved);
+    ended.outcome = Outcome::kFailed;
+    ended.ended_at = At(100);
+    before.OnEnded(ended);
+  }
+  const MoveReport left = before.ReportAt("llm", At(200));
+  VersionMoves after(2);
+  after.SetOrder(Order());
+  after.Inherit("llm", left);
+  const MoveReport report = after.ReportAt("llm", At(200));
+  CHECK(report.routes.at("lookup").moved.bad == 10);
+  CHECK(after.Find("llm")->moved_sends == 10);
+  // Its own report, come back from a write of unknown outcome, counts once.
+  after.Inherit("llm", report);
+  CHECK(after.ReportAt("llm", At(200)).routes.at("lookup").moved.bad == 10);
+}
+
 TEST_CASE("before the move has begun, the new version gets nothing") {
   VersionMoves moves(1);
   moves.SetOrder(Order());
