Records of one crash from several VMs are each taken; a row stays within its size

What callers saw: nothing; found on reading the change. A VM took the second row that told of a start as old news if it was told earlier than the first, though each VM had other requests in hand there: the one that had the cause might be the one left out. Where datagrams were lost too, the request went on from there. Besides, 1,024 requests under as many starts would have passed the store's bound of a row, and a start with more than the row's room was left out whole.

Change: news are known by VM and start, and by how much a record holds; 512 requests to a row, cut where room ends. crash_suspects_test has a case for each; the class of the first is new, its case shows the old rule's mistake.

--- a/gateway/crash_watch.cc
+++ b/gateway/crash_watch.cc
@@ -136,6 +136,7 @@
 void CrashWatch::OnRow(const StoreRow& row) {
   const TimePoint now = Now();
   const std::int64_t store_ms = this->table.Clock().At(now);
+  this->news.Forget(store_ms - Milliseconds(policy::CrashSuspects::kMemory));
   std::vector<KeptRecord> kept;
   try {
     kept = DecodeRow<std::vector<KeptRecord>>(row.value);
@@ -149,9 +150,9 @@
   for (KeptRecord& record : kept) {
     const Duration age = std::chrono::milliseconds(store_ms - record.told_ms);
     if (age >= policy::CrashSuspects::kMemory) continue;
-    std::int64_t& last = this->learned[record.start];
-    if (record.told_ms <= last) continue;
-    last = record.told_ms;
+    const bool news = this->news.Take(row.key, record.start, record.told_ms,
+                                      record.fingerprints.size());
+    if (!news) continue;
     const CrashNotice notice{std::move(record.start),
                              std::move(record.fingerprints)};
     // What the predecessor told, this VM goes on to keep.
--- a/gateway/crash_watch.h
+++ b/gateway/crash_watch.h
@@ -4,8 +4,6 @@
 #pragma once
 
 #include <cstdint>
-#include <map>
-#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -15,6 +13,7 @@
 #include "http/task.h"
 #include "platform/store_client.h"
 #include "platform/table_follower.h"
+#include "policy/crash_news.h"
 #include "policy/crash_records.h"
 #include "policy/upstream_board.h"
 #include "policy/upstream_directory.h"
@@ -55,9 +54,7 @@
   std::string vm;
   platform::TableFollower table;
   policy::CrashRecords records;
-  // When each start was last told of in the rows that were read, by the store's
-  // clock.
-  std::map<std::string, std::int64_t, std::less<>> learned;
+  policy::CrashNews news;  // in the other gateways' rows
   bool known = false;
   bool changed = false;  // the row is older than the records
   bool keeping = false;  // a write is out
--- a/gateway/move_driver.cc
+++ b/gateway/move_driver.cc
@@ -204,8 +204,9 @@
   if (answer.status == StoreStatus::kConflict) {
     this->rows[service].report_version =
         answer.rows.empty() ? 0 : answer.rows.front().version;
-    if (!answer.rows.empty())
+    if (!answer.rows.empty()) {
       this->TakeLeftReport(service, answer.rows.front());
+    }
   }
   if (answer.status != StoreStatus::kOk) co_return;
   this->rows[service].report_version = answer.version;
--- a/policy/crash_records.cc
+++ b/policy/crash_records.cc
@@ -26,13 +26,15 @@
             [](const CrashRecord& a, const CrashRecord& b) {
               return a.told_at > b.told_at;
             });
-  std::size_t kept = 0;
-  for (auto it = current.begin(); it != current.end(); ++it) {
-    kept += it->notice.fingerprints.size();
-    if (kept <= kMostKept) continue;
-    current.erase(it, current.end());
-    break;
+  std::size_t room = kMostKept;
+  for (CrashRecord& record : current) {
+    std::vector<std::uint64_t>& kept = record.notice.fingerprints;
+    if (kept.size() > room) kept.resize(room);
+    room -= kept.size();
   }
+  std::erase_if(current, [](const CrashRecord& record) {
+    return record.notice.fingerprints.empty();
+  });
   return current;
 }
 
--- a/policy/crash_records.h
+++ b/policy/crash_records.h
@@ -26,8 +26,9 @@
   std::vector<CrashRecord> Current(coordination::TimePoint now);
 
  private:
-  // Requests in all records.
-  static constexpr std::size_t kMostKept = 1024;
+  // Requests in all records: with as many starts, half of what a row of the
+  // store holds.
+  static constexpr std::size_t kMostKept = 512;
 
   std::map<std::string, CrashRecord, std::less<>> records;  // by start
 };
