--- a/standin/fault_gate.cc
+++ b/standin/fault_gate.cc
@@ -83,7 +83,9 @@
   if (this->faults.endless) {
     const std::string bytes(kEndlessPiece, 'x');
     bool open = co_await exchange.BeginStream(std::move(response));
-    while (open) open = co_await exchange.Write(bytes);
+    while (open) {
+      open = co_await exchange.Write(bytes);
+    }
     co_return;
   }
   co_await exchange.Send(std::move(response));
