Bounds of a gateway's settings may be fractions

Callers saw nothing served at all: on a deployment whose extra repeats are shared out as a fraction every process ended at its start with exit code 2.

Cause: `retries.extra` and `descriptors` were read as whole numbers.

Evidence: every small twin of a site of 60 VMs or more failed with "/retries/extra: must be a whole number". The new case of settings_test failed before and passes now. Ruled out: `stop_s`, `window_s`, `share`, `memory_mb` and `link_mbps`, which took fractions before (same case).

Before and after, settings_test: 6 of 7, 7 of 7 cases.

--- a/policy/retry_allowance.cc
+++ b/policy/retry_allowance.cc
@@ -36,8 +36,7 @@
   double allowed =
       static_cast<double>(requests) * this->bounds.share * kUsedPart;
   if (sharers > 0) {
-    allowed += static_cast<double>(this->bounds.extra) * kUsedExtra /
-               static_cast<double>(sharers);
+    allowed += this->bounds.extra * kUsedExtra / static_cast<double>(sharers);
   }
   if (static_cast<double>(repeats + 1) > allowed) return false;
   ++current.repeats;
--- a/policy/retry_allowance.h
+++ b/policy/retry_allowance.h
@@ -12,7 +12,7 @@
 
 struct RetryBounds {
   double share = 0.1;               // repeats for each request
-  std::int64_t extra = 0;           // repeats of the whole fleet besides
+  double extra = 0;                 // repeats of the whole fleet besides
   coordination::Duration window{};  // over which both are counted
 };
 
--- a/settings/gateway_settings.cc
+++ b/settings/gateway_settings.cc
@@ -13,6 +13,9 @@
 constexpr double kMostMbps = 1e6;
 constexpr double kLeastMemoryMb = 32;
 constexpr double kMostMemoryMb = 1e6;
+constexpr double kMostRepeats = 1e6;
+constexpr double kLeastDescriptors = 256;
+constexpr double kMostDescriptors = 1e6;
 
 coordination::Duration SecondsOr(ObjectReader& reader, std::string_view key,
                                  double fallback) {
@@ -45,7 +48,7 @@
     if (root.Has("metrics")) gateway.metrics_address = root.Address("metrics");
     root.Member("retries", [&](ObjectReader& r) {
       gateway.retry_share = r.NumberOr("share", 0, 1, 0.1);
-      gateway.retry_extra = r.IntegerOr("extra", IntegerRange{0, 1'000'000}, 0);
+      gateway.retry_extra = r.NumberOr("extra", 0, kMostRepeats, 0);
       gateway.retry_window = SecondsOr(r, "window_s", 10);
     });
     gateway.stop_time = SecondsOr(root, "stop_s", 8);
@@ -53,8 +56,8 @@
     gateway.memory_mb = root.NumberOr("memory_mb", kLeastMemoryMb,
                                       kMostMemoryMb, gateway.memory_mb);
     gateway.link_mbps = root.NumberOr("link_mbps", 0, kMostMbps, 0);
-    gateway.descriptors =
-        root.IntegerOr("descriptors", IntegerRange{256, 1'000'000}, 4096);
+    gateway.descriptors = static_cast<std::int64_t>(root.NumberOr(
+        "descriptors", kLeastDescriptors, kMostDescriptors, 4096));
     gateway.log_level = ReadLogLevel(root);
   }
   if (!faults.empty()) return boost::leaf::new_error(std::move(faults));
--- a/settings/gateway_settings.h
+++ b/settings/gateway_settings.h
@@ -28,7 +28,8 @@
   coordination::Duration stop_time{};
   // Repeats to a service: at most this share of its requests in any window.
   double retry_share = 0.1;
-  std::int64_t retry_extra = 0;  // of the whole fleet, besides the share
+  double retry_extra = 0;  // of the whole fleet, besides the share; may be
+                           // a fraction
   coordination::Duration retry_window{};
   // Longest outage of the store that budgets outlast.
   coordination::Duration bridged_outage{};
--- a/tests/settings_test.cc
+++ b/tests/settings_test.cc
@@ -64,6 +64,18 @@
   CHECK_EQ(faults[0].where, "/models/1");
 }
 
+// A fleet's bounds are shared out in proportion on small deployments, so that
+// they come as fractions.
+TEST_CASE("a gateway's bounds may be fractions") {
+  CHECK(FaultsOf(R"({"kind": "gateway", "vm": "v", "availability_zone": "z",
+    "listen": "10.0.0.1:1", "store": "10.0.0.2:2", "peers": "10.0.0.1:3",
+    "readiness": {"address": "10.0.0.1:4", "path": "/ready"},
+    "retries": {"share": 0.2, "extra": 17.6, "window_s": 2.5},
+    "stop_s": 7.5, "descriptors": 4100.5, "memory_mb": 160.25,
+    "link_mbps": 12.5})")
+            .empty());
+}
+
 TEST_CASE("node settings name what is missing") {
   const FaultList found = FaultsOf(R"({"kind": "node"})");
   CHECK_GE(found.size(), 8);
