Rows are read with their lengths checked, and unreadable ones are told

What was seen: a row of `crashes` that claims a length beyond memory ended the follower of that table without a word; later rows were not read. One that claims 100,000,000 records takes 6,106 MB before it is found to be short, on VMs of 160 to 512 MB: the whole process goes.

Cause: cereal resizes a list or a text to the length that stands there, and throws std::length_error or std::bad_alloc, where only cereal::Exception was caught. The keeper of budgets caught nothing at all: an unreadable row would have left the organisation busy for good.

Evidence: the old decoder with four claimed lengths, by hand: 2^63 and 2^63-1 "vector::_M_default_append", 2^40 std::bad_alloc, 10^8 a cereal exception and 6,106 MB resident. Ruled out: datagrams, whose lengths have 16 bits; the store's own answers, which are caught as a whole.

The form of the rows is as before.

--- a/gateway/budget_keeper.cc
+++ b/gateway/budget_keeper.cc
@@ -6,29 +6,14 @@
 #include <chrono>
 #include <utility>
 
+#include "gateway/budget_rows.h"
 #include "gateway/event_log.h"
-#include "gateway/row_codec.h"
 #include "gateway/token_broker.h"
 #include "hornbeamspool/clock.h"
 #include "hornbeamspool/metrics.h"
 #include "policy/event.h"
 #include "policy/gateway_core.h"
 
-namespace hornbeamspool::policy {
-
-template <typename Archive>
-void serialize(Archive& archive, BudgetTotal& total) {
-  archive(total.committed, total.known_spent);
-}
-
-template <typename Archive>
-void serialize(Archive& archive, BudgetShare& share) {
-  archive(share.incarnation, share.limit, share.spent, share.committed,
-          share.checkpoint_ms, share.burst, share.per_second);
-}
-
-}  // namespace hornbeamspool::policy
-
 namespace hornbeamspool::gateway {
 namespace {
 
@@ -159,24 +144,40 @@
   co_return stands;
 }
 
-// The rows of an organisation among `rows`; absent ones have version 0.
-BudgetRows BudgetKeeper::Collect(std::span<const StoreRow> rows,
-                                 std::string_view organisation) const {
+// The rows of an organisation among `rows`; absent ones have version 0. Empty
+// when one of them can't be read: nothing is spent on a guess.
+std::optional<BudgetRows> BudgetKeeper::Collect(
+    std::span<const StoreRow> rows, std::string_view organisation) const {
   const std::string share_key = this->ShareKey();
   BudgetRows collected;
   collected.organisation = organisation;
   for (const StoreRow& row : rows) {
     if (row.key == kTotalKey) {
-      collected.total = DecodeRow<policy::BudgetTotal>(row.value);
+      const auto total = DecodeRow<policy::BudgetTotal>(row.value);
+      if (!total) return std::nullopt;
+      collected.total = *total;
       collected.total_version = row.version;
     } else if (row.key == share_key) {
-      collected.share = DecodeRow<policy::BudgetShare>(row.value);
+      const auto share = DecodeRow<policy::BudgetShare>(row.value);
+      if (!share) return std::nullopt;
+      collected.share = *share;
       collected.share_version = row.version;
     }
   }
   return collected;
 }
 
+void BudgetKeeper::TakeRows(std::span<const StoreRow> rows,
+                            std::string_view organisation) {
+  policy::BudgetDesk& desk = this->context.core->Budgets();
+  if (const auto collected = this->Collect(rows, organisation)) {
+    desk.OnRead(*collected);
+    return;
+  }
+  desk.OnNotRead(organisation);
+  this->LogFailure(organisation, "unreadable_row");
+}
+
 http::Task<void> BudgetKeeper::ReadRows(std::string organisation) {
   policy::BudgetDesk& desk = this->context.core->Budgets();
   const coordination::TimePoint asked = Now();
@@ -186,7 +187,7 @@
   const bool answered = answer.status == StoreStatus::kOk;
   if (answered) {
     desk.OnStoreClock(answer.store_ms, asked, Now());
-    desk.OnRead(this->Collect(answer.rows, organisation));
+    this->TakeRows(answer.rows, organisation);
   } else {
     desk.OnNotRead(organisation);
   }
@@ -202,12 +203,9 @@
   this->context.log->Write(LogKind::kBudget, pairs, Now());
 }
 
-// A failed write, for the log.
 void BudgetKeeper::LogFailure(std::string_view organisation,
-                              StoreStatus status) {
-  const bool unknown = status == StoreStatus::kUnknown;
-  std::string pairs =
-      KeyValue("outcome", unknown ? "write_unknown" : "write_refused");
+                              std::string_view outcome) {
+  std::string pairs = KeyValue("outcome", outcome);
   pairs += ' ' + KeyValue("organisation", organisation);
   this->context.log->Write(LogKind::kBudget, pairs, Now());
 }
@@ -219,7 +217,7 @@
     const bool noted = co_await this->NoteHolding(organisation);
     if (!noted) {
       desk.OnNotWritten(organisation);
-      this->LogFailure(organisation, StoreStatus::kRefused);
+      this->LogFailure(organisation, "write_refused");
       this->OnCallEnded(false);
       co_return;
     }
@@ -241,15 +239,15 @@
       break;
     case StoreStatus::kConflict:
       desk.OnNotWritten(organisation);
-      desk.OnRead(this->Collect(answer.rows, organisation));
+      this->TakeRows(answer.rows, organisation);
       break;
     case StoreStatus::kUnknown:
       desk.OnUnknown(organisation);
-      this->LogFailure(organisation, answer.status);
+      this->LogFailure(organisation, "write_unknown");
       break;
     default:
       desk.OnNotWritten(organisation);
-      this->LogFailure(organisation, answer.status);
+      this->LogFailure(organisation, "write_refused");
       break;
   }
   this->OnCallEnded(answered);
--- a/gateway/budget_keeper.h
+++ b/gateway/budget_keeper.h
@@ -5,6 +5,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <cstddef>
+#include <optional>
 #include <set>
 #include <span>
 #include <string>
@@ -39,10 +40,13 @@
   http::Task<void> WriteRows(policy::BudgetRows rows);
   http::Task<bool> NoteHolding(std::string organisation);
   void OnCallEnded(bool answered);
-  policy::BudgetRows Collect(std::span<const platform::StoreRow> rows,
-                             std::string_view organisation) const;
+  std::optional<policy::BudgetRows> Collect(
+      std::span<const platform::StoreRow> rows,
+      std::string_view organisation) const;
+  void TakeRows(std::span<const platform::StoreRow> rows,
+                std::string_view organisation);
   void LogLimits(const policy::BudgetRows& rows);
-  void LogFailure(std::string_view organisation, platform::StoreStatus status);
+  void LogFailure(std::string_view organisation, std::string_view outcome);
   std::string ShareKey() const;
 
   Context context;
--- a/gateway/crash_watch.cc
+++ b/gateway/crash_watch.cc
@@ -2,14 +2,12 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <cereal/types/string.hpp>
-#include <cereal/types/vector.hpp>
 #include <chrono>
 #include <utility>
 
+#include "gateway/crash_rows.h"
 #include "gateway/event_log.h"
 #include "gateway/peer_channel.h"
-#include "gateway/row_codec.h"
 #include "hornbeamspool/clock.h"
 #include "hornbeamspool/metrics.h"
 #include "http/client.h"
@@ -42,18 +40,6 @@
                   transport::kMostFingerprints,
               "peers would drop a notice as unsound");
 
-// One record as the store keeps it.
-struct KeptRecord {
-  std::string start;
-  std::vector<std::uint64_t> fingerprints;
-  std::int64_t told_ms = 0;  // by the store's clock
-
-  template <typename Archive>
-  void serialize(Archive& archive) {
-    archive(this->start, this->fingerprints, this->told_ms);
-  }
-};
-
 }  // namespace
 
 CrashWatch::CrashWatch(const Context& context, platform::StoreClient& store,
@@ -115,11 +101,11 @@
 
 std::string CrashWatch::EncodeRecords(TimePoint now) {
   const std::int64_t store_ms = this->table.Clock().At(now);
-  std::vector<KeptRecord> kept;
+  CrashRow kept;
   for (CrashRecord& record : this->records.Current(now)) {
     const std::int64_t told_ms = store_ms - Milliseconds(now - record.told_at);
-    kept.push_back({std::move(record.notice.start),
-                    std::move(record.notice.fingerprints), told_ms});
+    kept.records.push_back({std::move(record.notice.start),
+                            std::move(record.notice.fingerprints), told_ms});
   }
   return EncodeRow(kept);
 }
@@ -137,17 +123,15 @@
   const TimePoint now = Now();
   const std::int64_t store_ms = this->table.Clock().At(now);
   this->news.Forget(store_ms - Milliseconds(policy::CrashSuspects::kMemory));
-  std::vector<KeptRecord> kept;
-  try {
-    kept = DecodeRow<std::vector<KeptRecord>>(row.value);
-  } catch (const cereal::Exception&) {
+  auto kept = DecodeRow<CrashRow>(row.value);
+  if (!kept) {
     this->context.log->Write(
         LogKind::kCrash,
         KeyValue("outcome", "unreadable_row") + ' ' + KeyValue("row", row.key),
         now);
     return;
   }
-  for (KeptRecord& record : kept) {
+  for (CrashRowRecord& record : kept->records) {
     const Duration age = std::chrono::milliseconds(store_ms - record.told_ms);
     if (age >= policy::CrashSuspects::kMemory) continue;
     const bool news = this->news.Take(row.key, record.start, record.told_ms,
--- a/gateway/move_driver.cc
+++ b/gateway/move_driver.cc
@@ -4,47 +4,17 @@
 #include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <cereal/types/map.hpp>
-#include <cereal/types/string.hpp>
 #include <chrono>
-#include <exception>
 #include <utility>
 
 #include "gateway/event_log.h"
+#include "gateway/move_rows.h"
 #include "gateway/peer_channel.h"
-#include "gateway/row_codec.h"
 #include "hornbeamspool/clock.h"
 #include "platform/documents.h"
 #include "policy/event.h"
 #include "policy/gateway_core.h"
 
-namespace hornbeamspool::policy {
-
-template <typename Archive>
-void serialize(Archive& archive, MoveProgress& progress) {
-  archive(progress.order_revision, progress.version, progress.phase,
-          progress.began_ms, progress.deadline_ms, progress.driver_until_ms,
-          progress.driver);
-}
-
-template <typename Archive>
-void serialize(Archive& archive, VersionCounts& counts) {
-  archive(counts.answers, counts.bad, counts.timed, counts.log_ms);
-}
-
-template <typename Archive>
-void serialize(Archive& archive, RouteEvidence& evidence) {
-  archive(evidence.moved, evidence.kept);
-}
-
-template <typename Archive>
-void serialize(Archive& archive, MoveReport& report) {
-  archive(report.order_revision, report.incarnation, report.phase,
-          report.kept_in_flight, report.routes, report.moved_by_step);
-}
-
-}  // namespace hornbeamspool::policy
-
 namespace hornbeamspool::gateway {
 namespace {
 
@@ -151,17 +121,19 @@
 }
 
 void MoveDriver::TakeProgressRow(const StoreRow& row) {
-  try {
-    this->TakeProgress(row.key, DecodeRow<MoveProgress>(row.value));
-  } catch (const std::exception& fault) {
-    this->LogFault(row.key, fault.what());
+  const auto progress = DecodeRow<MoveProgress>(row.value);
+  if (!progress) {
+    this->LogUnreadable(row);
+    return;
   }
+  this->TakeProgress(row.key, *progress);
 }
 
 // A row that another writer has left.
-void MoveDriver::LogFault(std::string_view service, std::string_view fault) {
-  std::string pairs = KeyValue("service", service);
-  pairs += ' ' + KeyValue("fault", fault);
+void MoveDriver::LogUnreadable(const StoreRow& row) {
+  std::string pairs = KeyValue("outcome", "unreadable_row");
+  pairs += ' ' + KeyValue("table", row.table);
+  pairs += ' ' + KeyValue("row", row.key);
   this->context.log->Write(LogKind::kMove, pairs, Now());
 }
 
@@ -217,12 +189,12 @@
 // write whose outcome was not known.
 void MoveDriver::TakeLeftReport(const std::string& service,
                                 const StoreRow& row) {
-  try {
-    this->context.core->Moves().Inherit(service,
-                                        DecodeRow<MoveReport>(row.value));
-  } catch (const std::exception& fault) {
-    this->LogFault(service, fault.what());
+  const auto report = DecodeRow<MoveReport>(row.value);
+  if (!report) {
+    this->LogUnreadable(row);
+    return;
   }
+  this->context.core->Moves().Inherit(service, *report);
 }
 
 // The driver goes on; when it is silent, the next in line, then anybody.
@@ -255,14 +227,14 @@
   const auto* move = this->context.core->Moves().Find(service);
   std::vector<MoveReport> reports;
   for (const StoreRow& row : answer.rows) {
-    try {
-      MoveReport report = DecodeRow<MoveReport>(row.value);
-      const bool current =
-          move != nullptr && report.order_revision == move->order.revision;
-      if (current) reports.push_back(std::move(report));
-    } catch (const std::exception& fault) {
-      this->LogFault(service, fault.what());
+    auto report = DecodeRow<MoveReport>(row.value);
+    if (!report) {
+      this->LogUnreadable(row);
+      continue;
     }
+    const bool current =
+        move != nullptr && report->order_revision == move->order.revision;
+    if (current) reports.push_back(std::move(*report));
   }
   co_return reports;
 }
--- a/gateway/move_driver.h
+++ b/gateway/move_driver.h
@@ -64,7 +64,7 @@
   void TakeProgressRow(const platform::StoreRow& row);
   void TakeLeftReport(const std::string& service,
                       const platform::StoreRow& row);
-  void LogFault(std::string_view service, std::string_view fault);
+  void LogUnreadable(const platform::StoreRow& row);
 
   Context context;
   platform::StoreClient* store;
