An exception in a coroutine that nobody waits for is told, and its duty goes on

Requests went on with news that no longer came, or an organisation's budget stayed marked as being read.

Cause: duties were started with `detached`, which drops the exception.

Now `http::SpawnDuty` begins a duty again after 200 ms, `http::Spawn` tells of a task's exception, and each task of the gateway that had marked something as under way (a read, a write, an ask, an answer) takes that mark back; a write whose end is not known counts as unknown.

Evidence: duty_test. Ruled out: handlers of requests, whose exceptions the server catches. Not changed: the chat-completions router's duties and the server's accepting loop still use `detached`.

The stand-in of the store now returns a feed's rows in the order of their changes, as the store does.

--- a/gateway/budget_keeper.cc
+++ b/gateway/budget_keeper.cc
@@ -1,13 +1,12 @@
 #include "gateway/budget_keeper.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <chrono>
 #include <utility>
 
 #include "gateway/budget_rows.h"
 #include "gateway/event_log.h"
+#include "gateway/spawn.h"
 #include "gateway/token_broker.h"
 #include "hornbeamspool/clock.h"
 #include "hornbeamspool/metrics.h"
@@ -48,7 +47,7 @@
     : context(context), store(&store), vm(std::move(vm)), timer(*context.io) {}
 
 void BudgetKeeper::Start() {
-  boost::asio::co_spawn(*this->context.io, this->Run(), boost::asio::detached);
+  SpawnDuty(this->context, "budgets", [this] { return this->Run(); });
 }
 
 std::string BudgetKeeper::ShareKey() const {
@@ -68,27 +67,34 @@
 
 void BudgetKeeper::StartCalls(coordination::TimePoint now) {
   policy::BudgetDesk& desk = this->context.core->Budgets();
-  boost::asio::io_context& io = *this->context.io;
   // A store that was away is asked until it answers, also when nothing is due:
   // requests that lack tokens are refused meanwhile.
   if (!this->holdings_known || !desk.Reachable()) {
     if (this->outstanding > 0) return;
     ++this->outstanding;
-    boost::asio::co_spawn(io, this->ReadHoldings(), boost::asio::detached);
+    Spawn(this->context, "budget_holdings", this->ReadHoldings(),
+          [this] { this->OnCallEnded(false); });
     return;
   }
   this->NotePredecessors();
-  for (std::string& organisation :
+  for (const std::string& organisation :
        desk.PlanReads(now, kMostCalls - this->outstanding)) {
     ++this->outstanding;
-    boost::asio::co_spawn(io, this->ReadRows(std::move(organisation)),
-                          boost::asio::detached);
+    Spawn(this->context, "budget_read", this->ReadRows(organisation),
+          [this, organisation] {
+            this->context.core->Budgets().OnNotRead(organisation);
+            this->OnCallEnded(false);
+          });
   }
-  for (BudgetRows& rows :
+  for (const BudgetRows& rows :
        desk.PlanWrites(now, kMostCalls - this->outstanding)) {
     ++this->outstanding;
-    boost::asio::co_spawn(io, this->WriteRows(std::move(rows)),
-                          boost::asio::detached);
+    // Whether the write was done is not known then.
+    Spawn(this->context, "budget_write", this->WriteRows(rows),
+          [this, organisation = rows.organisation] {
+            this->context.core->Budgets().OnUnknown(organisation);
+            this->OnCallEnded(false);
+          });
   }
 }
 
--- a/gateway/crash_watch.cc
+++ b/gateway/crash_watch.cc
@@ -1,13 +1,12 @@
 #include "gateway/crash_watch.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <chrono>
 #include <utility>
 
 #include "gateway/crash_rows.h"
 #include "gateway/event_log.h"
 #include "gateway/peer_channel.h"
+#include "gateway/spawn.h"
 #include "hornbeamspool/clock.h"
 #include "hornbeamspool/metrics.h"
 #include "http/client.h"
@@ -49,7 +48,10 @@
       vm(std::move(vm)),
       table(*context.io, store, std::string(kTable),
             {[this](const auto& rows) { this->OnRows(rows); },
-             [this](const auto& rows) { this->OnRows(rows); }, [](bool) {}}) {}
+             [this](const auto& rows) { this->OnRows(rows); }, [](bool) {},
+             [this](std::string_view fault) {
+               LogFault(this->context, "crashes", fault);
+             }}) {}
 
 void CrashWatch::Start() { this->table.Start(); }
 
@@ -59,8 +61,7 @@
   if (outcome != policy::SendOutcome::kBroken) return;
   policy::CrashSuspects& suspects = this->context.core->Suspects();
   if (!suspects.WantsProbe(upstream.Start(), Now())) return;
-  boost::asio::co_spawn(*this->context.io, this->Probe(upstream),
-                        boost::asio::detached);
+  Spawn(this->context, "crash_probe", this->Probe(upstream));
 }
 
 http::Task<void> CrashWatch::Probe(policy::UpstreamEntry upstream) {
@@ -85,7 +86,10 @@
                    now - this->kept_at >= kKeepPause;
   if (!due) return;
   this->keeping = true;
-  boost::asio::co_spawn(*this->context.io, this->Keep(), boost::asio::detached);
+  Spawn(this->context, "crash_keep", this->Keep(), [this] {
+    this->keeping = false;
+    this->changed = true;
+  });
 }
 
 // Writes the records to this VM's row. What could not be written stays due.
--- a/gateway/event_log.h
+++ b/gateway/event_log.h
@@ -27,6 +27,7 @@
   kSendFailed,  // a send to an upstream failed
   kBroken,      // an answer broke off after it had begun
   kServed,
+  kFault,  // an exception ended a coroutine
   kCount
 };
 
--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -1,8 +1,6 @@
 #include "gateway/gateway.h"
 
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <chrono>
 #include <functional>
@@ -17,6 +15,7 @@
 #include "gateway/move_driver.h"
 #include "gateway/peer_channel.h"
 #include "gateway/request_relay.h"
+#include "gateway/spawn.h"
 #include "gateway/token_broker.h"
 #include "hornbeamspool/clock.h"
 #include "hornbeamspool/error_response.h"
@@ -165,22 +164,28 @@
             return this->AnswerMetrics(exchange);
           },
           &RejectResponse),
-      operator_table(this->io, this->store,
-                     std::string(platform::kOperatorTable),
-                     {[this](const auto& rows) { this->OnOperatorRows(rows); },
-                      [this](const auto& rows) { this->OnOperatorRows(rows); },
-                      [this](bool reachable) {
-                        this->core.SetConfigConfirmed(reachable);
-                        this->OnStore(platform::kOperatorTable, reachable);
-                      }}),
-      upstream_table(this->io, this->store,
-                     std::string(platform::kUpstreamTable),
-                     {[this](const auto& rows) { this->OnAllUpstreams(rows); },
-                      [this](const auto& rows) { this->OnUpstreamRows(rows); },
-                      [this](bool reachable) {
-                        this->core.Upstreams().SetReachable(reachable, Now());
-                        this->OnStore(platform::kUpstreamTable, reachable);
-                      }}),
+      operator_table(
+          this->io, this->store, std::string(platform::kOperatorTable),
+          {[this](const auto& rows) { this->OnOperatorRows(rows); },
+           [this](const auto& rows) { this->OnOperatorRows(rows); },
+           [this](bool reachable) {
+             this->core.SetConfigConfirmed(reachable);
+             this->OnStore(platform::kOperatorTable, reachable);
+           },
+           [this](std::string_view fault) {
+             LogFault(this->context, platform::kOperatorTable, fault);
+           }}),
+      upstream_table(
+          this->io, this->store, std::string(platform::kUpstreamTable),
+          {[this](const auto& rows) { this->OnAllUpstreams(rows); },
+           [this](const auto& rows) { this->OnUpstreamRows(rows); },
+           [this](bool reachable) {
+             this->core.Upstreams().SetReachable(reachable, Now());
+             this->OnStore(platform::kUpstreamTable, reachable);
+           },
+           [this](std::string_view fault) {
+             LogFault(this->context, platform::kUpstreamTable, fault);
+           }}),
       signals(this->io, SIGTERM, SIGINT, SIGHUP) {}
 
 http::ServerLimits Gateway::State::LimitsOf(
@@ -367,7 +372,7 @@
           this->FollowSignals();
           return;
         }
-        boost::asio::co_spawn(this->io, this->Stop(), boost::asio::detached);
+        Spawn(this->context, "stop", this->Stop(), [this] { this->io.stop(); });
       });
 }
 
@@ -384,7 +389,7 @@
       begin);
   this->callers.CloseAfterAnswers(true);
   this->broker.Leave();
-  boost::asio::co_spawn(this->io, this->channel.Leave(), boost::asio::detached);
+  Spawn(this->context, "leave", this->channel.Leave());
   http::Timer timer(this->io);
   timer.expires_after(kLeftOutAfter);
   co_await timer.async_wait(http::kAwait);
@@ -426,8 +431,8 @@
   state.keeper.Start();
   state.broker.Start();
   state.crashes.Start();
-  boost::asio::co_spawn(state.io, state.ExpireUpstreams(),
-                        boost::asio::detached);
+  SpawnDuty(state.context, "upstreams",
+            [&state] { return state.ExpireUpstreams(); });
   state.io.run();
   return {};
 }
--- a/gateway/move_driver.cc
+++ b/gateway/move_driver.cc
@@ -2,14 +2,13 @@
 
 #include <algorithm>
 #include <array>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <chrono>
 #include <utility>
 
 #include "gateway/event_log.h"
 #include "gateway/move_rows.h"
 #include "gateway/peer_channel.h"
+#include "gateway/spawn.h"
 #include "hornbeamspool/clock.h"
 #include "platform/documents.h"
 #include "policy/event.h"
@@ -57,19 +56,22 @@
     : context(context),
       store(&store),
       channel(&channel),
-      progress_table(*context.io, store, std::string(kProgressTable),
-                     {[this](const auto& rows) {
-                        this->OnProgress(rows);
-                        this->progress_known = true;
-                      },
-                      [this](const auto& rows) { this->OnProgress(rows); },
-                      [](bool) {}}) {}
+      progress_table(
+          *context.io, store, std::string(kProgressTable),
+          {[this](const auto& rows) {
+             this->OnProgress(rows);
+             this->progress_known = true;
+           },
+           [this](const auto& rows) { this->OnProgress(rows); }, [](bool) {},
+           [this](std::string_view fault) {
+             LogFault(this->context, kProgressTable, fault);
+           }}) {}
 
 // Nothing is followed until the first order.
 void MoveDriver::Begin() {
   if (std::exchange(this->begun, true)) return;
   this->progress_table.Start();
-  boost::asio::co_spawn(*this->context.io, this->Run(), boost::asio::detached);
+  SpawnDuty(this->context, "moves", [this] { return this->Run(); });
 }
 
 void MoveDriver::OnOrder(const StoreRow& row) {
--- a/gateway/peer_channel.cc
+++ b/gateway/peer_channel.cc
@@ -2,8 +2,6 @@
 
 #include <algorithm>
 #include <array>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <chrono>
 #include <random>
@@ -11,6 +9,7 @@
 #include <vector>
 
 #include "gateway/event_log.h"
+#include "gateway/spawn.h"
 #include "hornbeamspool/clock.h"
 #include "http/address.h"
 #include "platform/own_row.h"
@@ -66,7 +65,10 @@
                this->context.core->SetFleetSize(this->directory.Size() + 1);
                this->known = true;
              },
-             [this](const auto& rows) { this->OnRows(rows); }, [](bool) {}}),
+             [this](const auto& rows) { this->OnRows(rows); }, [](bool) {},
+             [this](std::string_view fault) {
+               LogFault(this->context, kPeerTable, fault);
+             }}),
       random(std::random_device{}()) {}
 
 void PeerChannel::OnRows(const std::vector<StoreRow>& rows) {
@@ -89,10 +91,9 @@
   } catch (const boost::system::system_error&) {
     return "cannot bind " + this->address;
   }
-  boost::asio::co_spawn(*this->context.io, this->Receive(),
-                        boost::asio::detached);
-  boost::asio::co_spawn(*this->context.io, this->Register(),
-                        boost::asio::detached);
+  SpawnDuty(this->context, "peer_receive", [this] { return this->Receive(); });
+  SpawnDuty(this->context, "peer_register",
+            [this] { return this->Register(); });
   this->table.Start();
   return {};
 }
--- a/gateway/token_broker.cc
+++ b/gateway/token_broker.cc
@@ -1,14 +1,13 @@
 #include "gateway/token_broker.h"
 
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <chrono>
 #include <utility>
 
 #include "gateway/budget_keeper.h"
 #include "gateway/peer_channel.h"
+#include "gateway/spawn.h"
 #include "hornbeamspool/clock.h"
 #include "hornbeamspool/metrics.h"
 #include "policy/gateway_core.h"
@@ -77,8 +76,7 @@
       taken(incarnation) {}
 
 void TokenBroker::Start() {
-  boost::asio::co_spawn(*this->context.io, this->Maintain(),
-                        boost::asio::detached);
+  SpawnDuty(this->context, "homes", [this] { return this->Maintain(); });
 }
 
 std::uint64_t TokenBroker::NewId() { return this->random(); }
@@ -118,11 +116,7 @@
   Search& search = this->searches[organisation];
   const TimePoint now = Now();
   if (search.refused_until > now) co_return VerdictOf(search.note);
-  if (!search.asking) {
-    search.asking = true;
-    boost::asio::co_spawn(*this->context.io, this->Ask(organisation, amount),
-                          boost::asio::detached);
-  }
+  if (!search.asking) this->StartAsk(organisation, amount);
   co_await this->WaitForNews(search, until);
   if (search.refused_until > Now()) co_return VerdictOf(search.note);
   co_return BudgetVerdict::kReserved;
@@ -139,9 +133,20 @@
     return;
   }
   if (this->context.core->Budgets().WantedGift(organisation) <= 0) return;
+  this->StartAsk(organisation, 0);
+}
+
+void TokenBroker::StartAsk(const std::string& organisation,
+                           std::int64_t needed) {
+  Search& search = this->searches[organisation];
   search.asking = true;
-  boost::asio::co_spawn(*this->context.io, this->Ask(organisation, 0),
-                        boost::asio::detached);
+  Spawn(this->context, "budget_ask", this->Ask(organisation, needed),
+        [this, &search] { this->EndSearch(search); });
+}
+
+void TokenBroker::EndSearch(Search& search) {
+  search.asking = false;
+  this->Wake(search);
 }
 
 // Asks the organisation's homes in turn; this VM is the last resort.
@@ -171,8 +176,7 @@
       search.refused_until = Now() + kRefusalTime;
     }
   }
-  search.asking = false;
-  this->Wake(search);
+  this->EndSearch(search);
 }
 
 // True when the peer gave something, or said for good that nothing is left.
@@ -216,8 +220,8 @@
     return;
   }
   if (!this->answering.insert(message.id).second) return;
-  boost::asio::co_spawn(*this->context.io, this->Answer(message),
-                        boost::asio::detached);
+  Spawn(this->context, "budget_answer", this->Answer(message),
+        [this, id = message.id] { this->answering.erase(id); });
 }
 
 // A gift counts also when nobody waits for it any more.
@@ -286,8 +290,7 @@
     this->context.core->Budgets().TakeGift(organisation, amount);
     return;
   }
-  boost::asio::co_spawn(*this->context.io, this->SendAgain(vm, gift),
-                        boost::asio::detached);
+  Spawn(this->context, "budget_gift", this->SendAgain(vm, gift));
 }
 
 http::Task<void> TokenBroker::SendAgain(std::string vm, BudgetMessage gift) {
@@ -322,8 +325,7 @@
   if (vm.empty() || search.asking || idle + share <= 0) co_return;
   search.asking = true;
   const bool alive = co_await this->AskPeer(vm, organisation, 0);
-  search.asking = false;
-  this->Wake(search);
+  this->EndSearch(search);
   if (!alive) co_return;
   const std::uint64_t receiver = search.answered_by;
   this->SendGift(vm, receiver, organisation,
@@ -332,6 +334,15 @@
   this->SendGift(vm, receiver, organisation, desk.GiveAll(organisation, Now()));
 }
 
+void TokenBroker::StartHandOver(const std::string& organisation) {
+  Search& search = this->searches[organisation];
+  const bool searched = search.asking;
+  Spawn(this->context, "budget_hand_over", this->HandOver(organisation),
+        [this, &search, searched] {
+          if (!searched) this->EndSearch(search);
+        });
+}
+
 void TokenBroker::Leave() {
   this->leaving = true;
   this->context.core->Budgets().LeaveHomes();
@@ -341,8 +352,7 @@
 void TokenBroker::ReturnGifts() {
   for (const std::string& organisation :
        this->context.core->Budgets().Organisations()) {
-    boost::asio::co_spawn(*this->context.io, this->HandOver(organisation),
-                          boost::asio::detached);
+    this->StartHandOver(organisation);
   }
 }
 
@@ -355,8 +365,7 @@
       desk.KeepHome(organisation, Now() + kHomeTime);
       continue;
     }
-    boost::asio::co_spawn(*this->context.io, this->HandOver(organisation),
-                          boost::asio::detached);
+    this->StartHandOver(organisation);
   }
 }
 
--- a/gateway/token_broker.h
+++ b/gateway/token_broker.h
@@ -69,7 +69,9 @@
     transport::BudgetMessage message;
   };
 
+  void StartAsk(const std::string& organisation, std::int64_t needed);
   http::Task<void> Ask(std::string organisation, std::int64_t needed);
+  void EndSearch(Search& search);
   http::Task<bool> AskPeer(const std::string& vm,
                            const std::string& organisation,
                            std::int64_t needed);
@@ -83,6 +85,7 @@
   transport::BudgetMessage NewMessage(transport::BudgetMessageKind kind,
                                       std::uint64_t id,
                                       const std::string& organisation) const;
+  void StartHandOver(const std::string& organisation);
   http::Task<void> HandOver(std::string organisation);
   http::Task<void> SendAgain(std::string vm, transport::BudgetMessage gift);
   std::string FirstOtherHome(const std::string& organisation) const;
--- /dev/null
+++ b/http/duty.cc
@@ -0,0 +1,62 @@
+#include "http/duty.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <chrono>
+#include <exception>
+#include <string>
+#include <utility>
+
+#include "coordination/time.h"
+
+namespace hornbeamspool::http {
+namespace {
+
+// Pause before a duty is begun again: a fault that stays costs little.
+constexpr coordination::Duration kRestartPause = std::chrono::milliseconds(200);
+
+std::string TextOf(const std::exception_ptr& fault) {
+  try {
+    std::rethrow_exception(fault);
+  } catch (const std::exception& exception) {
+    return exception.what();
+  } catch (...) {
+    return "not a standard exception";
+  }
+}
+
+Task<void> KeepUp(boost::asio::io_context& io,
+                  std::function<Task<void>()> begin, FaultHandler on_fault) {
+  Timer timer(io);
+  while (true) {
+    std::exception_ptr fault;
+    try {
+      co_await begin();
+      co_return;
+    } catch (...) {
+      fault = std::current_exception();
+    }
+    on_fault(TextOf(fault));
+    timer.expires_after(kRestartPause);
+    co_await timer.async_wait(kAwait);
+  }
+}
+
+}  // namespace
+
+void Spawn(boost::asio::io_context& io, Task<void> task,
+           FaultHandler on_fault) {
+  boost::asio::co_spawn(
+      io, std::move(task),
+      [on_fault = std::move(on_fault)](const std::exception_ptr& fault) {
+        if (fault) on_fault(TextOf(fault));
+      });
+}
+
+void SpawnDuty(boost::asio::io_context& io, std::function<Task<void>()> begin,
+               FaultHandler on_fault) {
+  boost::asio::co_spawn(io, KeepUp(io, std::move(begin), std::move(on_fault)),
+                        boost::asio::detached);
+}
+
+}  // namespace hornbeamspool::http
--- a/standin/store_standin.cc
+++ b/standin/store_standin.cc
@@ -7,6 +7,7 @@
 #include <boost/json/value.hpp>
 #include <charconv>
 #include <chrono>
+#include <map>
 #include <set>
 #include <string>
 #include <utility>
@@ -147,14 +148,16 @@
       std::chrono::milliseconds(NumberOf(request.QueryValue("wait_ms")));
   http::Timer timer(*this->io);
   while (true) {
-    json::array changed;
+    std::multimap<std::uint64_t, json::value> changed;  // by version
     for (const auto& [key, row] : this->rows) {
       if (key.table != table || row.version <= after) continue;
-      changed.push_back(this->ToWire(key, row));
+      changed.emplace(row.version, this->ToWire(key, row));
     }
     const bool due = std::chrono::steady_clock::now() >= end;
     if (due || !changed.empty()) {
-      co_return this->RowsAnswer(200, std::move(changed));
+      json::array rows;
+      for (auto& [version, row] : changed) rows.push_back(std::move(row));
+      co_return this->RowsAnswer(200, std::move(rows));
     }
     timer.expires_after(kFeedLook);
     co_await timer.async_wait(http::kAwait);
