Successors and stand-ins leave a home its turn at the store

What callers saw: on the installation of 195 VMs, after every VM lost power, the requests of a large organisation were refused for 6 s although its home was back after 1 s; the same in the seconds after each cut.

Cause: all VMs that ever had a share of a budget closed it as soon as they started, and each VM whose request found no home drew a share of its own and closed it 4 s later. All these writes are conditional on one row, the total. The store carries out the writes of one part in turn, 5 ms each, also those whose condition fails; with some 80 of them in its queue one write in 80 succeeds, and a writer that tries again at once is behind the others each time.

Now a VM that is no home waits after a conflict, by chance and longer each time, and reads again before it writes; what a predecessor left is closed within 4 s, by each VM at another moment; a VM stands in for a home for 1 s and for what waits, and not at all while the store is away; and none takes itself for a home before it has read who its peers are.

The test names the pattern and failed with the mutation kWritesAtOnce, which is the old way.

Ruled out: the time that the store takes (the other parts were idle), lost answers (no write of unknown outcome after 28 s).

--- a/bench/budget_fleet.h
+++ b/bench/budget_fleet.h
@@ -31,6 +31,7 @@
   kAckBeforeWrite,    // a write is taken as done when its answer is lost
   kForgetsPace,       // a successor takes the checkpoint as all that was spent
   kGiftCountedTwice,  // a gift that comes twice counts twice
+  kWritesAtOnce,      // VMs close shares and repeat writes without a pause
   kCount
 };
 
@@ -48,9 +49,14 @@
   double cut_rate = 0;
   double lost_answer_rate = 0;  // of writes
   double lost_datagram_rate = 0;
+  // Transactions on one organisation's rows follow each other, each taking so
+  // long; those whose conditions fail, too.
+  coordination::Duration transaction_time = std::chrono::milliseconds(5);
   // A day as the users' standard days are: all VMs cut from the store for 8 s
   // twice, a organisation that sends 2.3 times its usual, all killed at 34 s.
   bool standard_day = false;
+  // VMs restarted one after the other, all of them before that kill.
+  bool rolled = false;
 };
 
 struct FleetResult {
@@ -59,6 +65,10 @@
   std::int64_t served = 0;
   std::int64_t refused = 0;
   std::int64_t refused_that_fitted = 0;
+  // Of these, in the time from the first to the sixth second after everyone
+  // was killed.
+  std::int64_t refused_after_kill = 0;
+  std::int64_t conflicts = 0;  // writes whose conditions failed
   std::int64_t spent = 0;
   std::int64_t stranded = 0;  // committed at the end, and nobody's
   std::int64_t store_calls = 0;
@@ -88,6 +98,7 @@
     policy::BudgetTotal total;
     std::uint64_t total_version = 0;
     std::map<std::size_t, std::pair<policy::BudgetShare, std::uint64_t>> shares;
+    coordination::TimePoint busy_until{};  // with transactions that wait
   };
   double Draw() { return this->chance(this->random); }
   bool Reaches(std::size_t vm) const;
@@ -96,13 +107,15 @@
   void Later(coordination::Duration delay, std::function<void()> run);
   void Faults();
   void StandardDay();
+  void Roll();
   void Arrivals();
   void Serve(std::size_t vm, std::size_t organisation, std::int64_t amount,
              int tries_left);
-  bool AskHome(std::size_t vm, std::size_t organisation, std::int64_t amount);
+  bool AskHomes(std::size_t vm, std::size_t organisation, std::int64_t amount);
   std::size_t HomeOf(std::size_t organisation) const;
   void Look(std::size_t vm);
   void Write(std::size_t vm, const policy::BudgetRows& rows);
+  policy::BudgetRows RowsOf(std::size_t vm, const std::string& organisation);
   void ReadInto(std::size_t vm, const std::string& organisation);
   // Applies a write whose conditions hold; returns whether it did.
   bool Apply(std::size_t vm, const policy::BudgetRows& rows);
@@ -117,6 +130,7 @@
   std::map<std::string, StoredRows> store;
   std::uint64_t store_version = 0;
   std::uint64_t next_incarnation = 1;
+  std::size_t rolled = 0;  // VMs
   std::multimap<coordination::TimePoint, std::function<void()>> events;
   FleetResult result;
 };
--- a/gateway/budget_keeper.cc
+++ b/gateway/budget_keeper.cc
@@ -244,8 +244,12 @@
       this->LogLimits(rows);
       break;
     case StoreStatus::kConflict:
+      if (const auto rows = this->Collect(answer.rows, organisation)) {
+        desk.OnConflict(*rows, Now());
+        break;
+      }
       desk.OnNotWritten(organisation);
-      this->TakeRows(answer.rows, organisation);
+      this->LogFailure(organisation, "unreadable_row");
       break;
     case StoreStatus::kUnknown:
       desk.OnUnknown(organisation);
--- a/gateway/peer_channel.cc
+++ b/gateway/peer_channel.cc
@@ -10,6 +10,7 @@
 
 #include "gateway/event_log.h"
 #include "gateway/spawn.h"
+#include "gateway/token_broker.h"
 #include "hornbeamspool/clock.h"
 #include "http/address.h"
 #include "platform/own_row.h"
@@ -63,7 +64,8 @@
                }
                this->directory.Replace(std::move(peers));
                this->context.core->SetFleetSize(this->directory.Size() + 1);
-               this->known = true;
+               const bool first = !std::exchange(this->known, true);
+               if (first) this->context.token_broker->LookAtHomes();
              },
              [this](const auto& rows) { this->OnRows(rows); }, [](bool) {},
              [this](std::string_view fault) {
--- a/gateway/token_broker.cc
+++ b/gateway/token_broker.cc
@@ -124,8 +124,9 @@
 
 void TokenBroker::Replenish(const std::string& organisation) {
   Search& search = this->searches[organisation];
-  if (search.asking || search.refused_until > Now()) return;
   const TimePoint now = Now();
+  if (search.asking || search.refused_until > now) return;
+  if (!this->channel->Ready()) return;
   const std::vector<std::string> homes =
       this->channel->Directory().HomesOf(organisation, kHomes, now);
   if (homes.front() == this->channel->Vm() && !this->leaving) {
@@ -154,21 +155,28 @@
                                   std::int64_t needed) {
   Search& search = this->searches[organisation];
   BudgetDesk& desk = this->context.core->Budgets();
+  if (!this->channel->Ready()) {
+    // A VM that knows no peers would take itself for every home.
+    co_await this->WaitForNews(search, Now() + kAnswerLook);
+    this->EndSearch(search);
+    co_return;
+  }
   const std::vector<std::string> homes =
       this->channel->Directory().HomesOf(organisation, kHomes, Now());
   bool found = false;
   for (const std::string& vm : homes) {
-    if (vm == this->channel->Vm() && this->leaving) continue;
-    if (vm == this->channel->Vm()) break;
+    if (vm == this->channel->Vm()) {
+      if (this->leaving) continue;
+      if (vm == homes.front()) desk.KeepHome(organisation, Now() + kHomeTime);
+      break;
+    }
     found = co_await this->AskPeer(vm, organisation, needed);
     if (found) break;
   }
   if (!found && needed > 0) {
     const TimePoint give_up = Now() + kAskTime;
-    desk.KeepHome(organisation, Now() + kHomeTime);
-    BudgetVerdict verdict = desk.VerdictFor(organisation, needed, Now());
-    if (verdict == BudgetVerdict::kLacking && desk.Reachable()) {
-      desk.NoteLacking(organisation, needed);
+    const BudgetVerdict verdict = desk.StandIn(organisation, needed, Now());
+    if (verdict == BudgetVerdict::kLacking) {
       this->context.budget_keeper->Kick();
       co_await this->WaitForNews(search, give_up);
     } else {
@@ -357,6 +365,7 @@
 }
 
 void TokenBroker::LookAtHomes() {
+  if (!this->channel->Ready()) return;
   BudgetDesk& desk = this->context.core->Budgets();
   for (const std::string& organisation : desk.Organisations()) {
     const std::vector<std::string> homes =
--- a/policy/budget_desk.cc
+++ b/policy/budget_desk.cc
@@ -5,6 +5,8 @@
 #include <cstdlib>
 #include <utility>
 
+#include "coordination/rendezvous.h"
+
 namespace hornbeamspool::policy {
 namespace {
 
@@ -43,6 +45,21 @@
 constexpr std::int64_t kBurstPart = 2;
 constexpr std::int64_t kOldCheckpointMs = 450;
 
+// A VM that stood in for a home holds its share for this long, for the demand
+// of this time.
+constexpr coordination::Duration kStandInTime = std::chrono::seconds(1);
+constexpr double kStandInSeconds = 1;
+
+// Shares of a predecessor, or of a VM that has stood in, are closed within this
+// time, each VM at another moment.
+constexpr coordination::Duration kCloseSpread = std::chrono::seconds(4);
+
+// After a conflict a VM that is no home waits for a part of this by chance,
+// twice as long after each further one, up to so many doublings.
+constexpr coordination::Duration kConflictPause =
+    std::chrono::milliseconds(100);
+constexpr std::int64_t kMostDoublings = 5;
+
 // How often a budget whose rest other VMs hold is looked at again.
 constexpr coordination::Duration kRefreshInterval =
     std::chrono::milliseconds(250);
@@ -52,6 +69,9 @@
 constexpr std::int64_t kDriftPart = 100;
 constexpr std::int64_t kClockStepMs = 2;
 
+// Moments that a spread tells apart.
+constexpr std::int64_t kSpreadSteps = 1000;
+
 }  // namespace
 
 void BudgetDesk::SetPrepaid(std::string_view organisation,
@@ -226,7 +246,7 @@
 
 void BudgetDesk::LeaveHomes() {
   for (auto& [organisation, entry] : this->entries) {
-    entry.home_until = {};
+    entry.home_until = entry.stand_in_until = {};
     entry.urgent = true;
   }
 }
@@ -244,6 +264,18 @@
   if (Entry* entry = this->Find(organisation)) entry->home_until = until;
 }
 
+BudgetVerdict BudgetDesk::StandIn(std::string_view organisation,
+                                  std::int64_t amount,
+                                  coordination::TimePoint now) {
+  const BudgetVerdict verdict = this->VerdictFor(organisation, amount, now);
+  if (verdict != BudgetVerdict::kLacking) return verdict;
+  Entry* entry = this->Find(organisation);
+  if (entry == nullptr || !this->reachable) return BudgetVerdict::kHeld;
+  entry->stand_in_until = now + kStandInTime;
+  this->NoteLacking(organisation, amount);
+  return BudgetVerdict::kLacking;
+}
+
 void BudgetDesk::NoteLacking(std::string_view organisation,
                              std::int64_t amount) {
   Entry* entry = this->Find(organisation);
@@ -255,8 +287,12 @@
 std::int64_t BudgetDesk::WantedLimit(const Entry& entry,
                                      coordination::TimePoint now) const {
   const BudgetAccount& account = entry.account;
-  const bool holds = !this->stopping && now < entry.home_until;
-  if (!holds) return account.Committed();
+  if (!this->Holds(entry, now)) return account.Committed();
+  if (now >= entry.home_until) {
+    const auto soon =
+        static_cast<std::int64_t>(account.DemandPerSecond() * kStandInSeconds);
+    return account.Committed() + std::max(soon, account.TypicalRequest());
+  }
   const double outage =
       std::chrono::duration<double>(this->options.bridged_outage).count();
   const auto expected = static_cast<std::int64_t>(account.DemandPerSecond() *
@@ -276,7 +312,7 @@
   // A predecessor's share is closed at once: what it left is free then.
   if (!this->IsMine(entry) && entry.rows.share.incarnation != 0) return true;
   if (entry.lacking > 0 && next_limit >= committed + entry.lacking) return true;
-  if (this->stopping || now >= entry.home_until) return next_limit != held;
+  if (!this->Holds(entry, now)) return next_limit != held;
   if (std::abs(next_limit - held) * kDeadband > next_limit - committed) {
     return true;
   }
@@ -350,7 +386,26 @@
                            coordination::TimePoint now) const {
   if (entry.busy) return false;
   if (entry.read) return entry.refresh && now >= entry.next_refresh;
-  return entry.inherited || entry.lacking > 0 || now < entry.home_until;
+  if (now < entry.home_until) return true;
+  if (entry.conflicts == 0 && entry.lacking > 0) return true;
+  if (!entry.inherited) return false;
+  return this->stopping || now >= entry.read_at.value_or(now);
+}
+
+coordination::Duration BudgetDesk::Spread(
+    const Entry& entry, coordination::Duration longest) const {
+  const std::uint64_t seed =
+      this->start.incarnation + static_cast<std::uint64_t>(entry.conflicts);
+  const std::uint64_t hash =
+      coordination::StableHash(entry.rows.organisation, seed);
+  return longest * static_cast<std::int64_t>(hash % kSpreadSteps) /
+         kSpreadSteps;
+}
+
+void BudgetDesk::ReadLater(Entry& entry, coordination::TimePoint at) {
+  entry.read = false;
+  entry.inherited = true;
+  entry.read_at = at;
 }
 
 std::vector<std::string> BudgetDesk::PlanReads(coordination::TimePoint now,
@@ -358,6 +413,9 @@
   std::vector<std::string> planned;
   for (auto& [organisation, entry] : this->entries) {
     if (planned.size() >= most) break;
+    if (entry.inherited && !entry.read_at) {
+      entry.read_at = now + this->Spread(entry, kCloseSpread);
+    }
     if (!this->WantsRead(entry, now)) continue;
     entry.busy = true;
     entry.refresh = false;
@@ -371,6 +429,13 @@
 bool BudgetDesk::PlanWrite(Entry& entry, coordination::TimePoint now) {
   if (entry.busy || !entry.read) return false;
   if (now < entry.next_write && !entry.urgent && !this->stopping) return false;
+  const bool stood_in = entry.stand_in_until != coordination::TimePoint{};
+  if (stood_in && !this->Holds(entry, now) && !this->stopping) {
+    // The rows have changed since by the home's writes.
+    entry.stand_in_until = {};
+    this->ReadLater(entry, now + this->Spread(entry, kCloseSpread));
+    return false;
+  }
   entry.next_write = now + this->options.write_interval;
   entry.urgent = false;
   const std::int64_t committed = entry.account.Committed();
@@ -425,6 +490,7 @@
   // conditions no longer hold.
   entry->in_doubt.clear();
   entry->returning = 0;
+  entry->conflicts = 0;
 }
 
 void BudgetDesk::OnNotWritten(std::string_view organisation) {
@@ -436,14 +502,24 @@
   entry->urgent = true;
 }
 
+void BudgetDesk::OnConflict(const BudgetRows& rows,
+                            coordination::TimePoint now) {
+  this->OnNotWritten(rows.organisation);
+  this->OnRead(rows);
+  Entry* entry = this->Find(rows.organisation);
+  if (entry == nullptr || now < entry->home_until) return;
+  const std::int64_t doublings = std::min(entry->conflicts++, kMostDoublings);
+  const coordination::Duration longest = kConflictPause * (1 << doublings);
+  this->ReadLater(*entry, now + this->Spread(*entry, longest));
+}
+
 void BudgetDesk::OnUnknown(std::string_view organisation) {
   Entry* entry = this->Find(organisation);
   if (entry == nullptr) return;
   entry->busy = false;
   // Gifts on the way back may have arrived: they are not used again here.
   entry->returning = 0;
-  entry->read = false;
-  entry->inherited = true;
+  this->ReadLater(*entry, {});
 }
 
 void BudgetDesk::OnNotRead(std::string_view organisation) {
@@ -457,6 +533,7 @@
   entry->busy = false;
   entry->read = true;
   entry->inherited = false;
+  entry->read_at.reset();
   entry->urgent = true;
   if (this->IsMine(*entry) || rows.share.incarnation == 0) return;
   entry->account.InheritDemand(static_cast<double>(rows.share.per_second) /
--- a/policy/budget_desk.h
+++ b/policy/budget_desk.h
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <limits>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -109,6 +110,11 @@
   void KeepHome(std::string_view organisation, coordination::TimePoint until);
   // From here on this VM keeps no organisation's tokens.
   void LeaveHomes();
+  // The organisation's homes don't answer: this VM draws for the request that
+  // waits, kLacking, or says why it can't. Without the store it holds nothing
+  // afterwards, so that the fleet does not come back to the store as one.
+  BudgetVerdict StandIn(std::string_view organisation, std::int64_t amount,
+                        coordination::TimePoint now);
 
   // A request waits for tokens: a write is due at once.
   void NoteLacking(std::string_view organisation, std::int64_t amount);
@@ -133,6 +139,10 @@
   void OnWritten(std::string_view organisation, std::uint64_t version);
   // The write was certainly not done.
   void OnNotWritten(std::string_view organisation);
+  // The rows had changed; these are the present ones. A home tries again at
+  // once, others later and with rows read anew: all VMs of a fleet that write
+  // one total as soon as they can leave hardly any of them a turn.
+  void OnConflict(const BudgetRows& rows, coordination::TimePoint now);
   // Nobody knows whether the write was done: the rows must be read again.
   void OnUnknown(std::string_view organisation);
   // The store's clock, as an answer told it that was asked for at `asked` and
@@ -163,16 +173,20 @@
     // Of these, on the way to the store with the outstanding write.
     std::int64_t returning = 0;
     coordination::TimePoint home_until{};
+    coordination::TimePoint stand_in_until{};
     BudgetRows rows;           // as last known in the store
     std::int64_t lacking = 0;  // tokens that waiting requests need
     BudgetRows pending;        // of the outstanding write
     coordination::TimePoint next_write{};
     coordination::TimePoint next_refresh{};
-    bool busy = false;       // a call is outstanding
-    bool read = false;       // `rows` are known
-    bool inherited = false;  // a predecessor may have left a share
-    bool refresh = false;    // a request lacked what other VMs hold
-    bool urgent = false;     // a write may be due before its time
+    // When rows that nobody waits for are read; empty: not decided.
+    std::optional<coordination::TimePoint> read_at;
+    std::int64_t conflicts = 0;  // in a row
+    bool busy = false;           // a call is outstanding
+    bool read = false;           // `rows` are known
+    bool inherited = false;      // a predecessor may have left a share
+    bool refresh = false;        // a request lacked what other VMs hold
+    bool urgent = false;         // a write may be due before its time
     // Shares that writes may have put, or may yet put, into the store.
     std::vector<BudgetShare> in_doubt;
 
@@ -182,6 +196,14 @@
     }
   };
 
+  bool Holds(const Entry& entry, coordination::TimePoint now) const {
+    return !this->stopping &&
+           (now < entry.home_until || now < entry.stand_in_until);
+  }
+  // A part of `longest` by chance, another for each VM and conflict.
+  coordination::Duration Spread(const Entry& entry,
+                                coordination::Duration longest) const;
+  void ReadLater(Entry& entry, coordination::TimePoint at);
   bool IsMine(const Entry& entry) const {
     return entry.rows.share.incarnation == this->start.incarnation;
   }
