Requests wait for tokens that only a share's pace holds back

What callers saw: at the start of an outage, where budgets are scarce, model requests were refused at once or after 250 ms although their home held the tokens and was to hand them out a second later.

Cause: a home whose pace allowed no more said that others held the rest, or, once a write's outcome was not known, that it had nothing; the VM that had asked then refused every request of the organisation for 250 ms.

A home now says that tokens come soon. The VM that asked comes again after 60 ms, and its requests wait up to 1.5 s, at most half of the caller's time.

The new case of budget_test failed before: kHeld and kLacking in place of kPaced.

--- a/gateway/request_relay.cc
+++ b/gateway/request_relay.cc
@@ -38,6 +38,10 @@
 // and a write to the store.
 constexpr Duration kBudgetWait = std::chrono::milliseconds(250);
 
+// The same when the tokens are there, and a share's pace holds them back. Half
+// of the caller's time is left for the answer.
+constexpr Duration kPaceWait = std::chrono::milliseconds(1500);
+
 // A handshake takes 2 ms within a region; a lost packet is sent again after
 // 200 ms.
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(500);
@@ -156,8 +160,9 @@
 http::Task<std::optional<Refusal>> RequestRelay::Pay() {
   policy::GatewayCore& core = *this->context->core;
   TokenBroker& broker = *this->context->token_broker;
-  const coordination::TimePoint give_up =
-      std::min(this->arrived + kBudgetWait, this->ticket->deadline);
+  const coordination::TimePoint deadline = this->ticket->deadline;
+  coordination::TimePoint give_up =
+      std::min(this->arrived + kBudgetWait, deadline);
   while (true) {
     BudgetVerdict verdict = core.Pay(*this->ticket, Now());
     if (verdict == BudgetVerdict::kReserved) {
@@ -171,6 +176,12 @@
       verdict = co_await broker.Find(this->ticket->organisation->name,
                                      this->ticket->request.demand->WorstCase(),
                                      give_up);
+      if (verdict == BudgetVerdict::kPaced) {
+        const coordination::TimePoint half =
+            this->arrived + (deadline - this->arrived) / 2;
+        give_up = std::min(this->arrived + kPaceWait, half);
+        continue;
+      }
       if (verdict == BudgetVerdict::kReserved) continue;
     }
     if (verdict == BudgetVerdict::kExhausted) {
--- a/gateway/token_broker.cc
+++ b/gateway/token_broker.cc
@@ -43,6 +43,9 @@
 // A refusal holds for this long; then the peer is asked again.
 constexpr Duration kRefusalTime = std::chrono::milliseconds(250);
 
+// A home whose pace allows no more for now is asked again after this time.
+constexpr Duration kSoonTime = std::chrono::milliseconds(60);
+
 // Gifts that no request needs go back after a look of this length.
 constexpr Duration kMaintainTime = std::chrono::milliseconds(500);
 
@@ -55,12 +58,14 @@
 constexpr std::size_t kRemembered = 512;
 
 GiftNote NoteFor(BudgetVerdict verdict, bool reachable) {
+  if (verdict == BudgetVerdict::kPaced) return GiftNote::kSoon;
   if (verdict == BudgetVerdict::kExhausted) return GiftNote::kExhausted;
   if (verdict == BudgetVerdict::kHeld) return GiftNote::kHeld;
   return reachable ? GiftNote::kHeld : GiftNote::kUnavailable;
 }
 
 BudgetVerdict VerdictOf(GiftNote note) {
+  if (note == GiftNote::kSoon) return BudgetVerdict::kPaced;
   if (note == GiftNote::kExhausted) return BudgetVerdict::kExhausted;
   return BudgetVerdict::kHeld;
 }
@@ -115,6 +120,11 @@
                                             TimePoint until) {
   Search& search = this->searches[organisation];
   const TimePoint now = Now();
+  const bool soon = search.note == GiftNote::kSoon;
+  if (search.refused_until > now && soon) {
+    co_await this->WaitForNews(search, std::min(until, search.refused_until));
+    co_return BudgetVerdict::kPaced;
+  }
   if (search.refused_until > now) co_return VerdictOf(search.note);
   if (!search.asking) this->StartAsk(organisation, amount);
   co_await this->WaitForNews(search, until);
@@ -145,6 +155,13 @@
         [this, &search] { this->EndSearch(search); });
 }
 
+// The note holds for a while: nobody asks meanwhile.
+void TokenBroker::Refuse(Search& search, GiftNote note) {
+  search.note = note;
+  search.refused_until =
+      Now() + (note == GiftNote::kSoon ? kSoonTime : kRefusalTime);
+}
+
 void TokenBroker::EndSearch(Search& search) {
   search.asking = false;
   this->Wake(search);
@@ -180,8 +197,7 @@
       this->context.budget_keeper->Kick();
       co_await this->WaitForNews(search, give_up);
     } else {
-      search.note = NoteFor(verdict, desk.Reachable());
-      search.refused_until = Now() + kRefusalTime;
+      this->Refuse(search, NoteFor(verdict, desk.Reachable()));
     }
   }
   this->EndSearch(search);
@@ -213,7 +229,7 @@
   this->SendGift(vm, search.answered_by, organisation,
                  desk.WithdrawFreeGift(organisation));
   if (search.note == GiftNote::kUnavailable) co_return false;
-  search.refused_until = Now() + kRefusalTime;
+  this->Refuse(search, search.note);
   co_return true;
 }
 
@@ -265,8 +281,9 @@
     if (enough) break;
     const BudgetVerdict verdict =
         desk.VerdictFor(ask.organisation, ask.needed, Now());
-    const bool waits = verdict == BudgetVerdict::kLacking && desk.Reachable() &&
-                       Now() < give_up;
+    const bool by_write =
+        verdict == BudgetVerdict::kLacking || verdict == BudgetVerdict::kPaced;
+    const bool waits = by_write && desk.Reachable() && Now() < give_up;
     if (!waits) {
       gift.note = NoteFor(verdict, desk.Reachable());
       break;
--- a/gateway/token_broker.h
+++ b/gateway/token_broker.h
@@ -35,7 +35,8 @@
   void LookAtHomes();
 
   // Waits until tokens may have come for `amount` of the organisation, or the
-  // reason is known why they don't: kReserved says to try again.
+  // reason is known why they don't: kReserved says to try again, kPaced that
+  // trying is worth a longer wait.
   http::Task<policy::BudgetVerdict> Find(std::string organisation,
                                          std::int64_t amount,
                                          coordination::TimePoint until);
@@ -72,6 +73,7 @@
   void StartAsk(const std::string& organisation, std::int64_t needed);
   http::Task<void> Ask(std::string organisation, std::int64_t needed);
   void EndSearch(Search& search);
+  void Refuse(Search& search, transport::GiftNote note);
   http::Task<bool> AskPeer(const std::string& vm,
                            const std::string& organisation,
                            std::int64_t needed);
--- a/policy/budget_desk.cc
+++ b/policy/budget_desk.cc
@@ -148,12 +148,15 @@
                                      std::int64_t amount,
                                      coordination::TimePoint now) {
   Entry* found = this->Find(organisation);
-  if (found == nullptr || !found->read) return BudgetVerdict::kLacking;
+  if (found == nullptr) return BudgetVerdict::kLacking;
   Entry& entry = *found;
   const std::int64_t committed = entry.account.Committed();
   if (this->BoundOf(entry, now) - committed >= amount) {
     return BudgetVerdict::kLacking;
   }
+  const std::int64_t own = this->LimitOf(entry) - committed;
+  if (own >= amount) return BudgetVerdict::kPaced;
+  if (!entry.read) return BudgetVerdict::kLacking;
   const std::int64_t checkpointed =
       this->IsMine(entry) ? entry.rows.share.spent : 0;
   const std::int64_t left = entry.prepaid - entry.rows.total.known_spent -
@@ -163,7 +166,6 @@
     return BudgetVerdict::kExhausted;
   }
   const std::int64_t unclaimed = entry.prepaid - entry.rows.total.committed;
-  const std::int64_t own = this->LimitOf(entry) - committed;
   if (unclaimed + own >= amount) return BudgetVerdict::kLacking;
   // Another VM may have handed back since the rows were read.
   entry.refresh = true;
@@ -262,9 +264,12 @@
                                   std::int64_t amount,
                                   coordination::TimePoint now) {
   const BudgetVerdict verdict = this->VerdictFor(organisation, amount, now);
-  if (verdict != BudgetVerdict::kLacking) return verdict;
+  const bool paced = verdict == BudgetVerdict::kPaced;
+  if (verdict != BudgetVerdict::kLacking && !paced) return verdict;
   Entry* entry = this->Find(organisation);
-  if (entry == nullptr || !this->reachable) return BudgetVerdict::kHeld;
+  if (entry == nullptr || !this->reachable) {
+    return paced ? verdict : BudgetVerdict::kHeld;
+  }
   entry->stand_in_until = now + kStandInTime;
   this->NoteLacking(organisation, amount);
   return BudgetVerdict::kLacking;
--- a/policy/budget_desk.h
+++ b/policy/budget_desk.h
@@ -35,6 +35,7 @@
 enum class BudgetVerdict : std::uint8_t {
   kReserved,
   kLacking,    // this VM's limit is too low; a write may raise it
+  kPaced,      // this VM's limit has room, its pace will allow it in seconds
   kHeld,       // what is left is held by other VMs
   kExhausted,  // the prepaid tokens can't cover the request
   kCount
--- a/tests/budget_test.cc
+++ b/tests/budget_test.cc
@@ -208,6 +208,27 @@
   CHECK(planned.front().share.young_per_second == 15'000);
 }
 
+TEST_CASE("what the pace holds back is told apart from what is not there") {
+  BudgetRows rows = Absent();
+  rows.total = {500'000, 0};
+  rows.total_version = rows.share_version = 3;
+  rows.share = {6, 500'000, 20'000, 30'000, 9'500, 7'000, 15'000};
+  BudgetDesk desk = KeptDesk(7, rows);
+  REQUIRE(desk.PlanWrites(At(0), 1).size() == 1);
+  desk.OnWritten("t", 4);
+  desk.SetReachable(false);
+  BudgetSource source = BudgetSource::kShare;
+  CHECK(desk.Reserve("t", 90'000, At(1), source) == BudgetVerdict::kPaced);
+  CHECK(desk.StandIn("t", 90'000, At(1)) == BudgetVerdict::kPaced);
+  CHECK(desk.VerdictFor("t", 900'000, At(1)) != BudgetVerdict::kPaced);
+  // The same while nobody knows whether a later write was done.
+  desk.SetReachable(true);
+  REQUIRE(desk.PlanWrites(At(600), 1).size() == 1);
+  desk.OnUnknown("t");
+  desk.SetReachable(false);
+  CHECK(desk.VerdictFor("t", 90'000, At(700)) == BudgetVerdict::kPaced);
+}
+
 TEST_CASE("where little is left the pace of a young checkpoint is lower") {
   BudgetRows rows = Absent();
   rows.total = {500'000, 0};
--- a/transport/budget_message.h
+++ b/transport/budget_message.h
@@ -18,6 +18,7 @@
   kHeld,         // other VMs hold what is left
   kExhausted,    // nothing is left
   kUnavailable,  // the giver can't reach the store, and has nothing
+  kSoon,         // the giver has some that its pace will allow within seconds
   kCount
 };
 
