Where a home is cut off from the store, others draw for it

What callers saw: with two of six VMs turned away by the store for 9 s, the organisations whose homes these were had requests refused and late all the while, although four VMs reached the store.

A home that reaches the store but has a write under way said that others hold the rest, which is final for 250 ms.

Now a VM that is told "soon" asks the next home, which may reach the store, and stands in as the last resort; a home whose write is under way says "soon". What a VM noted as needed while it stood in is forgotten with that role.

--- a/gateway/token_broker.cc
+++ b/gateway/token_broker.cc
@@ -61,7 +61,8 @@
   if (verdict == BudgetVerdict::kPaced) return GiftNote::kSoon;
   if (verdict == BudgetVerdict::kExhausted) return GiftNote::kExhausted;
   if (verdict == BudgetVerdict::kHeld) return GiftNote::kHeld;
-  return reachable ? GiftNote::kHeld : GiftNote::kUnavailable;
+  // A write that takes its time may bring some.
+  return reachable ? GiftNote::kSoon : GiftNote::kUnavailable;
 }
 
 BudgetVerdict VerdictOf(GiftNote note) {
@@ -181,6 +182,7 @@
   const std::vector<std::string> homes =
       this->channel->Directory().HomesOf(organisation, kHomes, Now());
   bool found = false;
+  bool soon = false;  // a home has some
   for (const std::string& vm : homes) {
     if (vm == this->channel->Vm()) {
       if (this->leaving) continue;
@@ -189,6 +191,7 @@
     }
     found = co_await this->AskPeer(vm, organisation, needed);
     if (found) break;
+    soon = soon || (search.answered && search.note == GiftNote::kSoon);
   }
   if (!found && needed > 0) {
     const TimePoint give_up = Now() + kAskTime;
@@ -197,13 +200,16 @@
       this->context.budget_keeper->Kick();
       co_await this->WaitForNews(search, give_up);
     } else {
-      this->Refuse(search, NoteFor(verdict, desk.Reachable()));
+      const bool waits = soon && verdict != BudgetVerdict::kExhausted;
+      this->Refuse(
+          search, waits ? GiftNote::kSoon : NoteFor(verdict, desk.Reachable()));
     }
   }
   this->EndSearch(search);
 }
 
-// True when the peer gave something, or said for good that nothing is left.
+// True when the peer gave something, or said for good that nothing is left. One
+// that will have some soon may be cut off from the store, which others reach.
 http::Task<bool> TokenBroker::AskPeer(const std::string& vm,
                                       const std::string& organisation,
                                       std::int64_t needed) {
@@ -224,6 +230,7 @@
     co_return false;
   }
   if (search.note == GiftNote::kGiven) co_return true;
+  if (search.note == GiftNote::kSoon) co_return false;
   // What is left here is too little for this request; at the home it may add
   // up to enough for another.
   this->SendGift(vm, search.answered_by, organisation,
--- a/policy/budget_desk.cc
+++ b/policy/budget_desk.cc
@@ -432,6 +432,9 @@
   std::vector<std::string> planned;
   for (auto& [organisation, entry] : this->entries) {
     if (planned.size() >= most) break;
+    // The requests for which this VM stood in are gone.
+    const bool stood_in = entry.stand_in_until != coordination::TimePoint{};
+    if (stood_in && !this->Holds(entry, now)) entry.lacking = 0;
     if (entry.inherited && !entry.read_at) {
       entry.read_at = now + this->Spread(entry, kCloseSpread);
     }
