A budget counts as exhausted only when nobody holds enough of it

What callers saw: 402, which ends a caller's attempts, from budgets of which other VMs held enough; and where it was truly spent, 503 with a second to come back, again and again.

Cause: the verdict went by the spending that checkpoints tell.

The verdict now goes by what could be had: unclaimed tokens, this VM's own, and what other VMs' shares had left when all rows were last read.

--- a/bench/budget_fleet.cc
+++ b/bench/budget_fleet.cc
@@ -260,11 +260,21 @@
 BudgetRows BudgetFleet::RowsOf(std::size_t vm,
                                const std::string& organisation) {
   const StoredRows& stored = this->store[organisation];
-  BudgetRows row{organisation, stored.total, stored.total_version, {}, 0};
+  BudgetRows row;
+  row.organisation = organisation;
+  row.total = stored.total;
+  row.total_version = stored.total_version;
   if (const auto found = stored.shares.find(vm); found != stored.shares.end()) {
     row.share = found->second.first;
     row.share_version = found->second.second;
   }
+  std::int64_t elsewhere = 0;
+  for (const auto& [other, share] : stored.shares) {
+    if (other == vm) continue;
+    elsewhere +=
+        std::max<std::int64_t>(0, share.first.limit - share.first.spent);
+  }
+  row.held_elsewhere = elsewhere;
   const bool forgets = this->options.mutation == FleetMutation::kForgetsPace;
   if (forgets) row.share.burst = row.share.per_second = 0;
   if (this->options.strategy == HoldStrategy::kNoReclaim) {
--- a/gateway/budget_keeper.cc
+++ b/gateway/budget_keeper.cc
@@ -1,5 +1,6 @@
 #include "gateway/budget_keeper.h"
 
+#include <algorithm>
 #include <boost/asio/redirect_error.hpp>
 #include <chrono>
 #include <utility>
@@ -173,10 +174,24 @@
   return collected;
 }
 
+// What the shares of other VMs had left at their checkpoints.
+std::int64_t BudgetKeeper::HeldElsewhere(std::span<const StoreRow> rows) const {
+  const std::string own = this->ShareKey();
+  std::int64_t held = 0;
+  for (const StoreRow& row : rows) {
+    if (!row.key.starts_with(kSharePrefix) || row.key == own) continue;
+    const auto share = DecodeRow<policy::BudgetShare>(row.value);
+    if (share) held += std::max<std::int64_t>(0, share->limit - share->spent);
+  }
+  return held;
+}
+
+// All rows of the organisation.
 void BudgetKeeper::TakeRows(std::span<const StoreRow> rows,
                             std::string_view organisation) {
   policy::BudgetDesk& desk = this->context.core->Budgets();
-  if (const auto collected = this->Collect(rows, organisation)) {
+  if (auto collected = this->Collect(rows, organisation)) {
+    collected->held_elsewhere = this->HeldElsewhere(rows);
     desk.OnRead(*collected);
     return;
   }
--- a/gateway/budget_keeper.h
+++ b/gateway/budget_keeper.h
@@ -5,6 +5,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <set>
 #include <span>
@@ -43,6 +44,7 @@
   std::optional<policy::BudgetRows> Collect(
       std::span<const platform::StoreRow> rows,
       std::string_view organisation) const;
+  std::int64_t HeldElsewhere(std::span<const platform::StoreRow> rows) const;
   void TakeRows(std::span<const platform::StoreRow> rows,
                 std::string_view organisation);
   void LogLimits(const policy::BudgetRows& rows);
--- a/policy/budget_desk.cc
+++ b/policy/budget_desk.cc
@@ -27,9 +27,6 @@
 // Gifts over one part of a budget in this many are returned at once.
 constexpr std::int64_t kReturnPart = 500;
 
-// Gifts on the way are under one part of a budget in this many.
-constexpr std::int64_t kDoubtPart = 50;
-
 // Demand may grow by half during an outage.
 constexpr double kDemandReserve = 1.5;
 
@@ -157,19 +154,13 @@
   const std::int64_t own = this->LimitOf(entry) - committed;
   if (own >= amount) return BudgetVerdict::kPaced;
   if (!entry.read) return BudgetVerdict::kLacking;
-  const std::int64_t checkpointed =
-      this->IsMine(entry) ? entry.rows.share.spent : 0;
-  const std::int64_t left = entry.prepaid - entry.rows.total.known_spent -
-                            (entry.account.Spent() - checkpointed);
-  // Gifts count as spent before they are; a part of the budget stays in doubt.
-  if (left + entry.prepaid / kDoubtPart < amount) {
-    return BudgetVerdict::kExhausted;
-  }
   const std::int64_t unclaimed = entry.prepaid - entry.rows.total.committed;
   if (unclaimed + own >= amount) return BudgetVerdict::kLacking;
   // Another VM may have handed back since the rows were read.
   entry.refresh = true;
-  return BudgetVerdict::kHeld;
+  return unclaimed + own + entry.held_elsewhere < amount
+             ? BudgetVerdict::kExhausted
+             : BudgetVerdict::kHeld;
 }
 
 void BudgetDesk::Settle(std::string_view organisation, std::int64_t amount,
@@ -552,6 +543,7 @@
   Entry* entry = this->Find(rows.organisation);
   if (entry == nullptr) return;
   entry->rows = rows;
+  if (rows.held_elsewhere) entry->held_elsewhere = *rows.held_elsewhere;
   entry->busy = false;
   entry->read = true;
   entry->inherited = false;
--- a/policy/budget_desk.h
+++ b/policy/budget_desk.h
@@ -30,6 +30,9 @@
   std::uint64_t total_version = 0;
   BudgetShare share;
   std::uint64_t share_version = 0;
+  // Tokens that other VMs' shares had left at their checkpoints; empty when
+  // only the rows above were read.
+  std::optional<std::int64_t> held_elsewhere = std::nullopt;
 };
 
 enum class BudgetVerdict : std::uint8_t {
@@ -194,9 +197,10 @@
     std::int64_t returning = 0;
     coordination::TimePoint home_until{};
     coordination::TimePoint stand_in_until{};
-    BudgetRows rows;           // as last known in the store
-    std::int64_t lacking = 0;  // tokens that waiting requests need
-    BudgetRows pending;        // of the outstanding write
+    BudgetRows rows;                  // as last known in the store
+    std::int64_t held_elsewhere = 0;  // by the latest whole read
+    std::int64_t lacking = 0;         // tokens that waiting requests need
+    BudgetRows pending;               // of the outstanding write
     coordination::TimePoint next_write{};
     coordination::TimePoint next_refresh{};
     // When rows that nobody waits for are read; empty: not decided.
