A zone that the operator orders to be emptied gets nothing new

Gateways now read `evacuate/ZONE` from the operator's table with the rows that they follow already: while the row stands, no upstream of the zone is chosen, for first sends, repeats, resumed streams or moves alike; streams there finish. A whole read of the table replaces what was known, so that an order that was taken back while the history was dropped ends too. One log line for each change.

Evidence: gateway_policy_test, and gateway_test with three processes: nothing reaches the zone, callers get 503 with a time to come back, a gateway that starts meanwhile keeps to it, and requests are served after it is taken back. Both failed before by their nature: there was no such call.

--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -6,6 +6,7 @@
 #include <functional>
 #include <optional>
 #include <random>
+#include <set>
 #include <utility>
 
 #include "gateway/budget_keeper.h"
@@ -72,6 +73,23 @@
   return options;
 }
 
+using ZoneSet = std::set<std::string, std::less<>>;
+
+// The zones to be emptied after these rows of the operator, of those before.
+ZoneSet EvacuatedAfter(ZoneSet zones,
+                       const std::vector<platform::StoreRow>& rows) {
+  for (const platform::StoreRow& row : rows) {
+    if (!row.key.starts_with(platform::kEvacuationPrefix)) continue;
+    const std::string zone = row.key.substr(platform::kEvacuationPrefix.size());
+    if (row.removed) {
+      zones.erase(zone);
+    } else {
+      zones.insert(zone);
+    }
+  }
+  return zones;
+}
+
 }  // namespace
 
 struct Gateway::State {
@@ -79,7 +97,9 @@
 
   std::string Listen();
   void FollowSignals();
+  void OnAllOperatorRows(const std::vector<platform::StoreRow>& rows);
   void OnOperatorRows(const std::vector<platform::StoreRow>& rows);
+  void SetEvacuatedZones(ZoneSet zones);
   void OnUpstreamRows(const std::vector<platform::StoreRow>& rows);
   void OnAllUpstreams(const std::vector<platform::StoreRow>& rows);
   void OnStore(std::string_view table, bool reachable);
@@ -166,7 +186,7 @@
           &RejectResponse),
       operator_table(
           this->io, this->store, std::string(platform::kOperatorTable),
-          {[this](const auto& rows) { this->OnOperatorRows(rows); },
+          {[this](const auto& rows) { this->OnAllOperatorRows(rows); },
            [this](const auto& rows) { this->OnOperatorRows(rows); },
            [this](bool reachable) {
              this->core.SetConfigConfirmed(reachable);
@@ -201,8 +221,28 @@
   return own;
 }
 
+// An order that is not among all rows has been taken back.
+void Gateway::State::OnAllOperatorRows(
+    const std::vector<platform::StoreRow>& rows) {
+  this->SetEvacuatedZones(EvacuatedAfter({}, rows));
+  this->OnOperatorRows(rows);
+}
+
+void Gateway::State::SetEvacuatedZones(ZoneSet zones) {
+  if (zones == this->core.Upstreams().EvacuatedZones()) return;
+  std::string list;
+  for (const std::string& zone : zones) {
+    if (!list.empty()) list += ',';
+    list += zone;
+  }
+  this->core.Upstreams().SetEvacuatedZones(std::move(zones));
+  this->log.Write(LogKind::kConfig, KeyValue("evacuated_zones", list), Now());
+}
+
 void Gateway::State::OnOperatorRows(
     const std::vector<platform::StoreRow>& rows) {
+  this->SetEvacuatedZones(
+      EvacuatedAfter(this->core.Upstreams().EvacuatedZones(), rows));
   for (const platform::StoreRow& row : rows) {
     if (row.key.starts_with(platform::kMovePrefix)) this->mover.OnOrder(row);
     if (row.key != platform::kConfigKey || row.removed) continue;
--- a/policy/upstream_directory.cc
+++ b/policy/upstream_directory.cc
@@ -80,6 +80,7 @@
   for (const auto& [id, kept] : this->entries) {
     if (kept.entry.service != service || kept.entry.draining) continue;
     if (kept.missing && now >= kept.drop_at) continue;
+    if (this->evacuated.contains(kept.entry.availability_zone)) continue;
     usable.push_back(&kept.entry);
   }
   return usable;
--- a/policy/upstream_directory.h
+++ b/policy/upstream_directory.h
@@ -6,8 +6,10 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "coordination/time.h"
@@ -53,6 +55,15 @@
   // All entries that there are, read at one moment: what is missing is removed.
   void Replace(std::vector<UpstreamEntry> entries, coordination::TimePoint now);
 
+  // Zones that the operator has ordered to be emptied: their upstreams get no
+  // new work. All of them, in place of those before.
+  void SetEvacuatedZones(std::set<std::string, std::less<>> zones) {
+    this->evacuated = std::move(zones);
+  }
+  const std::set<std::string, std::less<>>& EvacuatedZones() const {
+    return this->evacuated;
+  }
+
   // The registry stopped or began to answer.
   void SetReachable(bool reachable, coordination::TimePoint now);
 
@@ -87,6 +98,7 @@
             coordination::TimePoint now);
 
   std::map<std::string, Kept, std::less<>> entries;
+  std::set<std::string, std::less<>> evacuated;
   bool reachable = false;
   std::optional<coordination::TimePoint> returned_at;
 };
--- a/tests/gateway_policy_test.cc
+++ b/tests/gateway_policy_test.cc
@@ -707,6 +707,22 @@
   CHECK(crashes_after_break(20'000) == 1);
 }
 
+TEST_CASE("upstreams of a zone that is emptied get nothing new") {
+  UpstreamDirectory upstreams;
+  upstreams.SetReachable(true, At(0));
+  upstreams.Put(MakeUpstream("s1", "z1"));
+  upstreams.Put(MakeUpstream("s2", "z2"));
+  CHECK(upstreams.Usable("engines", At(1)).size() == 2);
+  upstreams.SetEvacuatedZones({"z1"});
+  REQUIRE(upstreams.Usable("engines", At(2)).size() == 1);
+  CHECK(upstreams.Usable("engines", At(2)).front()->id == "s2");
+  // Also one that starts there meanwhile.
+  upstreams.Put(MakeUpstream("s3", "z1"));
+  CHECK(upstreams.Usable("engines", At(3)).size() == 1);
+  upstreams.SetEvacuatedZones({});
+  CHECK(upstreams.Usable("engines", At(4)).size() == 3);
+}
+
 TEST_CASE("a budget is charged its prompt once and its delivered output") {
   GatewayCore core = MakeCore();
   Prepare(core, {"s1"});
--- a/tests/process/gateway_test.sh
+++ b/tests/process/gateway_test.sh
@@ -77,6 +77,26 @@
 server_row i-1 19701 ready
 row servers/i-3 gone
 
+# A zone is emptied, and taken back.
+take_back() {  # ZONE
+  curl -s -X POST "http://$store/api/rows-tx" >/dev/null \
+    -d "{\"precondition\":[],\"puts\":[],\"remove\":[{\"table\":\"op\",\"part\":\"\",\"key\":\"evacuate/$1\"}]}"
+}
+row op/evacuate/z2 '{}'
+until_true grep -q 'evacuated_zones=z2' "$dir/gateway1.log"
+check 'another zone that is emptied takes nothing away' 200 "$(status 1 /lookup/x)"
+row op/evacuate/z1 '{}'
+until_true status_is 503 1 /lookup/x
+check 'a zone that is emptied gets nothing' 503 "$(status 1 /order/4 -d x)"
+check 'and callers are told when to come back' '*Retry-After*' "$(call 1 /lookup/x -i)"
+gateway 3
+until_true ready 3
+check 'nor from a gateway that starts meanwhile' 503 "$(status 3 /lookup/x)"
+kill -TERM "$gateway3"
+take_back z1
+until_true status_is 200 1 /lookup/x
+check 'a zone that is taken back serves' 200 "$(status 1 /order/5 -d x)"
+
 # The store is away: what is known goes on. Budgets have been used before.
 until_true status_is 200 1 /lookup/x -H 'Token-Count: 100,10'
 until_true status_is 200 2 /lookup/x -H 'Token-Count: 100,10'
