Shares that hold much of a budget are closed at once

Cause: a VM that had stood in put off the closing of its share by up to 4 s, whatever it held; and a VM that was asked as the second choice drew like a home, for 15 s of its demand, and kept that for 4 s.

Now only shares that hold at most one part in 200 of the budget are put off, what a predecessor left is read at once again, and a second home draws for the request alone.

--- a/bench/budget_fleet.cc
+++ b/bench/budget_fleet.cc
@@ -183,12 +183,16 @@
     if (home == vm) return false;
     if (!this->vms[home].up) continue;
     BudgetDesk& giver = *this->vms[home].desk;
-    giver.KeepHome(name, this->now + kHomeTime);
+    if (rank == 0) giver.KeepHome(name, this->now + kHomeTime);
     const std::int64_t wanted = amount + this->vms[vm].desk->WantedGift(name);
     const std::int64_t given = giver.Give(name, amount, wanted, this->now);
     if (given == 0) {
       if (!this->Reaches(home)) continue;
-      giver.NoteLacking(name, amount);
+      if (rank == 0) {
+        giver.NoteLacking(name, amount);
+      } else {
+        giver.StandIn(name, amount, this->now);
+      }
       return true;
     }
     if (this->Draw() < this->options.lost_datagram_rate) return true;
--- a/gateway/token_broker.cc
+++ b/gateway/token_broker.cc
@@ -138,9 +138,7 @@
   const TimePoint now = Now();
   if (search.asking || search.refused_until > now) return;
   if (!this->channel->Ready()) return;
-  const std::vector<std::string> homes =
-      this->channel->Directory().HomesOf(organisation, kHomes, now);
-  if (homes.front() == this->channel->Vm() && !this->leaving) {
+  if (this->IsFirstHome(organisation)) {
     this->context.core->Budgets().KeepHome(organisation, now + kHomeTime);
     return;
   }
@@ -277,7 +275,9 @@
 http::Task<void> TokenBroker::Answer(BudgetMessage ask) {
   BudgetDesk& desk = this->context.core->Budgets();
   const TimePoint give_up = Now() + kAnswerTime;
-  if (!this->leaving) desk.KeepHome(ask.organisation, Now() + kHomeTime);
+  // Asked as the second choice, this VM draws for the request alone.
+  const bool first = this->IsFirstHome(ask.organisation);
+  if (first) desk.KeepHome(ask.organisation, Now() + kHomeTime);
   BudgetMessage gift =
       this->NewMessage(BudgetMessageKind::kGift, ask.id, ask.organisation);
   gift.receiver_incarnation = ask.sender_incarnation;
@@ -296,7 +296,11 @@
       break;
     }
     if (!desk.IsBusy(ask.organisation)) {
-      desk.NoteLacking(ask.organisation, ask.needed);
+      if (first) {
+        desk.NoteLacking(ask.organisation, ask.needed);
+      } else if (!this->leaving) {
+        desk.StandIn(ask.organisation, ask.needed, Now());
+      }
       this->context.budget_keeper->Kick();
     }
     timer.expires_after(kAnswerLook);
@@ -334,6 +338,12 @@
   }
 }
 
+bool TokenBroker::IsFirstHome(const std::string& organisation) const {
+  return !this->leaving &&
+         this->channel->Directory().HomesOf(organisation, 1, Now()).front() ==
+             this->channel->Vm();
+}
+
 // Empty when this VM is alone.
 std::string TokenBroker::FirstOtherHome(const std::string& organisation) const {
   for (std::string& vm :
@@ -392,9 +402,7 @@
   if (!this->channel->Ready()) return;
   BudgetDesk& desk = this->context.core->Budgets();
   for (const std::string& organisation : desk.Organisations()) {
-    const std::vector<std::string> homes =
-        this->channel->Directory().HomesOf(organisation, 1, Now());
-    if (homes.front() == this->channel->Vm() && !this->leaving) {
+    if (this->IsFirstHome(organisation)) {
       desk.KeepHome(organisation, Now() + kHomeTime);
       continue;
     }
--- a/gateway/token_broker.h
+++ b/gateway/token_broker.h
@@ -90,6 +90,7 @@
   void StartHandOver(const std::string& organisation);
   http::Task<void> HandOver(std::string organisation);
   http::Task<void> SendAgain(std::string vm, transport::BudgetMessage gift);
+  bool IsFirstHome(const std::string& organisation) const;
   std::string FirstOtherHome(const std::string& organisation) const;
   std::uint64_t NewId();
 
--- a/policy/budget_desk.cc
+++ b/policy/budget_desk.cc
@@ -41,8 +41,10 @@
 constexpr coordination::Duration kStandInTime = std::chrono::seconds(1);
 constexpr double kStandInSeconds = 1;
 
-// Shares of a predecessor, or of a VM that has stood in, are closed within this
-// time, each VM at another moment.
+// Shares that nobody draws on any more are closed at once; those that hold one
+// part of the budget in this many or less within this time, each VM at another
+// moment.
+constexpr std::int64_t kSmallSlackPart = 200;
 constexpr coordination::Duration kCloseSpread = std::chrono::seconds(4);
 
 // After a conflict a VM that is no home waits for a part of this by chance,
@@ -405,6 +407,19 @@
   return this->stopping || now >= entry.read_at.value_or(now);
 }
 
+// A share that nobody draws on any more and that holds little of the budget.
+bool BudgetDesk::MayCloseLater(const Entry& entry,
+                               coordination::TimePoint now) const {
+  if (this->stopping || this->Holds(entry, now) || entry.lacking > 0) {
+    return false;
+  }
+  const BudgetShare& share = entry.rows.share;
+  const std::int64_t committed =
+      this->IsMine(entry) ? entry.account.Committed() : share.spent;
+  const std::int64_t slack = share.limit - committed;
+  return slack * kSmallSlackPart <= entry.prepaid;
+}
+
 coordination::Duration BudgetDesk::Spread(
     const Entry& entry, coordination::Duration longest) const {
   const std::uint64_t seed =
@@ -428,9 +443,9 @@
     if (planned.size() >= most) break;
     // The requests for which this VM stood in are gone.
     const bool stood_in = entry.stand_in_until != coordination::TimePoint{};
-    if (stood_in && !this->Holds(entry, now)) entry.lacking = 0;
-    if (entry.inherited && !entry.read_at) {
-      entry.read_at = now + this->Spread(entry, kCloseSpread);
+    if (stood_in && !this->Holds(entry, now)) {
+      entry.stand_in_until = {};
+      entry.lacking = 0;
     }
     if (!this->WantsRead(entry, now)) continue;
     entry.busy = true;
@@ -445,10 +460,8 @@
 bool BudgetDesk::PlanWrite(Entry& entry, coordination::TimePoint now) {
   if (entry.busy || !entry.read) return false;
   if (now < entry.next_write && !entry.urgent && !this->stopping) return false;
-  const bool stood_in = entry.stand_in_until != coordination::TimePoint{};
-  if (stood_in && !this->Holds(entry, now) && !this->stopping) {
-    // The rows have changed since by the home's writes.
-    entry.stand_in_until = {};
+  if (!entry.deferred && this->MayCloseLater(entry, now)) {
+    entry.deferred = true;
     this->ReadLater(entry, now + this->Spread(entry, kCloseSpread));
     return false;
   }
@@ -507,6 +520,7 @@
   entry->in_doubt.clear();
   entry->returning = 0;
   entry->conflicts = 0;
+  entry->deferred = false;
 }
 
 void BudgetDesk::OnNotWritten(std::string_view organisation) {
--- a/policy/budget_desk.h
+++ b/policy/budget_desk.h
@@ -206,9 +206,10 @@
     BudgetRows pending;               // of the outstanding write
     coordination::TimePoint next_write{};
     coordination::TimePoint next_refresh{};
-    // When rows that nobody waits for are read; empty: not decided.
+    // When rows that nobody waits for are read; empty: at once.
     std::optional<coordination::TimePoint> read_at;
     std::int64_t conflicts = 0;  // in a row
+    bool deferred = false;       // the share's closing was put off once
     bool busy = false;           // a call is outstanding
     bool read = false;           // `rows` are known
     bool inherited = false;      // a predecessor may have left a share
@@ -230,6 +231,7 @@
   // A part of `longest` by chance, another for each VM and conflict.
   coordination::Duration Spread(const Entry& entry,
                                 coordination::Duration longest) const;
+  bool MayCloseLater(const Entry& entry, coordination::TimePoint now) const;
   void ReadLater(Entry& entry, coordination::TimePoint at);
   bool IsMine(const Entry& entry) const {
     return entry.rows.share.incarnation == this->start.incarnation;
