--- a/gateway/move_rows.h
+++ b/gateway/move_rows.h
@@ -39,8 +39,7 @@
 void serialize(Archive& archive, MoveReport& report) {
   archive(report.order_revision, report.incarnation);
   SerializePhase(archive, report.phase);
-  archive(report.kept_in_flight,
-          gateway::RowMap<RouteEvidence>{&report.routes},
+  archive(report.kept_in_flight, gateway::RowMap<RouteEvidence>{&report.routes},
           report.moved_by_step);
 }
 
