A stop ends only when no request is being read or served

A VM got SIGTERM at 30.241 s; a request that was sent to it at 32.687 s reached an upstream at 32.758 s and was cut off at 32.820 s without an answer.

Cause: 2.5 s after the signal the listener closes, and the stop went on at once when no request had been admitted at that moment. One that had arrived, and was read and admitted just after it, was not counted; with nothing to hand back the process ended 80 ms later.

Now the stop looks at least once more after the listener has closed, counts requests that are being read, and looks again while budgets are handed back.

Ruled out: the balancer (the VM had been out of rotation for less than a second), the caller (it waited), the upstream (its connection was closed from this side).

Evidence: the times above; gateway_test passes.

--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -109,6 +109,10 @@
   void LookAtLoad(Duration lateness);
   http::Task<void> ExpireUpstreams();
   http::Task<void> Stop();
+  // Requests that are being read or served.
+  bool HasRequests() const {
+    return this->core.InFlight() > 0 || this->callers.OpenRequests() > 0;
+  }
   http::ServerLimits LimitsOf(const policy::CallerLimits& limits) const;
 
   settings::GatewaySettings settings;
@@ -434,13 +438,17 @@
   timer.expires_after(kLeftOutAfter);
   co_await timer.async_wait(http::kAwait);
   this->callers.Drain();
-  while (this->core.InFlight() > 0 && Now() < end) {
+  // At least one look: what had arrived when the listener closed is read after
+  // that.
+  do {
     timer.expires_after(kLook);
     co_await timer.async_wait(http::kAwait);
-  }
+  } while (this->HasRequests() && Now() < end);
   this->core.Budgets().BeginStop();
   this->broker.ReturnGifts();
-  while (!this->core.Budgets().AllReturned() && Now() < end + kStopMargin / 2) {
+  const TimePoint last = end + kStopMargin / 2;
+  while (Now() < last &&
+         (this->HasRequests() || !this->core.Budgets().AllReturned())) {
     this->keeper.Kick();
     timer.expires_after(kLook / 5);
     co_await timer.async_wait(http::kAwait);
