One reading of a row's lengths; a comment that named a wrong version

Read as a newcomer: the texts, lists and maps of a row each read and checked their length in three lines of their own; LoadRowLength does it once.

Behaviour, form of the rows, bounds and tests are as before.

--- a/gateway/budget_rows.h
+++ b/gateway/budget_rows.h
@@ -18,8 +18,8 @@
           share.young_per_second, share.young_ms);
 }
 
-// Builds before 0.2 wrote no pace of young checkpoints: theirs was the same at
-// any age.
+// Earlier builds wrote no pace of young checkpoints: theirs was the same at any
+// age.
 template <typename Archive>
 void load(Archive& archive, BudgetShare& share) {
   archive(share.incarnation, share.limit, share.spent, share.committed,
--- a/gateway/row_codec.h
+++ b/gateway/row_codec.h
@@ -18,10 +18,15 @@
 // The store's rows are no longer than this.
 inline constexpr std::uint64_t kMaxRowBytes = 65'536;
 
-inline void CheckRowLength(std::uint64_t length) {
+// Reads the length of a text or a list. Throws when no row can hold it.
+template <typename Archive>
+std::uint64_t LoadRowLength(Archive& archive) {
+  std::uint64_t length = 0;
+  archive(length);
   if (length > kMaxRowBytes) {
     throw cereal::Exception("a length beyond that of a row");
   }
+  return length;
 }
 
 // A text in a row.
@@ -36,9 +41,7 @@
 
   template <typename Archive>
   void load(Archive& archive) {
-    std::uint64_t size = 0;
-    archive(size);
-    CheckRowLength(size);
+    const std::uint64_t size = LoadRowLength(archive);
     this->text->resize(size);
     archive(cereal::binary_data(this->text->data(), size));
   }
@@ -58,9 +61,7 @@
 
   template <typename Archive>
   void load(Archive& archive) {
-    std::uint64_t size = 0;
-    archive(size);
-    CheckRowLength(size);
+    const std::uint64_t size = LoadRowLength(archive);
     for (std::uint64_t i = 0; i < size; ++i) {
       Element element{};
       archive(element);
@@ -86,9 +87,7 @@
 
   template <typename Archive>
   void load(Archive& archive) {
-    std::uint64_t size = 0;
-    archive(size);
-    CheckRowLength(size);
+    const std::uint64_t size = LoadRowLength(archive);
     for (std::uint64_t i = 0; i < size; ++i) {
       std::string name;
       archive(RowText{&name});
