Log and count what upstreams announce as their rate limit

Callers saw nothing.

A line rate_limit is written when a limit is announced, changes, ends or can't be parsed, and every 2 s with the rate at which this VM sends there; two gauges for each limited upstream. No decision depends on any of it yet.

--- a/gateway/event_log.h
+++ b/gateway/event_log.h
@@ -22,6 +22,7 @@
   kConfig,      // a configuration is in force or unreadable
   kUpstream,    // an upstream was added, changed or removed
   kCrash,       // an upstream crashed with a request in flight
+  kRateLimit,   // an upstream's rate limit was announced, changed or ended
   kDependency,  // the store was lost or regained, or the VM's load changed
   kRollout,     // a rollout was ordered, or entered another phase
   kBudget,      // limits were written, or the write failed
--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -14,6 +14,7 @@
 #include "gateway/crash_watch.h"
 #include "gateway/event_log.h"
 #include "gateway/peer_channel.h"
+#include "gateway/rate_log.h"
 #include "gateway/request_relay.h"
 #include "gateway/rollout_driver.h"
 #include "gateway/spawn.h"
@@ -51,6 +52,9 @@
 // How often the load and the expiry of upstreams are checked.
 constexpr Duration kCheckInterval = std::chrono::milliseconds(500);
 
+// The checks between two reports of the sends to rate-limited upstreams.
+constexpr std::int64_t kRateReportRounds = 4;
+
 // File descriptors for files, the store and the load balancer.
 constexpr std::int64_t kReservedDescriptors = 200;
 
@@ -387,12 +391,14 @@
 
 http::Task<void> Gateway::State::RunPeriodicChecks() {
   http::Timer timer(this->io);
+  std::int64_t rounds = 0;
   while (true) {
     timer.expires_after(kCheckInterval);
     co_await timer.async_wait(http::kAwait);
     this->UpdateLoad(std::chrono::duration_cast<Duration>(
         std::chrono::steady_clock::now() - timer.expiry()));
     this->crashes.PublishNotices();
+    if (++rounds % kRateReportRounds == 0) ReportRates(this->context, Now());
     for (const std::string& id : this->core.ExpireUpstreams(Now())) {
       this->log.Write(
           LogKind::kUpstream,
--- /dev/null
+++ b/gateway/rate_log.cc
@@ -0,0 +1,59 @@
+#include "gateway/rate_log.h"
+
+#include <array>
+#include <cstdint>
+#include <cstdio>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "gateway/event_log.h"
+#include "hornbeamspool/metrics.h"
+#include "policy/event.h"
+#include "policy/gateway_core.h"
+
+namespace hornbeamspool::gateway {
+namespace {
+
+using policy::KeyValue;
+using policy::RateLimits;
+
+constexpr std::array<std::string_view,
+                     static_cast<std::size_t>(RateLimits::Change::kCount)>
+    kChangeNames{"none", "announced", "changed", "ended", "malformed"};
+
+std::string Decimal(double value) {
+  std::array<char, 32> text{};
+  const int length = std::snprintf(text.data(), text.size(), "%.3g", value);
+  return {text.data(), static_cast<std::size_t>(length)};
+}
+
+}  // namespace
+
+void LogRateChange(const Context& context, std::string_view instance,
+                   RateLimits::Change change, const policy::AnnouncedRate& rate,
+                   std::string_view source, coordination::TimePoint now) {
+  if (change == RateLimits::Change::kNone) return;
+  std::string fields = KeyValue("upstream", instance);
+  fields += ' ' + KeyValue("outcome",
+                           kChangeNames.at(static_cast<std::size_t>(change)));
+  fields += ' ' + KeyValue("per_second", Decimal(rate.per_second));
+  fields += ' ' + KeyValue("source", source);
+  context.log->Write(LogKind::kRateLimit, fields, now);
+}
+
+void ReportRates(const Context& context, coordination::TimePoint now) {
+  std::vector<RateLimitGauges> gauges;
+  for (RateLimits::Stats& stats : context.core->Limits().AllStats(now)) {
+    if (stats.sent > 0) {
+      std::string fields = KeyValue("upstream", stats.instance);
+      fields += ' ' + KeyValue("per_second", Decimal(stats.per_second));
+      fields += ' ' + KeyValue("sent_per_second", Decimal(stats.sent));
+      context.log->Write(LogKind::kRateLimit, fields, now);
+    }
+    gauges.push_back({std::move(stats.instance), stats.per_second, stats.sent});
+  }
+  context.metrics->SetRateLimits(std::move(gauges));
+}
+
+}  // namespace hornbeamspool::gateway
--- a/gateway/request_relay.cc
+++ b/gateway/request_relay.cc
@@ -11,6 +11,7 @@
 #include "gateway/crash_watch.h"
 #include "gateway/event_log.h"
 #include "gateway/peer_channel.h"
+#include "gateway/rate_log.h"
 #include "gateway/stream_relay.h"
 #include "gateway/token_broker.h"
 #include "hornbeamspool/clock.h"
@@ -18,6 +19,7 @@
 #include "hornbeamspool/metrics.h"
 #include "http/client.h"
 #include "platform/request_headers.h"
+#include "policy/announced_rate.h"
 #include "policy/event.h"
 #include "policy/gateway_core.h"
 
@@ -109,6 +111,7 @@
   http::Task<std::optional<std::string>> ReadWholeBody(
       http::ResponseStream& stream);
   http::Task<void> SendRefusal(const Refusal& refusal);
+  void RecordRate(const SendPlan& plan, const policy::AnnouncedRate& rate);
   void RecordTimings();
   void LogSend(const SendPlan& plan, SendOutcome outcome);
 
@@ -293,6 +296,7 @@
     opened.stream->Close();
     co_return SendOutcome::kBroken;
   }
+  if (!facts.misdirected) this->RecordRate(plan, facts.rate);
   if (facts.load) {
     this->context->core->Selector().OnLoadReport(plan.upstream.id, *facts.load,
                                                  Now());
@@ -388,6 +392,16 @@
   co_await this->exchange->Send(std::move(response));
 }
 
+// Takes the rate limit that an answer names, and logs what it changed.
+void RequestRelay::RecordRate(const SendPlan& plan,
+                              const policy::AnnouncedRate& rate) {
+  const coordination::TimePoint now = Now();
+  const std::string instance = plan.upstream.InstanceId();
+  const auto change = this->context->core->Limits().OnAnswer(
+      instance, rate, plan.record.sent_at, now);
+  LogRateChange(*this->context, instance, change, rate, "answer", now);
+}
+
 void RequestRelay::RecordTimings() {
   Metrics& metrics = *this->context->metrics;
   metrics.Observe(Timing::kWholeAnswer, Now() - this->arrived);
--- a/hornbeamspool/metrics.cc
+++ b/hornbeamspool/metrics.cc
@@ -11,6 +11,7 @@
 #include <boost/histogram/make_histogram.hpp>
 #include <boost/histogram/storage_adaptor.hpp>
 #include <limits>
+#include <mutex>
 #include <tuple>
 #include <utility>
 #include <vector>
@@ -68,12 +69,28 @@
                                  Axis(kBins, kMinSeconds, kMaxSeconds));
 }
 
+prometheus::MetricFamily RateLimitFamily(
+    std::string name, double RateLimitGauges::*value,
+    const std::vector<RateLimitGauges>& gauges) {
+  prometheus::MetricFamily family{
+      std::move(name), "", prometheus::MetricType::Gauge, {}};
+  for (const RateLimitGauges& gauge : gauges) {
+    prometheus::ClientMetric metric;
+    metric.label.push_back({"upstream", gauge.upstream});
+    metric.gauge.value = gauge.*value;
+    family.metric.push_back(std::move(metric));
+  }
+  return family;
+}
+
 }  // namespace
 
 struct Metrics::Storage {
   std::array<std::atomic<std::int64_t>, kCounters> counters{};
   std::vector<Histogram> histograms;
   std::array<std::atomic<std::int64_t>, kTimings> sums_us{};
+  std::mutex rate_limits_mutex;
+  std::vector<RateLimitGauges> rate_limits;
 };
 
 Metrics::Metrics() : storage(std::make_unique<Storage>()) {
@@ -97,6 +114,11 @@
                                              std::memory_order_relaxed);
 }
 
+void Metrics::SetRateLimits(std::vector<RateLimitGauges> gauges) {
+  const std::lock_guard lock(this->storage->rate_limits_mutex);
+  this->storage->rate_limits = std::move(gauges);
+}
+
 std::string Metrics::Text() const {
   std::vector<prometheus::MetricFamily> families;
   for (std::size_t i = 0; i < kCounters; ++i) {
@@ -128,6 +150,13 @@
     name += kTimingNames.at(i);
     families.push_back({name, "", prometheus::MetricType::Histogram, {metric}});
   }
+  const std::lock_guard lock(this->storage->rate_limits_mutex);
+  families.push_back(RateLimitFamily("hornbeamspool_upstream_limit_per_second",
+                                     &RateLimitGauges::limit,
+                                     this->storage->rate_limits));
+  families.push_back(RateLimitFamily("hornbeamspool_upstream_sent_per_second",
+                                     &RateLimitGauges::sent,
+                                     this->storage->rate_limits));
   return prometheus::TextSerializer().Serialize(families);
 }
 
--- a/hornbeamspool/metrics.h
+++ b/hornbeamspool/metrics.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "coordination/time.h"
 
@@ -52,6 +53,13 @@
   kCount
 };
 
+// Gauges of an upstream that announces a rate limit.
+struct RateLimitGauges {
+  std::string upstream;
+  double limit = 0;  // announced for all VMs together, in requests a second
+  double sent = 0;   // by this VM, in requests a second
+};
+
 // Thread-safe: any thread may write and read.
 class Metrics {
  public:
@@ -63,6 +71,9 @@
   void Add(Counter counter, std::int64_t amount = 1);
   void Observe(Timing timing, coordination::Duration duration);
 
+  // Replaces the gauges of all limited upstreams.
+  void SetRateLimits(std::vector<RateLimitGauges> gauges);
+
   // Prometheus text exposition format.
   std::string Text() const;
 
--- a/policy/gateway_core.cc
+++ b/policy/gateway_core.cc
@@ -18,6 +18,10 @@
 constexpr Duration kRetryLink = std::chrono::milliseconds(300);
 constexpr Duration kRetryUpstream = std::chrono::milliseconds(700);
 
+// How long the rate limit of an upstream is kept that has left the registry. An
+// upstream that lost contact with the store registers again within seconds.
+constexpr Duration kRateLimitRetention = std::chrono::minutes(1);
+
 // With less time left until the deadline, a send would waste the upstream's
 // work.
 constexpr Duration kMinTimeLeft = std::chrono::milliseconds(20);
@@ -232,6 +236,7 @@
   plan.urgency = std::clamp<std::int64_t>(priority, 0, kMaxUrgency);
   plan.max_connections = this->MaxConnections(*admitted.service);
   plan.record = this->selector.OnSent(*upstream, criteria.demand, now);
+  this->rate_limits.OnSent(upstream->InstanceId(), now);
   this->suspects.OnSent(admitted.request.fingerprint, upstream->InstanceId());
   plan.rollout_revision = this->rollouts.OnSent(RolloutSend(admitted, plan));
   return plan;
@@ -318,6 +323,11 @@
 }
 
 std::vector<std::string> GatewayCore::ExpireUpstreams(TimePoint now) {
+  std::set<std::string, std::less<>> live;
+  for (const UpstreamEntry* entry : this->upstreams.All()) {
+    live.insert(entry->InstanceId());
+  }
+  this->rate_limits.Prune(live, now - kRateLimitRetention);
   if (this->upstreams.RemovalIsUncertain(now)) {
     this->suspects.ExtendIncompleteAnswers(now);
   }
--- a/policy/gateway_core.h
+++ b/policy/gateway_core.h
@@ -18,6 +18,7 @@
 #include "policy/error_kind.h"
 #include "policy/gateway_request.h"
 #include "policy/link_meter.h"
+#include "policy/rate_limits.h"
 #include "policy/reachability_meter.h"
 #include "policy/route_table.h"
 #include "policy/upstream_directory.h"
@@ -137,6 +138,7 @@
   UpstreamSelector& Selector() { return this->selector; }
   BudgetManager& Budgets() { return this->budgets; }
   CrashSuspects& Suspects() { return this->suspects; }
+  RateLimits& Limits() { return this->rate_limits; }
   VersionRollouts& Rollouts() { return this->rollouts; }
   LinkMeter& Link() { return this->link; }
   // Memory for answers that are buffered until they are complete.
@@ -167,6 +169,7 @@
   BudgetManager budgets;
   VersionRollouts rollouts;
   CrashSuspects suspects;
+  RateLimits rate_limits;
   LinkMeter link;
   BufferQuota answer_buffers;
   ReachabilityMeter reachability;
