--- a/standin/fault_injector.cc
+++ b/standin/fault_injector.cc
@@ -37,6 +37,10 @@
     set_number(key, milliseconds);
     duration = std::chrono::milliseconds(milliseconds);
   };
+  if (const auto* limit = object.if_contains("limit")) {
+    this->faults.limit =
+        limit->is_string() ? std::string(limit->get_string()) : "";
+  }
   set_flag("down", this->faults.down);
   set_flag("frozen", this->faults.frozen);
   set_flag("fail", this->faults.fail);
--- a/standin/fault_injector.h
+++ b/standin/fault_injector.h
@@ -3,6 +3,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
+#include <string>
 #include <string_view>
 
 #include "coordination/time.h"
@@ -15,7 +16,7 @@
 // The active faults. In JSON:
 // {"down": true, "frozen": true, "slow_ms": 200, "lose_answers": 3,
 //  "lag_ms": 5000, "gap_every": 7, "fail": true,
-//  "endless": true}
+//  "endless": true, "limit": "3.5"}
 struct Faults {
   bool down = false;              // connections are closed without an answer
   bool frozen = false;            // requests wait until this is false
@@ -25,6 +26,7 @@
   std::int64_t gap_every = 0;     // drops every nth event; 0: the default
   bool fail = false;              // answers have status 500
   bool endless = false;           // bodies end only when the caller closes
+  std::string limit;  // rate limit that answers name, verbatim; empty: none
 };
 
 // Applies the active faults to the requests of one stand-in. Its server calls
--- a/standin/server_standin.cc
+++ b/standin/server_standin.cc
@@ -18,10 +18,14 @@
 // would.
 constexpr std::string_view kCrashMarker = "CRASH-THE-SERVER";
 
+std::int64_t UnixMs() {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
 [[noreturn]] void Crash(const http::Request& request) {
-  const auto now = std::chrono::duration_cast<std::chrono::milliseconds>(
-      std::chrono::system_clock::now().time_since_epoch());
-  std::cout << "crash at_ms=" << now.count() << " body=" << request.body
+  std::cout << "crash at_ms=" << UnixMs() << " body=" << request.body
             << std::endl;
   std::_Exit(1);
 }
@@ -48,10 +52,19 @@
     co_await exchange.Send(this->RunCounts());
     co_return;
   }
+  if (request.Path() == "/arrivals") {
+    http::Response list;
+    list.body = this->arrivals;
+    co_await exchange.Send(std::move(list));
+    co_return;
+  }
+  this->arrivals += std::to_string(UnixMs()) + '\n';
   if (!co_await this->fault_injector.BeforeRequest(exchange)) co_return;
   const std::string attempt(request.HeaderValue("Attempt-Id"));
   http::Response answer;
   answer.headers.push_back({"Attempt-Id", attempt});
+  const std::string& limit = this->fault_injector.Active().limit;
+  if (!limit.empty()) answer.headers.push_back({"Server-Limit", limit});
   const std::string_view expected = request.HeaderValue("Expect-Instance");
   if (!expected.empty() && expected != this->id) {
     answer.status = 421;
--- a/standin/server_standin.h
+++ b/standin/server_standin.h
@@ -15,8 +15,9 @@
 namespace hornbeamspool::standin {
 
 // Answers each request with the headers that the platform's servers set, and
-// streams events on /stream/. GET /runs returns how often each attempt ran. A
-// body with the crash marker ends the process.
+// streams events on /stream/. GET /runs returns how often each attempt ran, and
+// GET /arrivals a line for each request with the Unix time of its arrival in
+// milliseconds. A body with the crash marker ends the process.
 class ServerStandin {
  public:
   // `id` identifies this instance of the server.
@@ -35,6 +36,7 @@
   http::Server server;
   FaultInjector fault_injector;
   std::map<std::string, std::int64_t, std::less<>> run_counts;  // by Attempt-Id
+  std::string arrivals;  // a line for each request
 };
 
 }  // namespace hornbeamspool::standin
