Spread requests over upstreams of equal cost

What callers saw: nothing alone.

A random addition of up to 1 ms, drawn from the request's id and the upstream's, breaks ties; the smallest other difference is 2 ms. Ruled out: a choice by VM alone, which sends all of a VM's requests to one upstream. The test fails with the addition set to 0: three of four upstreams get none.

--- a/policy/gateway_core.cc
+++ b/policy/gateway_core.cc
@@ -210,6 +210,7 @@
     criteria.kv_capacity_tokens = admitted.service->engine->kv_capacity_tokens;
   }
   criteria.target_pause = admitted.route->target_pause;
+  criteria.request_id = admitted.request.id;
   const UpstreamEntry* upstream = this->selector.Select(
       upstreams, criteria, admitted.failed_upstreams, now);
   if (upstream == nullptr) {
--- a/policy/upstream_selector.cc
+++ b/policy/upstream_selector.cc
@@ -37,6 +37,10 @@
 // An upstream in another availability zone: a small delay, and traffic between
 // zones is billed.
 constexpr double kOtherZoneMs = 3;
+// Largest random addition, which spreads requests over equal upstreams: each VM
+// and each request would otherwise prefer the same one. Less than any other
+// difference between upstreams.
+constexpr double kTieBreakMs = 1;
 // An upstream whose sends all fail.
 constexpr double kFailureMs = 1000;
 // An upstream without a free slot or without room in its KV cache.
@@ -102,6 +106,14 @@
   return owner ? upstreams[*owner] : nullptr;
 }
 
+double TieBreakMs(std::string_view upstream, std::uint64_t seed) {
+  constexpr std::uint64_t kSteps = 1024;
+  return kTieBreakMs *
+         static_cast<double>(coordination::StableHash(upstream, seed) %
+                             kSteps) /
+         kSteps;
+}
+
 }  // namespace
 
 // Least-recently-used cache of prompt parts.
@@ -229,6 +241,7 @@
   const std::optional<std::uint64_t> key = AffinityKey(criteria.demand);
   const UpstreamEntry* affinity =
       key ? AffinityUpstream(*key, upstreams) : nullptr;
+  const std::uint64_t seed = coordination::StableHash(criteria.request_id);
 
   // Step 2: the cheapest upstream; ejected ones only when no other is left.
   const UpstreamEntry* best = nullptr;
@@ -243,7 +256,8 @@
     const bool ejected = state.ejected_until > now;
     if (best != nullptr && ejected && !best_ejected) continue;
     const double cost =
-        this->Cost(state, *upstream, criteria, upstream == affinity, now);
+        this->Cost(state, *upstream, criteria, upstream == affinity, now) +
+        TieBreakMs(upstream->id, seed);
     const bool better =
         best == nullptr || (best_ejected && !ejected) || cost < best_cost;
     if (!better) continue;
--- a/policy/upstream_selector.h
+++ b/policy/upstream_selector.h
@@ -62,6 +62,7 @@
   const ModelDemand* demand = nullptr;    // null: not a model request
   std::int64_t kv_capacity_tokens = 0;    // of one engine; 0: not known
   coordination::Duration target_pause{};  // between a stream's events
+  std::string_view request_id{};          // breaks ties between upstreams
 };
 
 class UpstreamSelector {
--- a/tests/gateway_policy_test.cc
+++ b/tests/gateway_policy_test.cc
@@ -774,5 +774,25 @@
   CHECK(budgets.AllStats().front().spent == 1'000 + 3 * 9);
 }
 
+// Guards against equal upstreams of which the first one gets nearly all
+// requests.
+TEST_CASE("requests spread over upstreams of equal cost") {
+  UpstreamSelector selector("z1");
+  std::vector<UpstreamEntry> entries(4);
+  std::vector<const UpstreamEntry*> upstreams;
+  for (std::size_t i = 0; i < entries.size(); ++i) {
+    entries[i].id = "i-" + std::to_string(i);
+    upstreams.push_back(&entries[i]);
+  }
+  std::map<std::string, int> counts;
+  for (int i = 0; i < 400; ++i) {
+    const std::string id = "request-" + std::to_string(i);
+    SelectionCriteria criteria;
+    criteria.request_id = id;
+    ++counts[selector.Select(upstreams, criteria, {}, At(0))->id];
+  }
+  for (const UpstreamEntry& entry : entries) CHECK(counts[entry.id] > 60);
+}
+
 }  // namespace
 }  // namespace hornbeamspool::policy
