Keep the rate limits that upstreams announce, summed over all VMs

What callers saw: nothing yet; two upstreams in need got 43 requests in 4 s where 30 are allowed, and 31 where 25 are.

Cause: no VM acted on the limit.

Now each request to a limited instance takes a permit. Three VMs, chosen for the instance by rendezvous hashing, issue its permits from token buckets with a third of the limit each; the others ask them by datagram, once a request wants to go there. While an issuer is silent the others raise their parts, to 1.35 of the limit together at most, so that no agreement is needed. News of a limit goes to all VMs at once; a VM that starts asks peers. Upstreams without a permit are left out before the choice. When all are at their limits, a request waits only as long as its target allows, else it is refused with upstream_rate_limited and a Retry-After from the issuers' backlog. A resend of the client after a broken connection does not go to a limited upstream.

Equal shares were ruled out: at 390 VMs a VM's part of 3.2 a second is one request in two minutes.

--- a/gateway/context.h
+++ b/gateway/context.h
@@ -20,6 +20,7 @@
 class BudgetSync;
 class CrashWatch;
 class PeerChannel;
+class PermitBroker;
 class TokenBroker;
 
 // Copied by the components, which must not outlive what the pointers refer to.
@@ -30,6 +31,7 @@
   BudgetSync* budget_sync = nullptr;
   TokenBroker* token_broker = nullptr;
   PeerChannel* peers = nullptr;
+  PermitBroker* permits = nullptr;
   CrashWatch* crashes = nullptr;
   EventLog* log = nullptr;
   Metrics* metrics = nullptr;
--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -14,6 +14,7 @@
 #include "gateway/crash_watch.h"
 #include "gateway/event_log.h"
 #include "gateway/peer_channel.h"
+#include "gateway/permit_broker.h"
 #include "gateway/rate_log.h"
 #include "gateway/request_relay.h"
 #include "gateway/rollout_driver.h"
@@ -69,6 +70,7 @@
 policy::GatewayOptions CoreOptionsFor(
     const settings::GatewaySettings& settings) {
   policy::GatewayOptions options;
+  options.vm = settings.vm;
   options.availability_zone = settings.availability_zone;
   options.retries.ratio = settings.retry_share;
   options.retries.fleet_extra = settings.retry_extra;
@@ -138,6 +140,7 @@
   BudgetSync budget_sync;
   PeerChannel channel;
   TokenBroker broker;
+  PermitBroker permits;
   CrashWatch crashes;
   RolloutDriver rollout_driver;
   http::Server caller_server;
@@ -160,9 +163,9 @@
       store_http(this->io),
       store(this->store_http, this->settings.store_address),
       core(CoreOptionsFor(this->settings), {this->incarnation, Now()}),
-      context{&this->io,          &this->core,   &this->client,
-              &this->budget_sync, &this->broker, &this->channel,
-              &this->crashes,     &this->log,    &this->metrics},
+      context{&this->io,     &this->core,    &this->client,  &this->budget_sync,
+              &this->broker, &this->channel, &this->permits, &this->crashes,
+              &this->log,    &this->metrics},
       budget_sync(this->context, this->store, this->settings.vm),
       channel(this->context, this->store, this->settings.vm,
               this->settings.peer_address,
@@ -175,8 +178,12 @@
                [this](const transport::PrefillMessage& message) {
                  this->core.Selector().OnPeerPrefill(
                      message.upstream, message.prefill_tokens, Now());
+               },
+               [this](const transport::RateMessage& message) {
+                 this->permits.OnMessage(message);
                }}),
       broker(this->context, this->channel, this->incarnation),
+      permits(this->context, this->channel),
       crashes(this->context, this->store, this->settings.vm),
       rollout_driver(this->context, this->store, this->channel),
       caller_server(
@@ -500,6 +507,7 @@
   state.upstream_table.Start();
   state.budget_sync.Start();
   state.broker.Start();
+  state.permits.Start();
   state.crashes.Start();
   SpawnBackgroundTask(state.context, "upstreams",
                       [&state] { return state.RunPeriodicChecks(); });
--- a/gateway/peer_channel.cc
+++ b/gateway/peer_channel.cc
@@ -63,7 +63,7 @@
                  peers.push_back({row.key, row.value});
                }
                this->directory.Replace(std::move(peers));
-               this->context.core->SetFleetSize(this->directory.Size() + 1);
+               this->context.core->SetPeers(this->directory.All());
                const bool first = !std::exchange(this->table_loaded, true);
                if (first) this->context.token_broker->RefreshHomes();
              },
@@ -81,7 +81,7 @@
     }
     this->directory.Put({row.key, row.value});
   }
-  this->context.core->SetFleetSize(this->directory.Size() + 1);
+  this->context.core->SetPeers(this->directory.All());
 }
 
 std::string PeerChannel::Start() {
@@ -155,6 +155,12 @@
   return this->SendDatagram(vm, transport::AppendMac(this->key, text));
 }
 
+bool PeerChannel::Send(std::string_view vm,
+                       const transport::RateMessage& message) {
+  const std::string text = transport::EncodeRateMessage(message);
+  return this->SendDatagram(vm, transport::AppendMac(this->key, text));
+}
+
 // All peers share the key, so that one authenticated datagram serves them all.
 void PeerChannel::SendAuthenticated(const std::vector<std::string>& peers,
                                     std::string_view text) {
@@ -167,6 +173,11 @@
                           transport::EncodeCrashMessage(message));
 }
 
+void PeerChannel::SendToAll(const transport::RateMessage& message) {
+  this->SendAuthenticated(this->directory.All(),
+                          transport::EncodeRateMessage(message));
+}
+
 void PeerChannel::SendToRandomPeers(const transport::PrefillMessage& message,
                                     coordination::TimePoint now) {
   const std::chrono::duration<double> passed = now - this->send_credit_at;
@@ -192,6 +203,9 @@
     this->handlers.on_crash(*crash);
   } else if (const auto prefill = transport::DecodePrefillMessage(payload)) {
     this->handlers.on_prefill(*prefill);
+  } else if (const auto rate = transport::DecodeRateMessage(payload)) {
+    this->directory.OnAnswer(rate->sender);
+    this->handlers.on_rate(*rate);
   }
 }
 
--- a/gateway/peer_channel.h
+++ b/gateway/peer_channel.h
@@ -20,6 +20,7 @@
 #include "transport/budget_message.h"
 #include "transport/crash_message.h"
 #include "transport/prefill_message.h"
+#include "transport/rate_message.h"
 
 namespace hornbeamspool::gateway {
 
@@ -30,6 +31,7 @@
     std::function<void(const transport::BudgetMessage&)> on_budget;
     std::function<void(const transport::CrashMessage&)> on_crash;
     std::function<void(const transport::PrefillMessage&)> on_prefill;
+    std::function<void(const transport::RateMessage&)> on_rate;
   };
 
   // `address` is this VM's own address, as ip:port.
@@ -48,8 +50,10 @@
   // Returns false when nothing was sent: the peer is unknown, the key has not
   // been read yet, or the socket reported an error.
   bool Send(std::string_view vm, const transport::BudgetMessage& message);
+  bool Send(std::string_view vm, const transport::RateMessage& message);
   // Sends to all known peers.
   void SendToAll(const transport::CrashMessage& message);
+  void SendToAll(const transport::RateMessage& message);
   // Sends to all known peers, or to a random subset as far as the rate limit
   // allows.
   void SendToRandomPeers(const transport::PrefillMessage& message,
--- a/gateway/rate_log.cc
+++ b/gateway/rate_log.cc
@@ -49,9 +49,11 @@
       std::string fields = KeyValue("upstream", stats.instance);
       fields += ' ' + KeyValue("per_second", Decimal(stats.per_second));
       fields += ' ' + KeyValue("sent_per_second", Decimal(stats.sent));
+      fields += ' ' + KeyValue("share", Decimal(stats.issued));
       context.log->Write(LogKind::kRateLimit, fields, now);
     }
-    gauges.push_back({std::move(stats.instance), stats.per_second, stats.sent});
+    gauges.push_back({std::move(stats.instance), stats.per_second, stats.sent,
+                      stats.issued});
   }
   context.metrics->SetRateLimits(std::move(gauges));
 }
--- a/gateway/request_relay.cc
+++ b/gateway/request_relay.cc
@@ -11,6 +11,7 @@
 #include "gateway/crash_watch.h"
 #include "gateway/event_log.h"
 #include "gateway/peer_channel.h"
+#include "gateway/permit_broker.h"
 #include "gateway/rate_log.h"
 #include "gateway/stream_relay.h"
 #include "gateway/token_broker.h"
@@ -106,6 +107,7 @@
  private:
   http::Task<std::optional<Refusal>> ReserveBudget();
   http::Task<void> SendWithRetries();
+  http::Task<void> AwaitPermit(policy::NextStep step);
   http::Task<SendOutcome> Send(SendPlan& plan);
   http::Task<SendOutcome> RelayBuffered(http::ResponseStream& stream);
   http::Task<std::optional<std::string>> ReadWholeBody(
@@ -207,6 +209,12 @@
       if (!last) last = *refusal;
       break;
     }
+    if (!std::holds_alternative<SendPlan>(next)) {
+      co_await this->AwaitPermit(std::move(next));
+      if (!this->canceller.Cancelled()) continue;
+      this->exchange->Abort();
+      co_return;
+    }
     auto& plan = std::get<SendPlan>(next);
     const SendOutcome outcome = co_await this->Send(plan);
     const bool may_retry =
@@ -237,6 +245,20 @@
   co_await this->SendRefusal(*last);
 }
 
+// Requests the permit, or waits until there may be one.
+http::Task<void> RequestRelay::AwaitPermit(policy::NextStep step) {
+  if (const auto* wait = std::get_if<policy::PermitWait>(&step)) {
+    http::Timer timer(*this->context->io);
+    timer.expires_at(wait->until);
+    co_await timer.async_wait(http::kAwait);
+    co_return;
+  }
+  auto& needed = std::get<policy::PermitRequest>(step);
+  if (co_await this->context->permits->Request(needed)) {
+    this->context->core->OnPermit(*this->admitted, std::move(needed.instance));
+  }
+}
+
 http::Task<SendOutcome> RequestRelay::Send(SendPlan& plan) {
   const AdmittedRequest& admitted = *this->admitted;
   if (plan.record.prefill_tokens >= kLongPromptTokens) {
@@ -255,8 +277,9 @@
   options.first_byte_timeout = plan.time_left;
   options.read_timeout = plan.time_left;
   options.deadline = admitted.deadline;
-  options.may_resend = [this] {
-    return this->context->core->TakeResend(*this->admitted, Now());
+  options.may_resend = [this, &plan] {
+    return this->context->core->TakeResend(*this->admitted, plan.upstream,
+                                           Now());
   };
   if (!admitted.route->MayRepeat()) {
     options.max_idle_time = kMaxIdleForNonIdempotent;
@@ -379,6 +402,9 @@
   const bool budget = refusal.kind == ErrorKind::kBudgetUnavailable ||
                       refusal.kind == ErrorKind::kBudgetExhausted;
   if (budget) this->context->metrics->Add(Counter::kBudgetRefusals);
+  if (refusal.kind == ErrorKind::kUpstreamRateLimited) {
+    this->context->metrics->Add(Counter::kRateLimitRefusals);
+  }
   if (refusal.kind == ErrorKind::kCrashSuspect) {
     this->context->metrics->Add(Counter::kSuspectRefusals);
   }
@@ -400,6 +426,7 @@
   const auto change = this->context->core->Limits().OnAnswer(
       instance, rate, plan.record.sent_at, now);
   LogRateChange(*this->context, instance, change, rate, "answer", now);
+  this->context->permits->Announce(instance, change, now);
 }
 
 void RequestRelay::RecordTimings() {
--- a/hornbeamctl/explain.cc
+++ b/hornbeamctl/explain.cc
@@ -15,7 +15,7 @@
   std::string_view text;
 };
 
-constexpr std::array<Cause, 21> kCauses{{
+constexpr std::array<Cause, 22> kCauses{{
     {"budget_exhausted",
      "the organisation's prepaid tokens can't cover the request's maximum "
      "cost"},
@@ -27,6 +27,8 @@
     {"not_found", "no route of the request's host matches its path"},
     {"unauthenticated", "the API key belongs to no organisation"},
     {"no_upstream", "no upstream could accept the request"},
+    {"upstream_rate_limited",
+     "all upstreams were at the rate limits that they announce"},
     {"crash_suspect",
      "three upstreams crashed while this request was in flight"},
     {"overloaded",
--- a/hornbeamspool/metrics.cc
+++ b/hornbeamspool/metrics.cc
@@ -50,6 +50,10 @@
     "tokens_stranded",
     "crashes_seen",
     "crashes_told",
+    "permits_granted",
+    "permits_refused",
+    "permit_timeouts",
+    "rate_limit_refusals",
     "suspect_refusals"};
 constexpr std::array<std::string_view, kTimings> kTimingNames{
     "first_token_seconds", "token_gap_seconds", "whole_answer_seconds",
@@ -157,6 +161,9 @@
   families.push_back(RateLimitFamily("hornbeamspool_upstream_sent_per_second",
                                      &RateLimitGauges::sent,
                                      this->storage->rate_limits));
+  families.push_back(RateLimitFamily("hornbeamspool_upstream_share_per_second",
+                                     &RateLimitGauges::share,
+                                     this->storage->rate_limits));
   return prometheus::TextSerializer().Serialize(families);
 }
 
--- a/hornbeamspool/metrics.h
+++ b/hornbeamspool/metrics.h
@@ -36,10 +36,14 @@
   kStoreFailures,
   kTokensGiven,
   kTokensReceived,
-  kTokensStranded,   // of earlier processes, assumed spent without proof
-  kCrashesSeen,      // upstreams that crashed with requests in flight
-  kCrashesTold,      // such crashes reported by peers
-  kSuspectRefusals,  // requests refused as suspected of causing crashes
+  kTokensStranded,     // of earlier processes, assumed spent without proof
+  kCrashesSeen,        // upstreams that crashed with requests in flight
+  kCrashesTold,        // such crashes reported by peers
+  kPermitsGranted,     // to other VMs, for rate-limited upstreams
+  kPermitsRefused,     // to other VMs
+  kPermitTimeouts,     // requests for a permit that no VM answered
+  kRateLimitRefusals,  // requests refused because of upstreams' rate limits
+  kSuspectRefusals,    // requests refused as suspected of causing crashes
   kCount
 };
 
@@ -58,6 +62,7 @@
   std::string upstream;
   double limit = 0;  // announced for all VMs together, in requests a second
   double sent = 0;   // by this VM, in requests a second
+  double share = 0;  // permits a second that this VM issues
 };
 
 // Thread-safe: any thread may write and read.
--- a/policy/error_kind.cc
+++ b/policy/error_kind.cc
@@ -30,6 +30,8 @@
     {"budget_exhausted", 402, kNot, 60, "the budget cannot pay this request"},
     {"budget_unavailable", 503, kNot, 2, "no grant could be drawn in time"},
     {"no_upstream", 503, kNot, 2, "no upstream can take this request now"},
+    {"upstream_rate_limited", 503, kNot, 2,
+     "all upstreams are at the rate limits that they announce"},
     {"crash_suspect", 503, kNot, 120, "upstreams went down with this request"},
     {"overloaded", 503, kNot, 1, "the router is at its limit"},
     {"not_ready", 503, kNot, 2, "the router has no configuration yet"},
--- a/policy/error_kind.h
+++ b/policy/error_kind.h
@@ -24,6 +24,7 @@
   kBudgetExhausted,
   kBudgetUnavailable,
   kNoUpstream,
+  kUpstreamRateLimited,
   kCrashSuspect,
   kOverloaded,
   kNotReady,
--- a/policy/gateway_core.cc
+++ b/policy/gateway_core.cc
@@ -30,6 +30,10 @@
 // but each costs the caller time.
 constexpr std::int64_t kMaxRejectedSends = 3;
 
+// Limit on the permits that one request asks other VMs for. Each takes a round
+// trip.
+constexpr std::int64_t kMaxPermitRequests = 4;
+
 constexpr std::int64_t kMaxUrgency = 9;  // the least urgent
 
 // Fraction of the process's memory for buffered answers, as a divisor.
@@ -75,6 +79,7 @@
       selector(this->options.availability_zone),
       budgets(start, this->options.budgets),
       rollouts(start.incarnation),
+      rate_limits(this->options.vm),
       link(this->options.link_bytes_per_second),
       answer_buffers(this->options.memory_bytes / kAnswerBufferDivisor) {}
 
@@ -187,8 +192,68 @@
       .first->second;
 }
 
-std::variant<Refusal, SendPlan> GatewayCore::NextSend(AdmittedRequest& admitted,
-                                                      TimePoint now) {
+// Leaves out the upstreams that are at their rate limit. A permit that the
+// request holds decides the upstream.
+GatewayCore::PermittedUpstreams GatewayCore::FilterByRate(
+    const AdmittedRequest& admitted,
+    std::vector<const UpstreamEntry*> upstreams, TimePoint now) {
+  PermittedUpstreams permitted;
+  if (!this->rate_limits.AnyLimited()) {
+    permitted.upstreams = std::move(upstreams);
+    return permitted;
+  }
+  for (const UpstreamEntry* upstream : upstreams) {
+    const auto& failed = admitted.failed_upstreams;
+    if (std::find(failed.begin(), failed.end(), upstream->id) != failed.end()) {
+      continue;
+    }
+    const std::string instance = upstream->InstanceId();
+    if (instance == admitted.permit) {
+      permitted.upstreams = {upstream};
+      return permitted;
+    }
+    const RateLimits::Permission permission =
+        this->rate_limits.Check(instance, now);
+    const bool asks = permission.kind == RateLimits::Permission::Kind::kAsk;
+    const bool refused =
+        permission.kind == RateLimits::Permission::Kind::kRefused ||
+        (asks && admitted.permit_requests >= kMaxPermitRequests);
+    if (!refused) {
+      permitted.upstreams.push_back(upstream);
+      continue;
+    }
+    const TimePoint retry_at =
+        asks ? now + kRetryUpstream : permission.retry_at;
+    const Duration backlog = this->rate_limits.Backlog(instance);
+    const bool first = permitted.retry_at == TimePoint{};
+    permitted.retry_at =
+        first ? retry_at : std::min(permitted.retry_at, retry_at);
+    permitted.backlog = first ? backlog : std::min(permitted.backlog, backlog);
+  }
+  return permitted;
+}
+
+// A request waits for a permit only as long as it can still be answered within
+// its target latency.
+NextStep GatewayCore::WaitOrRefuse(const AdmittedRequest& admitted,
+                                   const PermittedUpstreams& permitted,
+                                   TimePoint now) const {
+  const TimePoint last =
+      admitted.arrived + std::min(admitted.route->target_latency / 2,
+                                  (admitted.deadline - admitted.arrived) / 4);
+  if (permitted.retry_at <= last && admitted.sends == 0) {
+    return PermitWait{permitted.retry_at};
+  }
+  if (admitted.possible_runs > 0) {
+    return Refusal{ErrorKind::kUpstreamFailed, {}};
+  }
+  const Duration retry_after =
+      std::max({kRetryUpstream, permitted.backlog, permitted.retry_at - now});
+  return Refusal{ErrorKind::kUpstreamRateLimited,
+                 AddJitter(retry_after, admitted.request.id)};
+}
+
+NextStep GatewayCore::NextSend(AdmittedRequest& admitted, TimePoint now) {
   if (!this->suspects.MaySend(admitted.request.fingerprint, now)) {
     if (admitted.possible_runs > 0) {
       return Refusal{ErrorKind::kUpstreamFailed, {}};
@@ -202,8 +267,13 @@
                                : ErrorKind::kNoUpstream;
     return Refusal{kind, AddJitter(kRetryUpstream, admitted.request.id)};
   }
-  const std::vector<const UpstreamEntry*> upstreams =
-      this->EligibleUpstreams(admitted, now);
+  PermittedUpstreams permitted = this->FilterByRate(
+      admitted, this->EligibleUpstreams(admitted, true, now), now);
+  // A canary whose upstreams are at their limits goes to the old version.
+  if (permitted.upstreams.empty() && admitted.use_new_version) {
+    permitted = this->FilterByRate(
+        admitted, this->EligibleUpstreams(admitted, false, now), now);
+  }
   SelectionCriteria criteria;
   if (admitted.request.demand) criteria.demand = &*admitted.request.demand;
   if (admitted.service->engine) {
@@ -212,13 +282,25 @@
   criteria.target_pause = admitted.route->target_pause;
   criteria.request_id = admitted.request.id;
   const UpstreamEntry* upstream = this->selector.Select(
-      upstreams, criteria, admitted.failed_upstreams, now);
+      permitted.upstreams, criteria, admitted.failed_upstreams, now);
+  const bool rate_limited =
+      upstream == nullptr && permitted.retry_at != TimePoint{};
+  if (rate_limited) return this->WaitOrRefuse(admitted, permitted, now);
   if (upstream == nullptr) {
     const ErrorKind kind = admitted.possible_runs > 0
                                ? ErrorKind::kUpstreamFailed
                                : ErrorKind::kNoUpstream;
     return Refusal{kind, AddJitter(kRetryUpstream, admitted.request.id)};
   }
+  const std::string instance = upstream->InstanceId();
+  const bool has_permit = admitted.permit == instance;
+  if (!has_permit) {
+    RateLimits::Permission permission = this->rate_limits.Check(instance, now);
+    if (permission.kind == RateLimits::Permission::Kind::kAsk) {
+      ++admitted.permit_requests;
+      return PermitRequest{instance, std::move(permission.issuer)};
+    }
+  }
   if (admitted.sends > 0 && !this->RetryBudgetOf(admitted.service->name)
                                  .TryWithdraw(this->fleet_size, now)) {
     const ErrorKind kind = admitted.possible_runs > 0
@@ -226,6 +308,8 @@
                                : ErrorKind::kNoUpstream;
     return Refusal{kind, AddJitter(kRetryUpstream, admitted.request.id)};
   }
+  if (!has_permit) this->rate_limits.TakeOwn(instance, now);
+  admitted.permit.clear();
   ++admitted.sends;
   SendPlan plan;
   plan.upstream = *upstream;
@@ -237,8 +321,8 @@
   plan.urgency = std::clamp<std::int64_t>(priority, 0, kMaxUrgency);
   plan.max_connections = this->MaxConnections(*admitted.service);
   plan.record = this->selector.OnSent(*upstream, criteria.demand, now);
-  this->rate_limits.OnSent(upstream->InstanceId(), now);
-  this->suspects.OnSent(admitted.request.fingerprint, upstream->InstanceId());
+  this->rate_limits.OnSent(instance, now);
+  this->suspects.OnSent(admitted.request.fingerprint, instance);
   plan.rollout_revision = this->rollouts.OnSent(RolloutSend(admitted, plan));
   return plan;
 }
@@ -246,14 +330,14 @@
 // The usable upstreams of the request's service whose version is allowed for
 // it. Only those of the preferred version while one of them has not failed yet.
 std::vector<const UpstreamEntry*> GatewayCore::EligibleUpstreams(
-    AdmittedRequest& admitted, TimePoint now) {
+    AdmittedRequest& admitted, bool may_be_canary, TimePoint now) {
   const std::string& service = admitted.service->name;
   std::vector<const UpstreamEntry*> upstreams =
       this->upstreams.Usable(service, now);
   if (this->rollouts.Find(service) == nullptr) return upstreams;
   // Retries don't go to a canary.
   admitted.use_new_version =
-      admitted.sends == 0 &&
+      may_be_canary && admitted.sends == 0 &&
       this->rollouts.UsesNewVersion(service, admitted.request.id, now);
   std::vector<const UpstreamEntry*> preferred;
   std::vector<const UpstreamEntry*> allowed;
@@ -397,8 +481,10 @@
   return admitted.sends - admitted.possible_runs < kMaxRejectedSends;
 }
 
-bool GatewayCore::TakeResend(const AdmittedRequest& admitted, TimePoint now) {
+bool GatewayCore::TakeResend(const AdmittedRequest& admitted,
+                             const UpstreamEntry& upstream, TimePoint now) {
   if (!admitted.route->MayRepeat()) return false;
+  if (this->rate_limits.IsLimited(upstream.InstanceId())) return false;
   const std::uint64_t fingerprint = admitted.request.fingerprint;
   if (this->suspects.CrashCount(fingerprint, now) > 0) return false;
   return this->RetryBudgetOf(admitted.service->name)
--- a/policy/gateway_core.h
+++ b/policy/gateway_core.h
@@ -55,6 +55,8 @@
   coordination::Duration time_to_first_event{};  // from the arrival
   coordination::Duration longest_pause{};        // between events
   std::vector<std::string> failed_upstreams;
+  std::string permit;  // instance that a granted permit is for; empty: none
+  std::int64_t permit_requests = 0;
   bool use_new_version = false;  // while a version is rolled out
 };
 
@@ -68,7 +70,24 @@
   SendRecord record;
 };
 
+// The upstream chosen for the next send announces a rate limit: a permit must
+// be requested from another VM before NextSend is called again.
+struct PermitRequest {
+  std::string instance;  // of the upstream
+  std::string issuer;    // VM
+};
+
+// All upstreams that could take the request are at their rate limit; one may
+// have a permit at this time.
+struct PermitWait {
+  coordination::TimePoint until{};
+};
+
+// What to do next with an admitted request.
+using NextStep = std::variant<Refusal, SendPlan, PermitRequest, PermitWait>;
+
 struct GatewayOptions {
+  std::string vm;
   std::string availability_zone;
   RetryLimits retries;
   BudgetManagerOptions budgets;
@@ -86,6 +105,11 @@
     this->fleet_size = static_cast<std::int64_t>(vms);
     this->rollouts.SetFleetSize(this->fleet_size);
   }
+  // Sets the other VMs of the fleet.
+  void SetPeers(std::vector<std::string> vms) {
+    this->SetFleetSize(vms.size() + 1);
+    this->rate_limits.SetMembers(std::move(vms));
+  }
 
   // Applies a configuration; false when it is not newer than the current one.
   bool SetConfig(GatewayConfig config);
@@ -109,16 +133,20 @@
                               coordination::TimePoint now);
   // Selects an upstream for the next send, and counts it as sent. Call
   // OnSendEnded at its end.
-  std::variant<Refusal, SendPlan> NextSend(AdmittedRequest& admitted,
-                                           coordination::TimePoint now);
+  NextStep NextSend(AdmittedRequest& admitted, coordination::TimePoint now);
+  // Another VM has granted the permit that NextSend asked for.
+  void OnPermit(AdmittedRequest& admitted, std::string instance) {
+    admitted.permit = std::move(instance);
+  }
   // Records how a send ended. Returns whether the request may be retried;
   // NextSend then decides whether and where.
   bool OnSendEnded(AdmittedRequest& admitted, const SendPlan& plan,
                    SendOutcome outcome, coordination::TimePoint now);
   // Whether the request may be resent to the same upstream after a pooled
   // connection broke. The upstream may have received it already, so a resend is
-  // taken from the retry budget.
-  bool TakeResend(const AdmittedRequest& admitted, coordination::TimePoint now);
+  // taken from the retry budget, and none goes to a rate-limited upstream.
+  bool TakeResend(const AdmittedRequest& admitted,
+                  const UpstreamEntry& upstream, coordination::TimePoint now);
   // The error answer when the last send failed with this outcome.
   Refusal FinalRefusal(const AdmittedRequest& admitted,
                        SendOutcome outcome) const;
@@ -151,7 +179,24 @@
   const Service* ChooseService(const RouteTable& table, const Route& route,
                                const GatewayRequest& request) const;
   std::vector<const UpstreamEntry*> EligibleUpstreams(
-      AdmittedRequest& admitted, coordination::TimePoint now);
+      AdmittedRequest& admitted, bool may_be_canary,
+      coordination::TimePoint now);
+  // Upstreams to which the request may be sent now, or after a permit was
+  // requested.
+  struct PermittedUpstreams {
+    std::vector<const UpstreamEntry*> upstreams;
+    // Of the upstreams that were left out because of their rate limit: when the
+    // first may have a permit, and the shortest backlog. Zero when there is
+    // none.
+    coordination::TimePoint retry_at{};
+    coordination::Duration backlog{};
+  };
+  PermittedUpstreams FilterByRate(const AdmittedRequest& admitted,
+                                  std::vector<const UpstreamEntry*> upstreams,
+                                  coordination::TimePoint now);
+  NextStep WaitOrRefuse(const AdmittedRequest& admitted,
+                        const PermittedUpstreams& permitted,
+                        coordination::TimePoint now) const;
   Refusal RefuseSuspect(std::uint64_t fingerprint, coordination::TimePoint now);
   void RecordCrashEvidence(const AdmittedRequest& admitted,
                            const SendPlan& plan, SendOutcome outcome,
--- a/tests/explain_test.cc
+++ b/tests/explain_test.cc
@@ -44,8 +44,8 @@
 TEST_CASE("Explain has a text for each refusal reason of a gateway") {
   for (const char* reason :
        {"budget_exhausted", "budget_unavailable", "not_ready", "not_found",
-        "unauthenticated", "no_upstream", "crash_suspect", "overloaded",
-        "upstream_failed", "upstream_timeout"}) {
+        "unauthenticated", "no_upstream", "upstream_rate_limited",
+        "crash_suspect", "overloaded", "upstream_failed", "upstream_timeout"}) {
     const std::vector<std::string> lines{
         "00:03Z event=refused vm=a request=r1 reason=" + std::string(reason)};
     const std::vector<std::string> explanation = Explain("r1", lines);
--- a/tests/gateway_policy_test.cc
+++ b/tests/gateway_policy_test.cc
@@ -198,14 +198,14 @@
   for (int i = 0; i < kRequests; ++i) {
     AdmittedRequest admitted =
         std::get<AdmittedRequest>(core.Admit(MakeRequest("/x"), At(i)));
-    if (core.TakeResend(admitted, At(i))) ++resent;
+    if (core.TakeResend(admitted, {}, At(i))) ++resent;
     core.Finish(admitted);
   }
   CHECK(resent > 0);
   CHECK(resent <= kRequests * kRetries.ratio);
   AdmittedRequest order =
       std::get<AdmittedRequest>(core.Admit(MakeRequest("/orders/1"), At(0)));
-  CHECK_FALSE(core.TakeResend(order, At(60'000)));
+  CHECK_FALSE(core.TakeResend(order, {}, At(60'000)));
 }
 
 // Guards against exceeding the fleet's retry budget: after a restart of the
@@ -223,7 +223,7 @@
     for (int i = 0; i < kRequests; ++i) {
       AdmittedRequest admitted =
           std::get<AdmittedRequest>(core.Admit(MakeRequest("/x"), At(i)));
-      if (core.TakeResend(admitted, At(i))) ++count;
+      if (core.TakeResend(admitted, {}, At(i))) ++count;
       core.Finish(admitted);
     }
     return count;
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -225,5 +225,24 @@
       transport::DecodeBudgetMessage(transport::EncodeBudgetMessage(message)));
 }
 
+// Guards against malformed limits that are taken for a limit or for its end.
+TEST_CASE("DecodeAnnouncedRate tells limits, malformed ones and none apart") {
+  using Kind = policy::AnnouncedRate::Kind;
+  const auto decode = [](const char* text) {
+    http::Response head;
+    if (text != nullptr) head.headers = {{"Server-Limit", text}};
+    return DecodeAnnouncedRate(head);
+  };
+  CHECK(decode(nullptr).kind == Kind::kUnlimited);
+  CHECK(decode("3.25") == policy::AnnouncedRate{Kind::kLimited, 3.25});
+  CHECK(decode("0") == policy::AnnouncedRate{Kind::kLimited, 0});
+  CHECK(decode("9999999999999999").per_second == policy::kMaxAnnouncedRate);
+  for (const char* text :
+       {"-1", "nan", "inf", "3,5", "3.5 a", "0x10", "1e400"}) {
+    CAPTURE(text);
+    CHECK(decode(text).kind == Kind::kMalformed);
+  }
+}
+
 }  // namespace
 }  // namespace hornbeamspool::platform
--- a/tests/transport_test.cc
+++ b/tests/transport_test.cc
@@ -1,5 +1,6 @@
 #include <doctest/doctest.h>
 
+#include <limits>
 #include <random>
 #include <string>
 #include <vector>
@@ -8,6 +9,7 @@
 #include "transport/heartbeat.h"
 #include "transport/mac.h"
 #include "transport/prefill_message.h"
+#include "transport/rate_message.h"
 
 namespace hornbeamspool::transport {
 namespace {
@@ -98,5 +100,52 @@
   CHECK_FALSE(DecodePrefillMessage(EncodeCrashMessage({"i-7", {1}})));
 }
 
+TEST_CASE("a rate message is decoded as it was encoded") {
+  RateMessage message;
+  message.kind = RateMessageKind::kPermitVerdict;
+  message.id = 77;
+  message.sender = "vm-1";
+  message.instance = "i-1@1700000000000";
+  message.limited = true;
+  message.per_second = 3.25;
+  message.age_ms = 12;
+  message.granted = true;
+  message.next_permit_ms = 300;
+  message.backlog_ms = 900;
+  const std::string bytes = EncodeRateMessage(message);
+  const auto decoded = DecodeRateMessage(bytes);
+  REQUIRE(decoded);
+  CHECK(decoded->kind == message.kind);
+  CHECK(decoded->id == 77);
+  CHECK(decoded->instance == message.instance);
+  CHECK(decoded->per_second == 3.25);
+  CHECK(decoded->granted);
+  CHECK(decoded->backlog_ms == 900);
+  for (std::size_t size = 0; size < bytes.size(); ++size) {
+    CHECK_FALSE(DecodeRateMessage(bytes.substr(0, size)));
+  }
+}
+
+TEST_CASE("a rate message with an impossible value is rejected") {
+  const auto rejects = [](const RateMessage& message) {
+    return !DecodeRateMessage(EncodeRateMessage(message));
+  };
+  RateMessage message;
+  CHECK_FALSE(rejects(message));
+  for (const double rate : {-1.0, std::numeric_limits<double>::infinity(),
+                            std::numeric_limits<double>::quiet_NaN()}) {
+    message.per_second = rate;
+    CHECK(rejects(message));
+  }
+  message.per_second = 1;
+  message.age_ms = -1;
+  CHECK(rejects(message));
+  message.age_ms = std::numeric_limits<std::int64_t>::max();
+  CHECK(rejects(message));
+  message.age_ms = 0;
+  message.kind = RateMessageKind::kCount;
+  CHECK(rejects(message));
+}
+
 }  // namespace
 }  // namespace hornbeamspool::transport
