--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -179,11 +179,12 @@
                  this->core.Selector().OnPeerPrefill(
                      message.upstream, message.prefill_tokens, Now());
                },
-               [this](const transport::RateMessage& message) {
+               [this](const policy::RateMessage& message) {
                  this->permits.OnMessage(message);
                }}),
       broker(this->context, this->channel, this->incarnation),
-      permits(this->context, this->channel),
+      permits(this->context, this->channel, this->settings.vm,
+              this->incarnation),
       crashes(this->context, this->store, this->settings.vm),
       rollout_driver(this->context, this->store, this->channel),
       caller_server(
--- a/gateway/peer_channel.cc
+++ b/gateway/peer_channel.cc
@@ -17,6 +17,7 @@
 #include "policy/gateway_core.h"
 #include "transport/heartbeat.h"
 #include "transport/mac.h"
+#include "transport/rate_message.h"
 
 namespace hornbeamspool::gateway {
 namespace {
@@ -156,7 +157,7 @@
 }
 
 bool PeerChannel::Send(std::string_view vm,
-                       const transport::RateMessage& message) {
+                       const policy::RateMessage& message) {
   const std::string text = transport::EncodeRateMessage(message);
   return this->SendDatagram(vm, transport::AppendMac(this->key, text));
 }
@@ -173,7 +174,7 @@
                           transport::EncodeCrashMessage(message));
 }
 
-void PeerChannel::SendToAll(const transport::RateMessage& message) {
+void PeerChannel::SendToAll(const policy::RateMessage& message) {
   this->SendAuthenticated(this->directory.All(),
                           transport::EncodeRateMessage(message));
 }
--- a/gateway/peer_channel.h
+++ b/gateway/peer_channel.h
@@ -17,10 +17,10 @@
 #include "platform/store_client.h"
 #include "platform/table_follower.h"
 #include "policy/peer_directory.h"
+#include "policy/rate_message.h"
 #include "transport/budget_message.h"
 #include "transport/crash_message.h"
 #include "transport/prefill_message.h"
-#include "transport/rate_message.h"
 
 namespace hornbeamspool::gateway {
 
@@ -31,7 +31,7 @@
     std::function<void(const transport::BudgetMessage&)> on_budget;
     std::function<void(const transport::CrashMessage&)> on_crash;
     std::function<void(const transport::PrefillMessage&)> on_prefill;
-    std::function<void(const transport::RateMessage&)> on_rate;
+    std::function<void(const policy::RateMessage&)> on_rate;
   };
 
   // `address` is this VM's own address, as ip:port.
@@ -50,10 +50,10 @@
   // Returns false when nothing was sent: the peer is unknown, the key has not
   // been read yet, or the socket reported an error.
   bool Send(std::string_view vm, const transport::BudgetMessage& message);
-  bool Send(std::string_view vm, const transport::RateMessage& message);
+  bool Send(std::string_view vm, const policy::RateMessage& message);
   // Sends to all known peers.
   void SendToAll(const transport::CrashMessage& message);
-  void SendToAll(const transport::RateMessage& message);
+  void SendToAll(const policy::RateMessage& message);
   // Sends to all known peers, or to a random subset as far as the rate limit
   // allows.
   void SendToRandomPeers(const transport::PrefillMessage& message,
--- a/policy/gateway_core.cc
+++ b/policy/gateway_core.cc
@@ -30,10 +30,6 @@
 // but each costs the caller time.
 constexpr std::int64_t kMaxRejectedSends = 3;
 
-// Limit on the permits that one request asks other VMs for. Each takes a round
-// trip.
-constexpr std::int64_t kMaxPermitRequests = 4;
-
 constexpr std::int64_t kMaxUrgency = 9;  // the least urgent
 
 // Fraction of the process's memory for buffered answers, as a divisor.
@@ -192,65 +188,18 @@
       .first->second;
 }
 
-// Leaves out the upstreams that are at their rate limit. A permit that the
-// request holds decides the upstream.
-GatewayCore::PermittedUpstreams GatewayCore::FilterByRate(
-    const AdmittedRequest& admitted,
-    std::vector<const UpstreamEntry*> upstreams, TimePoint now) {
-  PermittedUpstreams permitted;
-  if (!this->rate_limits.AnyLimited()) {
-    permitted.upstreams = std::move(upstreams);
-    return permitted;
-  }
-  for (const UpstreamEntry* upstream : upstreams) {
-    const auto& failed = admitted.failed_upstreams;
-    if (std::find(failed.begin(), failed.end(), upstream->id) != failed.end()) {
-      continue;
-    }
-    const std::string instance = upstream->InstanceId();
-    if (instance == admitted.permit) {
-      permitted.upstreams = {upstream};
-      return permitted;
-    }
-    const RateLimits::Permission permission =
-        this->rate_limits.Check(instance, now);
-    const bool asks = permission.kind == RateLimits::Permission::Kind::kAsk;
-    const bool refused =
-        permission.kind == RateLimits::Permission::Kind::kRefused ||
-        (asks && admitted.permit_requests >= kMaxPermitRequests);
-    if (!refused) {
-      permitted.upstreams.push_back(upstream);
-      continue;
-    }
-    const TimePoint retry_at =
-        asks ? now + kRetryUpstream : permission.retry_at;
-    const Duration backlog = this->rate_limits.Backlog(instance);
-    const bool first = permitted.retry_at == TimePoint{};
-    permitted.retry_at =
-        first ? retry_at : std::min(permitted.retry_at, retry_at);
-    permitted.backlog = first ? backlog : std::min(permitted.backlog, backlog);
-  }
-  return permitted;
-}
-
-// A request waits for a permit only as long as it can still be answered within
-// its target latency.
 NextStep GatewayCore::WaitOrRefuse(const AdmittedRequest& admitted,
-                                   const PermittedUpstreams& permitted,
-                                   TimePoint now) const {
-  const TimePoint last =
-      admitted.arrived + std::min(admitted.route->target_latency / 2,
-                                  (admitted.deadline - admitted.arrived) / 4);
-  if (permitted.retry_at <= last && admitted.sends == 0) {
-    return PermitWait{permitted.retry_at};
+                                   const PermitFilter& filter) const {
+  const PermitFilter::Outcome outcome = filter.Decide(
+      admitted.arrived, admitted.route->target_latency, admitted.deadline);
+  if (outcome.waits && admitted.sends == 0) {
+    return PermitWait{outcome.retry_at};
   }
   if (admitted.possible_runs > 0) {
     return Refusal{ErrorKind::kUpstreamFailed, {}};
   }
-  const Duration retry_after =
-      std::max({kRetryUpstream, permitted.backlog, permitted.retry_at - now});
   return Refusal{ErrorKind::kUpstreamRateLimited,
-                 AddJitter(retry_after, admitted.request.id)};
+                 AddJitter(outcome.retry_after, admitted.request.id)};
 }
 
 NextStep GatewayCore::NextSend(AdmittedRequest& admitted, TimePoint now) {
@@ -267,12 +216,12 @@
                                : ErrorKind::kNoUpstream;
     return Refusal{kind, AddJitter(kRetryUpstream, admitted.request.id)};
   }
-  PermittedUpstreams permitted = this->FilterByRate(
-      admitted, this->EligibleUpstreams(admitted, true, now), now);
+  PermitFilter filter(this->rate_limits, admitted.permits, now);
+  std::vector<const UpstreamEntry*> upstreams =
+      this->PermittedUpstreams(admitted, true, filter, now);
   // A canary whose upstreams are at their limits goes to the old version.
-  if (permitted.upstreams.empty() && admitted.use_new_version) {
-    permitted = this->FilterByRate(
-        admitted, this->EligibleUpstreams(admitted, false, now), now);
+  if (upstreams.empty() && admitted.use_new_version) {
+    upstreams = this->PermittedUpstreams(admitted, false, filter, now);
   }
   SelectionCriteria criteria;
   if (admitted.request.demand) criteria.demand = &*admitted.request.demand;
@@ -282,10 +231,10 @@
   criteria.target_pause = admitted.route->target_pause;
   criteria.request_id = admitted.request.id;
   const UpstreamEntry* upstream = this->selector.Select(
-      permitted.upstreams, criteria, admitted.failed_upstreams, now);
-  const bool rate_limited =
-      upstream == nullptr && permitted.retry_at != TimePoint{};
-  if (rate_limited) return this->WaitOrRefuse(admitted, permitted, now);
+      upstreams, criteria, admitted.failed_upstreams, now);
+  if (upstream == nullptr && filter.Excluded()) {
+    return this->WaitOrRefuse(admitted, filter);
+  }
   if (upstream == nullptr) {
     const ErrorKind kind = admitted.possible_runs > 0
                                ? ErrorKind::kUpstreamFailed
@@ -293,11 +242,11 @@
     return Refusal{kind, AddJitter(kRetryUpstream, admitted.request.id)};
   }
   const std::string instance = upstream->InstanceId();
-  const bool has_permit = admitted.permit == instance;
+  const bool has_permit = admitted.permits.granted == instance;
   if (!has_permit) {
     RateLimits::Permission permission = this->rate_limits.Check(instance, now);
     if (permission.kind == RateLimits::Permission::Kind::kAsk) {
-      ++admitted.permit_requests;
+      ++admitted.permits.requests;
       return PermitRequest{instance, std::move(permission.issuer)};
     }
   }
@@ -309,7 +258,7 @@
     return Refusal{kind, AddJitter(kRetryUpstream, admitted.request.id)};
   }
   if (!has_permit) this->rate_limits.TakeOwn(instance, now);
-  admitted.permit.clear();
+  admitted.permits.granted.clear();
   ++admitted.sends;
   SendPlan plan;
   plan.upstream = *upstream;
@@ -327,6 +276,27 @@
   return plan;
 }
 
+// The eligible upstreams that their rate limits leave. A permit that the
+// request holds decides the upstream.
+std::vector<const UpstreamEntry*> GatewayCore::PermittedUpstreams(
+    AdmittedRequest& admitted, bool may_be_canary, PermitFilter& filter,
+    TimePoint now) {
+  std::vector<const UpstreamEntry*> eligible =
+      this->EligibleUpstreams(admitted, may_be_canary, now);
+  if (!this->rate_limits.AnyLimited()) return eligible;
+  const auto& failed = admitted.failed_upstreams;
+  std::vector<const UpstreamEntry*> permitted;
+  for (const UpstreamEntry* upstream : eligible) {
+    if (std::find(failed.begin(), failed.end(), upstream->id) != failed.end()) {
+      continue;
+    }
+    const std::string instance = upstream->InstanceId();
+    if (instance == admitted.permits.granted) return {upstream};
+    if (filter.Allows(instance)) permitted.push_back(upstream);
+  }
+  return permitted;
+}
+
 // The usable upstreams of the request's service whose version is allowed for
 // it. Only those of the preferred version while one of them has not failed yet.
 std::vector<const UpstreamEntry*> GatewayCore::EligibleUpstreams(
--- a/policy/gateway_core.h
+++ b/policy/gateway_core.h
@@ -18,6 +18,7 @@
 #include "policy/error_kind.h"
 #include "policy/gateway_request.h"
 #include "policy/link_meter.h"
+#include "policy/permit_filter.h"
 #include "policy/rate_limits.h"
 #include "policy/reachability_meter.h"
 #include "policy/route_table.h"
@@ -55,8 +56,7 @@
   coordination::Duration time_to_first_event{};  // from the arrival
   coordination::Duration longest_pause{};        // between events
   std::vector<std::string> failed_upstreams;
-  std::string permit;  // instance that a granted permit is for; empty: none
-  std::int64_t permit_requests = 0;
+  PermitState permits;
   bool use_new_version = false;  // while a version is rolled out
 };
 
@@ -136,7 +136,7 @@
   NextStep NextSend(AdmittedRequest& admitted, coordination::TimePoint now);
   // Another VM has granted the permit that NextSend asked for.
   void OnPermit(AdmittedRequest& admitted, std::string instance) {
-    admitted.permit = std::move(instance);
+    admitted.permits.granted = std::move(instance);
   }
   // Records how a send ended. Returns whether the request may be retried;
   // NextSend then decides whether and where.
@@ -181,22 +181,11 @@
   std::vector<const UpstreamEntry*> EligibleUpstreams(
       AdmittedRequest& admitted, bool may_be_canary,
       coordination::TimePoint now);
-  // Upstreams to which the request may be sent now, or after a permit was
-  // requested.
-  struct PermittedUpstreams {
-    std::vector<const UpstreamEntry*> upstreams;
-    // Of the upstreams that were left out because of their rate limit: when the
-    // first may have a permit, and the shortest backlog. Zero when there is
-    // none.
-    coordination::TimePoint retry_at{};
-    coordination::Duration backlog{};
-  };
-  PermittedUpstreams FilterByRate(const AdmittedRequest& admitted,
-                                  std::vector<const UpstreamEntry*> upstreams,
-                                  coordination::TimePoint now);
+  std::vector<const UpstreamEntry*> PermittedUpstreams(
+      AdmittedRequest& admitted, bool may_be_canary, PermitFilter& filter,
+      coordination::TimePoint now);
   NextStep WaitOrRefuse(const AdmittedRequest& admitted,
-                        const PermittedUpstreams& permitted,
-                        coordination::TimePoint now) const;
+                        const PermitFilter& filter) const;
   Refusal RefuseSuspect(std::uint64_t fingerprint, coordination::TimePoint now);
   void RecordCrashEvidence(const AdmittedRequest& admitted,
                            const SendPlan& plan, SendOutcome outcome,
--- a/tests/transport_test.cc
+++ b/tests/transport_test.cc
@@ -14,6 +14,9 @@
 namespace hornbeamspool::transport {
 namespace {
 
+using policy::RateMessage;
+using policy::RateMessageKind;
+
 constexpr std::string_view kKey = "0123456789abcdef";
 
 Heartbeat FullHeartbeat() {
--- a/transport/rate_message.cc
+++ b/transport/rate_message.cc
@@ -5,39 +5,47 @@
 #include "transport/datagram.h"
 #include "transport/short_string.h"
 
-namespace hornbeamspool::transport {
-namespace {
-
-// "RTM1"; the last byte is the version of the encoding.
-constexpr std::uint32_t kMagic = 0x52544d31;
-
-constexpr std::int64_t kMaxMilliseconds = 86'400'000;  // a day
-
-bool IsTime(std::int64_t milliseconds) {
-  return milliseconds >= 0 && milliseconds <= kMaxMilliseconds;
-}
-
-}  // namespace
+namespace hornbeamspool::policy {
 
 template <typename Archive>
 void save(Archive& archive, const RateMessage& message) {
   RateMessage copy = message;
   archive(static_cast<std::uint8_t>(message.kind), message.id,
-          ShortString{&copy.sender}, ShortString{&copy.instance},
-          message.limited, message.per_second, message.age_ms, message.failover,
-          message.granted, message.next_permit_ms, message.backlog_ms);
+          transport::ShortString{&copy.sender},
+          transport::ShortString{&copy.instance}, message.limited,
+          message.per_second, message.age_ms, message.failover, message.granted,
+          message.next_permit_ms, message.backlog_ms);
 }
 
 template <typename Archive>
 void load(Archive& archive, RateMessage& message) {
   std::uint8_t kind = 0;
-  archive(kind, message.id, ShortString{&message.sender},
-          ShortString{&message.instance}, message.limited, message.per_second,
-          message.age_ms, message.failover, message.granted,
+  archive(kind, message.id, transport::ShortString{&message.sender},
+          transport::ShortString{&message.instance}, message.limited,
+          message.per_second, message.age_ms, message.failover, message.granted,
           message.next_permit_ms, message.backlog_ms);
   message.kind = static_cast<RateMessageKind>(kind);
 }
 
+}  // namespace hornbeamspool::policy
+
+namespace hornbeamspool::transport {
+namespace {
+
+using policy::RateMessage;
+using policy::RateMessageKind;
+
+// "RTM1"; the last byte is the version of the encoding.
+constexpr std::uint32_t kMagic = 0x52544d31;
+
+constexpr std::int64_t kMaxMilliseconds = 86'400'000;  // a day
+
+bool IsTime(std::int64_t milliseconds) {
+  return milliseconds >= 0 && milliseconds <= kMaxMilliseconds;
+}
+
+}  // namespace
+
 std::string EncodeRateMessage(const RateMessage& message) {
   return EncodeDatagram(kMagic, message);
 }
--- a/transport/rate_message.h
+++ b/transport/rate_message.h
@@ -1,44 +1,18 @@
-// Messages between gateways about the rate limits that upstreams announce:
-// what an upstream announced, and requests for permits to send to it. Sent by
-// UDP, encoded with cereal.
+// Encoding of the messages about upstreams' rate limits. Sent by UDP, encoded
+// with cereal.
 #pragma once
 
-#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
 
-namespace hornbeamspool::transport {
-
-// Sent as a number: keep the order.
-enum class RateMessageKind : std::uint8_t {
-  kAnnouncement,   // what the sender knows of the instance's limit
-  kPermitRequest,  // for one request to the instance
-  kPermitVerdict,  // the reply to a permit request
-  kQuery,          // asks for an announcement of each limited instance
-  kCount
-};
+#include "policy/rate_message.h"
 
-// All kinds but kQuery carry the latest announcement that the sender knows.
-struct RateMessage {
-  RateMessageKind kind = RateMessageKind::kAnnouncement;
-  std::uint64_t id = 0;  // random; a verdict carries its request's
-  std::string sender;    // VM name
-  std::string instance;  // of the upstream
-  bool limited = false;
-  double per_second = 0;    // the limit
-  std::int64_t age_ms = 0;  // since the upstream announced it
-  // Of a request: another VM that issues permits did not answer.
-  bool failover = false;
-  // Of a verdict.
-  bool granted = false;
-  std::int64_t next_permit_ms = 0;
-  std::int64_t backlog_ms = 0;
-};
+namespace hornbeamspool::transport {
 
-std::string EncodeRateMessage(const RateMessage& message);
+std::string EncodeRateMessage(const policy::RateMessage& message);
 
 // Empty when the bytes are not a valid rate message.
-std::optional<RateMessage> DecodeRateMessage(std::string_view bytes);
+std::optional<policy::RateMessage> DecodeRateMessage(std::string_view bytes);
 
 }  // namespace hornbeamspool::transport
