Keep upstreams' rate limits in the chat-completions router

What callers saw: nothing. Three routers sent a service 340 requests in 4 s where its limit allows 26.

Cause as in the gateway: the header was not read, and each router decides alone. The router now decides by the same policy/rate_limits, permit_filter and permit_exchange. A request that needs a permit waits in a PermitQueue; the thread of the peers carries the messages, and the thread of the listener reports each head of an answer that names a limit, or that no longer does. Polls of an upstream's load are requests as well: those of all nodes together take at most a tenth of its limit.

A refusal is 503 upstream_rate_limited with the time of the next permit or the issuers' backlog; for a VM that is alone that backlog was the maximum, 10 s, found by the new test of the router.

--- a/gateway/rate_log.cc
+++ b/gateway/rate_log.cc
@@ -18,10 +18,6 @@
 using policy::KeyValue;
 using policy::RateLimits;
 
-constexpr std::array<std::string_view,
-                     static_cast<std::size_t>(RateLimits::Change::kCount)>
-    kChangeNames{"none", "announced", "changed", "ended", "malformed"};
-
 std::string Decimal(double value) {
   std::array<char, 32> text{};
   const int length = std::snprintf(text.data(), text.size(), "%.3g", value);
@@ -35,8 +31,7 @@
                    std::string_view source, coordination::TimePoint now) {
   if (change == RateLimits::Change::kNone) return;
   std::string fields = KeyValue("upstream", instance);
-  fields += ' ' + KeyValue("outcome",
-                           kChangeNames.at(static_cast<std::size_t>(change)));
+  fields += ' ' + KeyValue("outcome", RateLimits::ChangeName(change));
   fields += ' ' + KeyValue("per_second", Decimal(rate.per_second));
   fields += ' ' + KeyValue("source", source);
   context.log->Write(LogKind::kRateLimit, fields, now);
--- a/hornbeamspool/admission_client.cc
+++ b/hornbeamspool/admission_client.cc
@@ -48,6 +48,17 @@
   this->to_router->TryPush(std::move(completion));
 }
 
+void AdmissionClient::ReportAnswer(const policy::Admitted& admitted,
+                                   const policy::AnnouncedRate& rate,
+                                   coordination::TimePoint sent_at) {
+  const bool news = admitted.rate_limited ||
+                    rate.kind != policy::AnnouncedRate::Kind::kUnlimited;
+  // Without a free slot the next answer reports it.
+  if (!news || this->to_router->FreeSlots() <= this->reserved_slots) return;
+  this->to_router->TryPush(
+      policy::UpstreamAnswer{admitted.instance, rate, sent_at});
+}
+
 http::Task<policy::AdmissionReply> AdmissionClient::AwaitReply(
     std::uint64_t correlation_id) {
   auto pending = std::make_shared<PendingReply>(*this->io);
--- a/hornbeamspool/admission_client.h
+++ b/hornbeamspool/admission_client.h
@@ -35,6 +35,12 @@
   // Reports the end of a reservation, stamped with the wall-clock time.
   void Complete(policy::Completion completion);
 
+  // Reports the rate limit in the head of an upstream's answer to a request
+  // that was sent at `sent_at`.
+  void ReportAnswer(const policy::Admitted& admitted,
+                    const policy::AnnouncedRate& rate,
+                    coordination::TimePoint sent_at);
+
   // Resumes the coroutine that awaits this reply. Replies that nobody awaits
   // are ignored.
   void Deliver(policy::AdmissionReply reply);
--- a/hornbeamspool/daemon.cc
+++ b/hornbeamspool/daemon.cc
@@ -32,9 +32,11 @@
   return settings.name + '-' + std::string(digits.data(), end.ptr) + '-';
 }
 
-policy::RouterOptions MakeRouterOptions(
-    const settings::NodeSettings& settings) {
+policy::RouterOptions MakeRouterOptions(const settings::NodeSettings& settings,
+                                        std::uint64_t incarnation) {
   policy::RouterOptions options;
+  options.node = settings.name;
+  options.incarnation = incarnation;
   options.availability_zone = settings.availability_zone;
   options.max_in_flight =
       static_cast<std::size_t>(settings.callers.max_in_flight);
@@ -60,11 +62,11 @@
       platform_sink(&this->recorder.AddSink()),
       peer_sink(&this->recorder.AddSink()),
       operator_sink(&this->recorder.AddSink()),
-      router(MakeRouterOptions(settings),
+      router(MakeRouterOptions(settings, this->incarnation),
              CallerServer::QueueCapacity(settings.callers), this->metrics,
              *this->router_sink),
       platform(settings, MakeHolderName(settings, this->incarnation),
-               this->metrics, *this->platform_sink),
+               this->metrics, *this->platform_sink, this->router.Status()),
       callers(settings.callers, MakeRequestPrefix(settings, this->incarnation),
               this->metrics, *this->listener_sink, this->router.Ready()),
       peers(settings, this->incarnation, this->metrics, *this->peer_sink,
@@ -88,7 +90,8 @@
   this->main_sink->Record(MakeEvent(
       policy::EventKind::kStarted,
       policy::KeyValue("availability_zone", this->settings.availability_zone)));
-  this->router.Start(this->callers.Replies(), this->platform.Commands());
+  this->router.Start(this->callers.Replies(), this->platform.Commands(),
+                     this->peers.Outgoing());
   this->platform.Start(this->router.PlatformQueue());
   if (!this->peers.Start(this->router.PeerQueue())) {
     return "cannot bind peers.address " + this->settings.peers.address;
--- a/hornbeamspool/model_relay.cc
+++ b/hornbeamspool/model_relay.cc
@@ -13,6 +13,7 @@
 #include "hornbeamspool/error_response.h"
 #include "http/event_stream.h"
 #include "http/task.h"
+#include "platform/request_headers.h"
 
 namespace hornbeamspool {
 namespace {
@@ -268,6 +269,7 @@
   options.read_timeout = attempt.admitted->deadline;
   // The HTTP client must not resend: the router counts every attempt.
   options.may_resend = nullptr;
+  const TimePoint sent_at = Now();
   const http::OpenResult opened = co_await attempt.context->client->Open(
       attempt.admitted->address, UpstreamRequest(attempt), options);
   if (opened.status != http::FetchStatus::kOk) {
@@ -275,6 +277,8 @@
     co_return AttemptResult{AttemptOutcome::kFailed, reached};
   }
   http::ResponseStream& stream = *opened.stream;
+  attempt.context->admission_client->ReportAnswer(
+      *attempt.admitted, platform::DecodeAnnouncedRate(stream.Head()), sent_at);
   const std::uint16_t status = stream.Head().status;
   if (IsFailedAttempt(status)) {
     co_return AttemptResult{AttemptOutcome::kFailed, true};
--- a/hornbeamspool/node_status.h
+++ b/hornbeamspool/node_status.h
@@ -2,6 +2,8 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -23,6 +25,9 @@
   std::size_t in_flight = 0;
   std::size_t billing_backlog = 0;  // settlements not yet written
   std::vector<UpstreamStatus> upstreams;
+  // Rate limits that instances of upstreams announce, in requests a second.
+  std::map<std::string, double, std::less<>> limits;
+  std::int64_t fleet_size = 1;  // live nodes
 };
 
 }  // namespace hornbeamspool
--- a/hornbeamspool/peer_thread.cc
+++ b/hornbeamspool/peer_thread.cc
@@ -10,6 +10,7 @@
 #include "http/address.h"
 #include "http/task.h"
 #include "transport/mac.h"
+#include "transport/rate_message.h"
 
 namespace hornbeamspool {
 namespace {
@@ -19,6 +20,8 @@
 
 // Maximum number of member reports in one heartbeat.
 constexpr std::size_t kMaxSampledMembers = 8;
+// Messages of the router that are not sent yet; more are dropped.
+constexpr std::size_t kOutgoingCapacity = 1024;
 // A member becomes suspect after this many heartbeat intervals of silence.
 constexpr int kSuspectAfterHeartbeats = 6;
 
@@ -44,12 +47,14 @@
       platform(&platform),
       config_epoch(&config_epoch),
       socket(this->io),
+      outgoing_wakeup(this->io, [this] { this->SendOutgoing(); }),
+      outgoing(kOutgoingCapacity, [this] { this->outgoing_wakeup.Notify(); }),
       membership(MakeMemberTiming(settings.peers)),
       random(static_cast<std::minstd_rand::result_type>(incarnation)) {}
 
 PeerThread::~PeerThread() { this->Stop(); }
 
-bool PeerThread::Start(SpscQueue<MembershipUpdate>& to_router) {
+bool PeerThread::Start(SpscQueue<PeerUpdate>& to_router) {
   this->to_router = &to_router;
   const auto endpoint = http::ParseUdpEndpoint(this->settings.peers.address);
   if (!endpoint) return false;
@@ -84,6 +89,13 @@
 // Datagrams that fail authentication or decoding are counted and dropped.
 void PeerThread::HandleDatagram(std::string_view datagram) {
   const auto payload = transport::VerifyMac(this->settings.peers.key, datagram);
+  if (payload) {
+    if (auto message = transport::DecodeRateMessage(*payload)) {
+      // A full queue drops the message; its sender repeats a request.
+      this->to_router->TryPush(std::move(*message));
+      return;
+    }
+  }
   const auto heartbeat =
       payload ? transport::DecodeHeartbeat(*payload) : std::nullopt;
   if (!heartbeat) {
@@ -174,6 +186,7 @@
   std::vector<coordination::Member> list;
   for (const auto& [name, member] : this->membership.Members()) {
     list.push_back(member);
+    if (member.state != MemberState::kLeaving) update.peers.push_back(name);
     update.newest_epoch =
         std::max(update.newest_epoch, member.report.config_epoch);
   }
@@ -182,7 +195,21 @@
   this->members.Publish(std::move(list));
   // A full queue drops this update; a newer one follows after the heartbeat
   // interval.
-  this->to_router->TryPush(update);
+  this->to_router->TryPush(std::move(update));
+}
+
+// Sends the messages of the router to the members that are known by name.
+void PeerThread::SendOutgoing() {
+  this->outgoing.Drain([this](const policy::PeerMessage& message) {
+    const std::string datagram =
+        transport::AppendMac(this->settings.peers.key,
+                             transport::EncodeRateMessage(message.message));
+    for (const auto& [name, member] : this->membership.Members()) {
+      const bool addressed =
+          message.to.empty() ? name != this->settings.name : name == message.to;
+      if (addressed) this->SendTo(member.report.peer_address, datagram);
+    }
+  });
 }
 
 }  // namespace hornbeamspool
--- a/hornbeamspool/peer_thread.h
+++ b/hornbeamspool/peer_thread.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "coordination/member_view.h"
+#include "hornbeamspool/io_wakeup.h"
 #include "hornbeamspool/metrics.h"
 #include "hornbeamspool/platform_messages.h"
 #include "hornbeamspool/platform_thread.h"
@@ -19,6 +20,7 @@
 #include "hornbeamspool/snapshot.h"
 #include "hornbeamspool/spsc_queue.h"
 #include "http/task.h"
+#include "policy/permit_queue.h"
 #include "settings/node_settings.h"
 #include "transport/heartbeat.h"
 
@@ -39,7 +41,9 @@
   ~PeerThread();
 
   // Binds the address and starts the thread. Returns false if binding fails.
-  bool Start(SpscQueue<MembershipUpdate>& to_router);
+  bool Start(SpscQueue<PeerUpdate>& to_router);
+  // The queue of messages from the router's thread.
+  SpscQueue<policy::PeerMessage>& Outgoing() { return this->outgoing; }
   // Marks this node as leaving in all later heartbeats: it accepts no new
   // requests.
   void AnnounceLeave() { this->leaving = true; }
@@ -58,6 +62,7 @@
   std::vector<std::string> SelectTargets();
   transport::Heartbeat BuildHeartbeat();
   void PublishMembership();
+  void SendOutgoing();
 
   settings::NodeSettings settings;
   std::uint64_t incarnation;
@@ -68,11 +73,13 @@
   const std::atomic<std::uint64_t>* config_epoch;
   boost::asio::io_context io{1};
   http::UdpSocket socket;
+  IoWakeup outgoing_wakeup;
+  SpscQueue<policy::PeerMessage> outgoing;
   coordination::MemberView membership;
   std::minstd_rand random;
   std::uint64_t heartbeats_sent = 0;
   std::atomic<bool> leaving{false};
-  SpscQueue<MembershipUpdate>* to_router = nullptr;
+  SpscQueue<PeerUpdate>* to_router = nullptr;
   Snapshot<std::vector<coordination::Member>> members;
   std::thread thread;
 };
--- a/hornbeamspool/plain_relay.cc
+++ b/hornbeamspool/plain_relay.cc
@@ -9,6 +9,7 @@
 #include "hornbeamspool/clock.h"
 #include "hornbeamspool/error_response.h"
 #include "http/task.h"
+#include "platform/request_headers.h"
 
 namespace hornbeamspool {
 namespace {
@@ -97,7 +98,14 @@
   options.fresh_connection = !admitted.repeatable;
   // The HTTP client must not resend: the router counts every attempt.
   options.may_resend = nullptr;
-  co_return co_await context.client->Fetch(admitted.address, request, options);
+  const coordination::TimePoint sent_at = Now();
+  http::FetchResult result =
+      co_await context.client->Fetch(admitted.address, request, options);
+  if (result.status == http::FetchStatus::kOk) {
+    context.admission_client->ReportAnswer(
+        admitted, platform::DecodeAnnouncedRate(result.response), sent_at);
+  }
+  co_return result;
 }
 
 }  // namespace
--- a/hornbeamspool/platform_messages.h
+++ b/hornbeamspool/platform_messages.h
@@ -3,10 +3,14 @@
 #pragma once
 
 #include <cstdint>
+#include <string>
 #include <variant>
 #include <vector>
 
+#include "policy/announced_rate.h"
 #include "policy/fleet_config.h"
+#include "policy/messages.h"
+#include "policy/rate_message.h"
 #include "policy/table_messages.h"
 #include "policy/upstream_set.h"
 
@@ -26,6 +30,7 @@
 // The load that one upstream reports.
 struct LoadUpdate {
   policy::LoadReport report;
+  policy::UpstreamAnswer answer;
 };
 
 using PlatformMessage = std::variant<policy::TableReply, ConfigUpdate,
@@ -35,6 +40,9 @@
 struct MembershipUpdate {
   std::int64_t alive_members = 0;  // including this node
   std::uint64_t newest_epoch = 0;  // highest config epoch of any member
+  std::vector<std::string> peers;  // names of the members that don't leave
 };
 
+using PeerUpdate = std::variant<MembershipUpdate, policy::RateMessage>;
+
 }  // namespace hornbeamspool
--- a/hornbeamspool/platform_thread.cc
+++ b/hornbeamspool/platform_thread.cc
@@ -13,6 +13,7 @@
 #include "platform/documents.h"
 #include "platform/single_writer_row.h"
 #include "platform/upstream_report.h"
+#include "policy/rate_limits.h"
 #include "settings/fleet_settings.h"
 #include "settings/settings_error.h"
 
@@ -39,17 +40,21 @@
 // process receives them.
 constexpr std::chrono::milliseconds kUnregisterTimeout{500};
 
+// Fraction of an upstream's rate limit that polls of its load may take.
+constexpr double kPolledFraction = 0.1;
+
 policy::ListedUpstream ToUpstream(const policy::UpstreamEntry& entry) {
-  return policy::ListedUpstream{entry.id,      entry.service,
-                                entry.version, entry.availability_zone,
-                                entry.address, entry.draining};
+  return policy::ListedUpstream{
+      entry.id,      entry.service,  entry.version,     entry.availability_zone,
+      entry.address, entry.draining, entry.InstanceId()};
 }
 
 }  // namespace
 
 PlatformThread::PlatformThread(const settings::NodeSettings& settings,
                                std::string holder, Metrics& metrics,
-                               EventSink& sink)
+                               EventSink& sink,
+                               const Snapshot<NodeStatus>& node_status)
     : settings(settings.platform),
       name(settings.name),
       peer_address(settings.peers.address),
@@ -83,7 +88,8 @@
                     [this](bool reachable) {
                       this->RecordStoreReachability(kRouterTable, reachable);
                     }}),
-      worker(this->table, std::move(holder), metrics) {}
+      worker(this->table, std::move(holder), metrics),
+      node_status(&node_status) {}
 
 PlatformThread::~PlatformThread() { this->Stop(); }
 
@@ -254,25 +260,46 @@
     // Removes upstreams whose entries did not reappear after a store outage.
     if (!this->upstreams.Expire(Now()).empty()) this->SendUpstreamList();
     for (const policy::UpstreamEntry* entry : this->upstreams.All()) {
-      net::co_spawn(this->io, this->FetchLoad(entry->id, entry->address),
-                    net::detached);
+      if (!this->IsPollDue(*entry, Now())) continue;
+      net::co_spawn(this->io, this->FetchLoad(*entry), net::detached);
     }
     timer.expires_after(this->settings.poll);
     co_await timer.async_wait(http::kAwait);
   }
 }
 
-http::Task<void> PlatformThread::FetchLoad(std::string upstream,
-                                           std::string address) {
+// The polls of all nodes together take at most a fixed fraction of an
+// upstream's rate limit.
+bool PlatformThread::IsPollDue(const policy::UpstreamEntry& entry,
+                               coordination::TimePoint now) {
+  const auto status = this->node_status->Read();
+  const auto found = status->limits.find(entry.InstanceId());
+  if (found == status->limits.end()) {
+    this->last_polls.erase(entry.id);
+    return true;
+  }
+  const double per_second =
+      std::max(found->second, policy::RateLimits::kMinPerSecond) *
+      kPolledFraction / static_cast<double>(status->fleet_size);
+  const std::chrono::duration<double> interval(1 / per_second);
+  auto [last, first] = this->last_polls.try_emplace(entry.id, now);
+  if (first || now - last->second < interval) return false;
+  last->second = now;
+  return true;
+}
+
+http::Task<void> PlatformThread::FetchLoad(policy::UpstreamEntry entry) {
+  const coordination::TimePoint sent_at = Now();
   const auto load = co_await platform::FetchUpstreamReport(
-      this->client, std::move(address), this->settings.timeout);
+      this->client, entry.address, this->settings.timeout);
   if (!load) co_return;
   policy::LoadReport report;
-  report.upstream = std::move(upstream);
+  report.upstream = entry.id;
   report.kv_tokens = load->kv_used_tokens;
   report.capacity_tokens = load->kv_capacity_tokens;
   report.waiting = load->waiting;
-  PlatformMessage message = LoadUpdate{std::move(report)};
+  policy::UpstreamAnswer answer{entry.InstanceId(), load->rate, sent_at};
+  PlatformMessage message = LoadUpdate{std::move(report), std::move(answer)};
   co_await this->SendToRouter(std::move(message));
 }
 
--- a/hornbeamspool/platform_thread.h
+++ b/hornbeamspool/platform_thread.h
@@ -16,6 +16,7 @@
 
 #include "hornbeamspool/io_wakeup.h"
 #include "hornbeamspool/metrics.h"
+#include "hornbeamspool/node_status.h"
 #include "hornbeamspool/platform_messages.h"
 #include "hornbeamspool/recorder.h"
 #include "hornbeamspool/snapshot.h"
@@ -38,7 +39,8 @@
  public:
   // `holder`: see TableWorker.
   PlatformThread(const settings::NodeSettings& settings, std::string holder,
-                 Metrics& metrics, EventSink& sink);
+                 Metrics& metrics, EventSink& sink,
+                 const Snapshot<NodeStatus>& node_status);
   PlatformThread(const PlatformThread&) = delete;
   PlatformThread& operator=(const PlatformThread&) = delete;
   ~PlatformThread();
@@ -68,7 +70,9 @@
   http::Task<void> Register();
   http::Task<void> RemoveOwnRow(std::shared_ptr<std::promise<void>> removed);
   http::Task<void> PollUpstreamLoad();
-  http::Task<void> FetchLoad(std::string upstream, std::string address);
+  bool IsPollDue(const policy::UpstreamEntry& entry,
+                 coordination::TimePoint now);
+  http::Task<void> FetchLoad(policy::UpstreamEntry entry);
   void OnUpstreamChanges(const std::vector<platform::StoreRow>& rows);
   void OnUpstreamSnapshot(const std::vector<platform::StoreRow>& rows);
   void OnRouterChanges(const std::vector<platform::StoreRow>& rows);
@@ -98,7 +102,10 @@
   SpscQueue<PlatformMessage>* to_router = nullptr;
   std::uint64_t config_epoch = 0;
   std::atomic<std::uint64_t> newest_peer_epoch{0};
+  const Snapshot<NodeStatus>* node_status;
   policy::UpstreamDirectory upstreams;
+  // By id, of rate-limited upstreams.
+  std::map<std::string, coordination::TimePoint> last_polls;
   std::map<std::string, std::string> router_addresses;  // by name
   Snapshot<std::vector<std::string>> routers;
   std::thread thread;
--- a/hornbeamspool/router_thread.cc
+++ b/hornbeamspool/router_thread.cc
@@ -42,8 +42,10 @@
 RouterThread::~RouterThread() { this->Stop(); }
 
 void RouterThread::Start(SpscQueue<policy::AdmissionReply>& to_listener,
-                         SpscQueue<policy::TableCommand>& to_platform) {
+                         SpscQueue<policy::TableCommand>& to_platform,
+                         SpscQueue<policy::PeerMessage>& to_peers) {
   this->to_listener = &to_listener;
+  this->to_peers = &to_peers;
   this->to_platform = &to_platform;
   this->thread = std::thread([this] { this->Run(); });
 }
@@ -64,8 +66,8 @@
     this->platform_queue.Drain([this](PlatformMessage message) {
       this->HandlePlatformMessage(std::move(message));
     });
-    this->peer_queue.Drain([this](MembershipUpdate update) {
-      this->HandleMembershipUpdate(update);
+    this->peer_queue.Drain([this](PeerUpdate update) {
+      this->HandlePeerUpdate(std::move(update));
     });
     this->listener_queue.Drain([this](policy::ListenerMessage message) {
       this->HandleListenerMessage(std::move(message));
@@ -96,6 +98,9 @@
     this->router.OnRetry(*retry, now, this->outbox);
   } else if (const auto* end = std::get_if<policy::Completion>(&message)) {
     this->router.OnCompletion(*end, now, this->outbox);
+  } else if (const auto* answer =
+                 std::get_if<policy::UpstreamAnswer>(&message)) {
+    this->router.OnUpstreamAnswer(*answer, now, this->outbox);
   }
   this->FlushOutbox();
 }
@@ -112,13 +117,21 @@
     this->router.SetUpstreams(listed->upstreams, this->outbox);
   } else if (const auto* load = std::get_if<LoadUpdate>(&message)) {
     this->router.SetReport(load->report);
+    this->router.OnUpstreamAnswer(load->answer, now, this->outbox);
   }
   this->FlushOutbox();
 }
 
-void RouterThread::HandleMembershipUpdate(const MembershipUpdate& update) {
-  this->router.SetHolders(update.alive_members);
-  this->newest_epoch = std::max(this->newest_epoch, update.newest_epoch);
+void RouterThread::HandlePeerUpdate(PeerUpdate update) {
+  if (auto* membership = std::get_if<MembershipUpdate>(&update)) {
+    this->router.SetHolders(membership->alive_members);
+    this->fleet_size = std::max<std::int64_t>(1, membership->alive_members);
+    this->router.SetPeers(std::move(membership->peers), this->outbox);
+    this->newest_epoch = std::max(this->newest_epoch, membership->newest_epoch);
+  } else if (const auto* message = std::get_if<policy::RateMessage>(&update)) {
+    this->router.OnPeerMessage(*message, Now(), this->outbox);
+  }
+  this->FlushOutbox();
 }
 
 void RouterThread::FlushOutbox() {
@@ -132,6 +145,10 @@
     this->CountEvent(event);
     this->sink->Record(std::move(event));
   }
+  // A full queue drops messages to peers; requests for permits then time out.
+  for (policy::PeerMessage& message : this->outbox.peer_messages) {
+    this->to_peers->TryPush(std::move(message));
+  }
   this->outbox = {};
   PushUntilFull(this->unsent_replies, *this->to_listener);
   PushUntilFull(this->unsent_commands, *this->to_platform);
@@ -147,6 +164,14 @@
 
 void RouterThread::PublishStatus() {
   NodeStatus next;
+  std::vector<RateLimitGauges> gauges;
+  for (policy::RateLimits::Stats& stats : this->router.RateStats(Now())) {
+    next.limits[stats.instance] = stats.per_second;
+    gauges.push_back({std::move(stats.instance), stats.per_second, stats.sent,
+                      stats.issued});
+  }
+  this->metrics->SetRateLimits(std::move(gauges));
+  next.fleet_size = this->fleet_size;
   next.config_epoch = this->router.ConfigEpoch();
   // While a peer has a newer configuration, this node is not ready until it has
   // loaded that configuration.
--- a/hornbeamspool/router_thread.h
+++ b/hornbeamspool/router_thread.h
@@ -34,11 +34,12 @@
     return this->listener_queue;
   }
   SpscQueue<PlatformMessage>& PlatformQueue() { return this->platform_queue; }
-  SpscQueue<MembershipUpdate>& PeerQueue() { return this->peer_queue; }
+  SpscQueue<PeerUpdate>& PeerQueue() { return this->peer_queue; }
 
   // Starts the thread, with the queues for its output.
   void Start(SpscQueue<policy::AdmissionReply>& to_listener,
-             SpscQueue<policy::TableCommand>& to_platform);
+             SpscQueue<policy::TableCommand>& to_platform,
+             SpscQueue<policy::PeerMessage>& to_peers);
 
   // Begins a graceful shutdown. Stopped() turns true once every bill is written
   // and every unspent grant is returned to its budget.
@@ -60,7 +61,7 @@
   void Run();
   void HandleListenerMessage(policy::ListenerMessage message);
   void HandlePlatformMessage(PlatformMessage message);
-  void HandleMembershipUpdate(const MembershipUpdate& update);
+  void HandlePeerUpdate(PeerUpdate update);
   void FlushOutbox();
   void CountEvent(const policy::Event& event);
   void PublishStatus();
@@ -71,15 +72,17 @@
   Wakeup wakeup;
   SpscQueue<policy::ListenerMessage> listener_queue;
   SpscQueue<PlatformMessage> platform_queue;
-  SpscQueue<MembershipUpdate> peer_queue;
+  SpscQueue<PeerUpdate> peer_queue;
   SpscQueue<policy::AdmissionReply>* to_listener = nullptr;
   SpscQueue<policy::TableCommand>* to_platform = nullptr;
+  SpscQueue<policy::PeerMessage>* to_peers = nullptr;
   policy::Outbox outbox;
   // Output that did not fit into a full queue yet. Bounded by the requests in
   // flight.
   std::deque<policy::AdmissionReply> unsent_replies;
   std::deque<policy::TableCommand> unsent_commands;
   std::uint64_t newest_epoch = 0;  // highest config epoch of any peer
+  std::int64_t fleet_size = 1;     // live nodes
   std::atomic<bool> ready{false};
   std::atomic<std::uint64_t> config_epoch{0};
   std::atomic<bool> shutdown_requested{false};
--- a/policy/event.cc
+++ b/policy/event.cc
@@ -9,18 +9,19 @@
 
 constexpr std::array<std::string_view,
                      static_cast<std::size_t>(EventKind::kCount)>
-    kEventNames{"started",         "ready",
-                "stopping",        "stopped",
-                "config_in_force", "config_refused",
-                "member_changed",  "upstream_changed",
-                "store_lost",      "store_regained",
-                "admitted",        "refused",
-                "retried",         "finished",
-                "billed",          "bill_duplicate",
-                "budget_created",  "budget_topped_up",
-                "grant_drawn",     "grant_returned",
-                "draw_failed",     "intent_committed",
-                "intent_exists",   "settle_failed"};
+    kEventNames{"started",          "ready",
+                "stopping",         "stopped",
+                "config_in_force",  "config_refused",
+                "member_changed",   "upstream_changed",
+                "rate_limit",       "store_lost",
+                "store_regained",   "admitted",
+                "refused",          "retried",
+                "finished",         "billed",
+                "bill_duplicate",   "budget_created",
+                "budget_topped_up", "grant_drawn",
+                "grant_returned",   "draw_failed",
+                "intent_committed", "intent_exists",
+                "settle_failed"};
 
 bool NeedsQuotes(std::string_view value) {
   if (value.empty()) return true;
--- a/policy/event.h
+++ b/policy/event.h
@@ -16,6 +16,7 @@
   kConfigRefused,
   kMemberChanged,
   kUpstreamChanged,
+  kRateLimit,
   kStoreLost,
   kStoreRegained,
   kAdmitted,
--- a/policy/messages.h
+++ b/policy/messages.h
@@ -7,6 +7,7 @@
 #include <variant>
 
 #include "coordination/time.h"
+#include "policy/announced_rate.h"
 #include "policy/error_kind.h"
 #include "policy/table_messages.h"
 
@@ -43,7 +44,9 @@
 struct Admitted {
   std::uint64_t reservation = 0;
   std::string upstream;
-  std::string address;  // host:port
+  std::string instance;       // of the upstream
+  bool rate_limited = false;  // the instance has announced a rate limit
+  std::string address;        // host:port
   std::int64_t max_tokens = 0;
   std::int64_t priority = 0;  // lower is more urgent
   bool repeatable = true;     // may be sent again after it reached an upstream
@@ -100,7 +103,14 @@
   std::int64_t wall_us = 0;
 };
 
+// What the head of an upstream's answer says of its rate limit.
+struct UpstreamAnswer {
+  std::string instance;
+  AnnouncedRate rate;
+  coordination::TimePoint sent_at{};  // of the request
+};
+
 using ListenerMessage =
-    std::variant<AdmissionRequest, RetryRequest, Completion>;
+    std::variant<AdmissionRequest, RetryRequest, Completion, UpstreamAnswer>;
 
 }  // namespace hornbeamspool::policy
--- a/policy/rate_limits.cc
+++ b/policy/rate_limits.cc
@@ -1,7 +1,10 @@
 #include "policy/rate_limits.h"
 
 #include <algorithm>
+#include <array>
 #include <cstddef>
+#include <functional>
+#include <optional>
 #include <utility>
 
 #include "coordination/rendezvous.h"
@@ -49,6 +52,13 @@
 
 }  // namespace
 
+std::string_view RateLimits::ChangeName(Change change) {
+  static constexpr std::array<std::string_view,
+                              static_cast<std::size_t>(Change::kCount)>
+      kNames{"none", "announced", "changed", "ended", "malformed"};
+  return kNames.at(static_cast<std::size_t>(change));
+}
+
 void RateLimits::SetMembers(std::vector<std::string> vms) {
   vms.push_back(this->self);
   std::sort(vms.begin(), vms.end());
@@ -326,13 +336,12 @@
 Duration RateLimits::Backlog(std::string_view instance) const {
   const State* state = this->FindState(instance);
   if (state == nullptr || state->issuers.empty()) return Duration(0);
-  Duration shortest = kMaxBacklog;
+  std::optional<Duration> shortest;
   for (const IssuerState& issuer : state->issuers) {
-    if (issuer.vm != this->self) {
-      shortest = std::min(shortest, issuer.backlog);
-    }
+    if (issuer.vm == this->self) continue;
+    shortest = std::min(shortest.value_or(kMaxBacklog), issuer.backlog);
   }
-  return shortest;
+  return shortest.value_or(Duration(0));
 }
 
 void RateLimits::OnSent(std::string_view instance, TimePoint now) {
--- a/policy/rate_limits.h
+++ b/policy/rate_limits.h
@@ -43,6 +43,9 @@
     kCount
   };
 
+  // The name in logs.
+  static std::string_view ChangeName(Change change);
+
   // The latest announcement of an instance.
   struct Announcement {
     AnnouncedRate rate;
--- a/policy/router.cc
+++ b/policy/router.cc
@@ -1,6 +1,7 @@
 #include "policy/router.h"
 
 #include <algorithm>
+#include <chrono>
 #include <limits>
 #include <utility>
 
@@ -26,9 +27,11 @@
 }
 
 void AddRefusal(Outbox& out, const AdmissionRequest& request, ErrorKind kind,
-                bool earlier_attempts_unknown = false) {
+                bool earlier_attempts_unknown = false,
+                std::optional<std::int64_t> retry_after_s = {}) {
   Refused refused;
   refused.kind = kind;
+  refused.retry_after_s = retry_after_s;
   refused.earlier_attempts_unknown = earlier_attempts_unknown;
   out.replies.push_back(
       AdmissionReply{request.correlation_id, std::move(refused)});
@@ -37,6 +40,15 @@
                KeyValue("run", RunStateName(AnswerFor(kind).run)));
 }
 
+void AddRateEvent(Outbox& out, std::string_view instance,
+                  RateLimits::Change change, std::string_view source) {
+  if (change == RateLimits::Change::kNone) return;
+  AddEvent(out, EventKind::kRateLimit, {},
+           KeyValue("upstream", instance) + ' ' +
+               KeyValue("outcome", RateLimits::ChangeName(change)) + ' ' +
+               KeyValue("source", source));
+}
+
 CommitIntent MakeIntent(std::uint64_t reservation, std::string organisation,
                         const AdmissionRequest& request) {
   CommitIntent intent;
@@ -86,7 +98,9 @@
 }  // namespace
 
 Router::Router(RouterOptions options)
-    : options(std::move(options)), budgets(this->options.grant_policy) {}
+    : options(std::move(options)),
+      budgets(this->options.grant_policy),
+      permits(this->options.node, this->options.incarnation) {}
 
 bool Router::SetConfig(std::uint64_t epoch, FleetConfig config, Outbox& out) {
   if (!this->config.Offer(epoch, std::move(config))) return false;
@@ -129,6 +143,7 @@
   // request can spend.
   Reservation reservation;
   reservation.request = request;
+  reservation.arrived = now;
   std::optional<ErrorKind> error = this->Authorize(reservation);
   if (!error) {
     error = request.kind == RequestKind::kModel
@@ -259,14 +274,21 @@
 
 void Router::Dispatch(std::uint64_t id, TimePoint now, Outbox& out) {
   Reservation& reservation = this->reservations.at(id);
+  PermitFilter filter(this->permits.Limits(), reservation.permits, now);
+  const std::vector<std::string> excluded =
+      this->ExcludedUpstreams(reservation, filter);
   UpstreamDemand demand;
   demand.service = reservation.service;
   demand.version = reservation.version;
   demand.availability_zone = this->options.availability_zone;
   demand.tokens =
       reservation.request.kind == RequestKind::kModel ? reservation.amount : 0;
-  demand.excluded = reservation.failed_upstreams;
+  demand.excluded = excluded;
   const Upstream* chosen = this->upstreams.Select(demand, now);
+  if (chosen == nullptr && filter.Excluded()) {
+    this->WaitOrRefuse(id, filter, now, out);
+    return;
+  }
   if (chosen == nullptr) {
     const bool tried = !reservation.failed_upstreams.empty();
     this->Refuse(
@@ -274,13 +296,111 @@
         now, out);
     return;
   }
-  reservation.upstream = chosen->listed.name;
-  this->upstreams.BeginRequest(reservation.upstream, demand.tokens);
+  const std::string& instance = chosen->listed.InstanceId();
+  if (reservation.permits.granted != instance) {
+    const RateLimits::Permission permission =
+        this->permits.Limits().Check(instance, now);
+    if (permission.kind == RateLimits::Permission::Kind::kAsk) {
+      ++reservation.permits.requests;
+      this->permits.Ask(id, instance, permission.issuer, now,
+                        out.peer_messages);
+      return;
+    }
+    this->permits.Limits().TakeOwn(instance, now);
+  }
+  reservation.permits.granted.clear();
+  this->permits.Limits().OnSent(instance, now);
+  this->Admit(id, *chosen, out);
+}
+
+// The upstreams that failed for the request, and those that are at their rate
+// limit. A permit that the request holds decides the upstream.
+std::vector<std::string> Router::ExcludedUpstreams(
+    const Reservation& reservation, PermitFilter& filter) {
+  std::vector<std::string> excluded = reservation.failed_upstreams;
+  if (!this->permits.Limits().AnyLimited()) return excluded;
+  const std::string& granted = reservation.permits.granted;
+  const auto serves = [&](const Upstream& upstream) {
+    return upstream.listed.service == reservation.service &&
+           !upstream.listed.draining &&
+           (reservation.version.empty() ||
+            upstream.listed.version == reservation.version) &&
+           std::find(excluded.begin(), excluded.end(), upstream.listed.name) ==
+               excluded.end();
+  };
+  bool holds_permit = false;
+  for (const auto& [name, upstream] : this->upstreams.All()) {
+    if (granted.empty() || upstream.listed.InstanceId() != granted) continue;
+    holds_permit = serves(upstream);
+  }
+  for (const auto& [name, upstream] : this->upstreams.All()) {
+    if (!serves(upstream)) continue;
+    const std::string& instance = upstream.listed.InstanceId();
+    const bool allowed =
+        holds_permit ? instance == granted : filter.Allows(instance);
+    if (!allowed) excluded.push_back(name);
+  }
+  return excluded;
+}
+
+void Router::WaitOrRefuse(std::uint64_t id, const PermitFilter& filter,
+                          TimePoint now, Outbox& out) {
+  const Reservation& reservation = this->reservations.at(id);
+  const PermitFilter::Outcome outcome =
+      filter.Decide(reservation.arrived, reservation.targets.first_token,
+                    reservation.arrived + reservation.targets.deadline);
+  if (outcome.waits && reservation.attempts.count == 1) {
+    this->permits.WaitUntil(id, outcome.retry_at);
+    return;
+  }
+  const ErrorKind kind = reservation.attempts.reached
+                             ? FinalError(reservation.attempts)
+                             : ErrorKind::kUpstreamRateLimited;
+  this->Refuse(
+      id, kind, now, out,
+      std::chrono::ceil<std::chrono::seconds>(outcome.retry_after).count());
+}
+
+// Dispatches requests that a permit or the end of a wait has made ready.
+void Router::Resume(std::vector<PermitQueue::Ready> ready, TimePoint now,
+                    Outbox& out) {
+  for (PermitQueue::Ready& each : ready) {
+    const auto found = this->reservations.find(each.request);
+    if (found == this->reservations.end()) continue;
+    found->second.permits.granted = std::move(each.granted);
+    this->Dispatch(each.request, now, out);
+  }
+}
+
+void Router::OnPeerMessage(const RateMessage& message, TimePoint now,
+                           Outbox& out) {
+  PermitQueue::Received received =
+      this->permits.OnMessage(message, now, out.peer_messages);
+  AddRateEvent(out, message.instance, received.change, message.sender);
+  this->Resume(std::move(received.ready), now, out);
+}
+
+void Router::OnUpstreamAnswer(const UpstreamAnswer& answer, TimePoint now,
+                              Outbox& out) {
+  const RateLimits::Change change = this->permits.Limits().OnAnswer(
+      answer.instance, answer.rate, answer.sent_at, now);
+  this->permits.Announce(answer.instance, change, now, out.peer_messages);
+  AddRateEvent(out, answer.instance, change, "answer");
+}
+
+void Router::Admit(std::uint64_t id, const Upstream& chosen, Outbox& out) {
+  Reservation& reservation = this->reservations.at(id);
+  reservation.upstream = chosen.listed.name;
+  this->upstreams.BeginRequest(
+      reservation.upstream,
+      reservation.request.kind == RequestKind::kModel ? reservation.amount : 0);
   if (reservation.attempts.count == 1) this->retries.Deposit();
   Admitted admitted;
   admitted.reservation = id;
   admitted.upstream = reservation.upstream;
-  admitted.address = chosen->listed.address;
+  admitted.instance = chosen.listed.InstanceId();
+  admitted.rate_limited = this->permits.Limits().IsLimited(admitted.instance);
+  admitted.address = chosen.listed.address;
   admitted.max_tokens = reservation.max_tokens;
   admitted.priority = reservation.targets.first_token / kPriorityUnit;
   admitted.repeatable = reservation.attempts.repeatable;
@@ -324,12 +444,13 @@
 
 // Refuses a request that no upstream has answered, and ends its reservation.
 void Router::Refuse(std::uint64_t id, ErrorKind kind, TimePoint now,
-                    Outbox& out) {
+                    Outbox& out, std::optional<std::int64_t> retry_after_s) {
   const Reservation& reservation = this->reservations.at(id);
   const bool is_order = !reservation.attempts.repeatable;
   const bool key_looked_up =
       reservation.intent_committed || reservation.intent_found;
-  AddRefusal(out, reservation.request, kind, is_order && !key_looked_up);
+  AddRefusal(out, reservation.request, kind, is_order && !key_looked_up,
+             retry_after_s);
   // The intent of an order that was never sent is released, so that the key may
   // be used again. That of an order that may have run stays.
   if (reservation.intent_committed &&
@@ -355,6 +476,7 @@
   this->upstreams.EndRequest(reservation.upstream, kv_tokens);
   this->in_progress.End(reservation.organisation,
                         reservation.request.request_key);
+  this->permits.Forget(id);
   this->reservations.erase(id);
 }
 
@@ -521,6 +643,7 @@
       this->reservations.empty() && this->billing.Backlog() == 0;
   if (this->stopping && drained) this->budgets.ReturnAll(now, outcome);
   this->ApplyBudgetOutcome(outcome, now, out);
+  this->Resume(this->permits.OnTick(now, out.peer_messages), now, out);
   this->FlushBilling(now, out);
 }
 
--- a/policy/router.h
+++ b/policy/router.h
@@ -18,6 +18,10 @@
 #include "policy/grant_manager.h"
 #include "policy/in_flight_keys.h"
 #include "policy/messages.h"
+#include "policy/permit_filter.h"
+#include "policy/permit_queue.h"
+#include "policy/rate_limits.h"
+#include "policy/rate_message.h"
 #include "policy/retry.h"
 #include "policy/settlement_queue.h"
 #include "policy/upstream_set.h"
@@ -29,12 +33,15 @@
   std::vector<AdmissionReply> replies;
   std::vector<TableCommand> commands;
   std::vector<Event> events;
+  std::vector<PeerMessage> peer_messages;
 };
 
 struct RouterOptions {
   std::string availability_zone;
   std::size_t max_in_flight = 4096;  // requests
   GrantPolicy grant_policy = GrantPolicy::kEscrow;
+  std::string node{};             // name, unique in the fleet
+  std::uint64_t incarnation = 0;  // of this process
 };
 
 class Router {
@@ -53,6 +60,19 @@
   // `holders` is the number of live nodes that may draw on a budget.
   void SetHolders(std::int64_t holders) { this->budgets.SetHolders(holders); }
 
+  // Sets the other nodes of the fleet, with which this node shares the rate
+  // limits of upstreams.
+  void SetPeers(std::vector<std::string> nodes, Outbox& out) {
+    this->permits.SetPeers(std::move(nodes), out.peer_messages);
+  }
+  void OnPeerMessage(const RateMessage& message, coordination::TimePoint now,
+                     Outbox& out);
+  void OnUpstreamAnswer(const UpstreamAnswer& answer,
+                        coordination::TimePoint now, Outbox& out);
+  std::vector<RateLimits::Stats> RateStats(coordination::TimePoint now) {
+    return this->permits.Limits().AllStats(now);
+  }
+
   // Each AdmissionRequest and RetryRequest gets one AdmissionReply, in this
   // call or in a later one.
   void OnRequest(const AdmissionRequest& request, coordination::TimePoint now,
@@ -114,6 +134,8 @@
     AttemptState attempts;
     std::string upstream;  // of the current attempt; may be empty
     std::vector<std::string> failed_upstreams;
+    coordination::TimePoint arrived{};
+    PermitState permits;
   };
 
   // Finds the organisation, its budget and the class of work.
@@ -126,8 +148,16 @@
   void ReserveBudget(std::uint64_t id, coordination::TimePoint now,
                      Outbox& out);
   void Dispatch(std::uint64_t id, coordination::TimePoint now, Outbox& out);
+  void Admit(std::uint64_t id, const Upstream& chosen, Outbox& out);
+  void WaitOrRefuse(std::uint64_t id, const PermitFilter& filter,
+                    coordination::TimePoint now, Outbox& out);
+  std::vector<std::string> ExcludedUpstreams(const Reservation& reservation,
+                                             PermitFilter& filter);
+  void Resume(std::vector<PermitQueue::Ready> ready,
+              coordination::TimePoint now, Outbox& out);
+  // `retry_after_s`: of the refusal; empty: the error's own.
   void Refuse(std::uint64_t id, ErrorKind kind, coordination::TimePoint now,
-              Outbox& out);
+              Outbox& out, std::optional<std::int64_t> retry_after_s = {});
   void EndReservation(std::uint64_t id, std::int64_t used,
                       coordination::TimePoint now);
   void ApplyBudgetOutcome(BudgetOutcome& outcome, coordination::TimePoint now,
@@ -149,6 +179,7 @@
   InFlightKeys in_progress;
   RetryBudget retries;
   UpstreamSet upstreams;
+  PermitQueue permits;
   std::map<std::uint64_t, Reservation> reservations;
   std::uint64_t next_reservation = 1;
   bool stopping = false;
--- a/policy/upstream_set.cc
+++ b/policy/upstream_set.cc
@@ -47,8 +47,8 @@
 }
 
 bool IsSameListing(const ListedUpstream& a, const ListedUpstream& b) {
-  return a.version == b.version && a.address == b.address &&
-         a.draining == b.draining;
+  return a.instance == b.instance && a.version == b.version &&
+         a.address == b.address && a.draining == b.draining;
 }
 
 }  // namespace
--- a/policy/upstream_set.h
+++ b/policy/upstream_set.h
@@ -20,6 +20,11 @@
   std::string availability_zone;
   std::string address;  // host:port
   bool draining = false;
+  std::string instance{};  // one run of the process; empty: the name
+
+  const std::string& InstanceId() const {
+    return this->instance.empty() ? this->name : this->instance;
+  }
 };
 
 // Load as reported by the upstream itself. Reports arrive with a delay.
--- a/tests/policy_test.cc
+++ b/tests/policy_test.cc
@@ -259,6 +259,98 @@
   CHECK_EQ(fixture.router.InFlight(), 0);
 }
 
+// A fixture whose first request has drawn a grant and ended, and whose
+// upstreams have announced rate limits.
+struct RateFixture : Fixture {
+  explicit RateFixture(double per_second) {
+    this->Request(ModelRequest(1));
+    const Outbox next = this->AnswerDraw(10'000);
+    Completion completion;
+    completion.reservation =
+        std::get<Admitted>(next.replies.at(0).verdict).reservation;
+    Outbox ended;
+    this->router.OnCompletion(completion, kNow, ended);
+    for (const ListedUpstream& listed : TwoUpstreams()) {
+      UpstreamAnswer answer;
+      answer.instance = listed.InstanceId();
+      answer.rate = {AnnouncedRate::Kind::kLimited, per_second};
+      this->router.OnUpstreamAnswer(answer, kNow, this->out);
+    }
+  }
+};
+
+TEST_CASE("a router sends what the limits of its upstreams allow") {
+  RateFixture fixture(1);
+  fixture.router.SetPeers({}, fixture.out);
+  // The buckets are empty at first, and the wait would be too long.
+  const Outbox refused = fixture.Request(ModelRequest(2));
+  CHECK_EQ(RefusalOf(refused), ErrorKind::kUpstreamRateLimited);
+  CHECK_EQ(std::get<Refused>(refused.replies[0].verdict).retry_after_s, 1);
+  // Each upstream has one permit after the silence.
+  const auto after = kNow + std::chrono::seconds(5);
+  std::vector<std::string> served;
+  for (std::uint64_t i = 3; i < 5; ++i) {
+    Outbox next;
+    fixture.router.OnRequest(ModelRequest(i), after, next);
+    REQUIRE_EQ(next.replies.size(), 1);
+    const auto& admitted = std::get<Admitted>(next.replies[0].verdict);
+    CHECK(admitted.rate_limited);
+    served.push_back(admitted.upstream);
+    Completion completion;
+    completion.reservation = admitted.reservation;
+    fixture.router.OnCompletion(completion, after, next);
+  }
+  CHECK(served == std::vector<std::string>{"near", "far"});
+  Outbox next;
+  fixture.router.OnRequest(ModelRequest(5), after, next);
+  CHECK_EQ(RefusalOf(next), ErrorKind::kUpstreamRateLimited);
+}
+
+TEST_CASE("a router asks the issuer of an upstream's permits") {
+  RateFixture fixture(1);
+  fixture.router.SetPeers({"a", "b", "c", "d", "e", "f"}, fixture.out);
+  Outbox next = fixture.Request(ModelRequest(2));
+  REQUIRE_EQ(next.peer_messages.size(), 1);
+  CHECK(next.replies.empty());
+  const PeerMessage asked = next.peer_messages[0];
+  CHECK(asked.message.kind == RateMessageKind::kPermitRequest);
+  CHECK(asked.message.limited);
+
+  SUBCASE("a permit admits the request") {
+    RateMessage verdict = asked.message;
+    verdict.kind = RateMessageKind::kPermitVerdict;
+    verdict.sender = asked.to;
+    verdict.granted = true;
+    Outbox granted;
+    fixture.router.OnPeerMessage(verdict, kNow, granted);
+    REQUIRE_EQ(granted.replies.size(), 1);
+    const auto& admitted = std::get<Admitted>(granted.replies[0].verdict);
+    CHECK_EQ(admitted.instance, asked.message.instance);
+  }
+  SUBCASE("a refusal is followed by a request to another issuer") {
+    RateMessage verdict = asked.message;
+    verdict.kind = RateMessageKind::kPermitVerdict;
+    verdict.sender = asked.to;
+    verdict.next_permit_ms = 900;
+    Outbox refused;
+    fixture.router.OnPeerMessage(verdict, kNow, refused);
+    REQUIRE_EQ(refused.peer_messages.size(), 1);
+    const PeerMessage& other = refused.peer_messages[0];
+    CHECK((other.to != asked.to ||
+           other.message.instance != asked.message.instance));
+  }
+  SUBCASE("silent issuers don't hold the request for long") {
+    Outbox out;
+    auto now = kNow;
+    while (out.replies.empty() && now < kNow + std::chrono::seconds(1)) {
+      now += std::chrono::milliseconds(20);
+      fixture.router.OnTick(now, out);
+    }
+    CHECK_EQ(RefusalOf(out), ErrorKind::kUpstreamRateLimited);
+    CHECK(now < kNow + std::chrono::milliseconds(500));
+  }
+}
+
 FleetConfig OrderConfig() {
   FleetConfig config = SmallConfig();
   PlainRoute route;
--- a/tests/rate_limits_test.cc
+++ b/tests/rate_limits_test.cc
@@ -85,6 +85,7 @@
   limits.SetMembers({});
   limits.OnAnswer("i", Limited(4), At(0), At(1));
   CHECK(TakeAll(limits, 1, 2) == 0);
+  CHECK(limits.Backlog("i") == coordination::Duration(0));
   CHECK(TakeAll(limits, 60'000, 60'001) == 1);
   CHECK(TakeAll(limits, 60'001, 64'011) == 16);
 }
