Share the one-route configuration of two fleet simulations

Found by reading the change again: written twice. A parameter that lint wants as a reference, and no set of instances is built while no upstream announces a limit.

--- a/policy/gateway_core.cc
+++ b/policy/gateway_core.cc
@@ -378,11 +378,13 @@
 }
 
 std::vector<std::string> GatewayCore::ExpireUpstreams(TimePoint now) {
-  std::set<std::string, std::less<>> live;
-  for (const UpstreamEntry* entry : this->upstreams.All()) {
-    live.insert(entry->InstanceId());
+  if (!this->rate_limits.Empty()) {
+    std::set<std::string, std::less<>> live;
+    for (const UpstreamEntry* entry : this->upstreams.All()) {
+      live.insert(entry->InstanceId());
+    }
+    this->rate_limits.Prune(live, now - kRateLimitRetention);
   }
-  this->rate_limits.Prune(live, now - kRateLimitRetention);
   if (this->upstreams.RemovalIsUncertain(now)) {
     this->suspects.ExtendIncompleteAnswers(now);
   }
--- a/policy/rate_limits.h
+++ b/policy/rate_limits.h
@@ -72,6 +72,8 @@
   bool IsLimited(std::string_view instance) const;
   // Whether any instance has announced a limit.
   bool AnyLimited() const { return this->limited_count > 0; }
+  // Whether nothing is known of any instance.
+  bool Empty() const { return this->states.empty(); }
 
   // Whether a request may be sent to an instance.
   struct Permission {
--- a/tests/crash_fleet_test.cc
+++ b/tests/crash_fleet_test.cc
@@ -18,6 +18,7 @@
 
 #include "policy/crash_records.h"
 #include "policy/gateway_core.h"
+#include "tests/one_route_config.h"
 
 namespace hornbeamspool::policy {
 namespace {
@@ -50,22 +51,7 @@
 }
 
 GatewayConfig MakeConfig() {
-  GatewayConfig config;
-  config.version = 1;
-  Route route;
-  route.name = "r";
-  route.host = "h";
-  route.prefix = "/";
-  route.kind = RouteKind::kIdempotent;
-  route.timeout = std::chrono::seconds(5);
-  route.target_latency = std::chrono::seconds(1);
-  route.attempts = 2;
-  route.shares = {{"s", 1}};
-  config.routes = {route};
-  Service service;
-  service.name = "s";
-  config.services.emplace("s", service);
-  return config;
+  return OneRouteConfig(std::chrono::seconds(5), std::chrono::seconds(1));
 }
 
 class Fleet {
--- a/tests/rate_limit_fleet_test.cc
+++ b/tests/rate_limit_fleet_test.cc
@@ -20,6 +20,7 @@
 #include <vector>
 
 #include "policy/gateway_core.h"
+#include "tests/one_route_config.h"
 
 namespace hornbeamspool::policy {
 namespace {
@@ -72,22 +73,8 @@
 TimePoint At(std::int64_t us) { return TimePoint(Duration(us)); }
 
 GatewayConfig MakeConfig() {
-  GatewayConfig config;
-  config.version = 1;
-  Route route;
-  route.name = "r";
-  route.host = "h";
-  route.prefix = "/";
-  route.kind = RouteKind::kIdempotent;
-  route.timeout = std::chrono::seconds(10);
-  route.target_latency = std::chrono::milliseconds(600);
-  route.attempts = 2;
-  route.shares = {{"s", 1}};
-  config.routes = {route};
-  Service service;
-  service.name = "s";
-  config.services.emplace("s", service);
-  return config;
+  return OneRouteConfig(std::chrono::seconds(10),
+                        std::chrono::milliseconds(600));
 }
 
 class Fleet {
@@ -301,15 +288,15 @@
       const std::int64_t us = (wait->until - this->Time()).count();
       this->OnVm(pending->vm, pending->start, us,
                  [this, pending] { this->Continue(pending); });
-    } else if (auto* needed = std::get_if<PermitRequest>(&next)) {
-      this->AskForPermit(pending, std::move(*needed), kAttempts,
+    } else if (const auto* needed = std::get_if<PermitRequest>(&next)) {
+      this->AskForPermit(pending, *needed, kAttempts,
                          std::make_shared<bool>(false));
     } else {
       this->Send(pending, std::get<SendPlan>(std::move(next)));
     }
   }
 
-  void AskForPermit(const PendingPtr& pending, PermitRequest needed,
+  void AskForPermit(const PendingPtr& pending, const PermitRequest& needed,
                     int attempts, const std::shared_ptr<bool>& answered) {
     if (*answered) return;
     RateLimits& limits = this->vms[pending->vm].core->Limits();
