Drop the rate limits of upstreams that have left

Found by reading the change again: the chat-completions router kept what an instance had announced for ever, and the exchange the rate that it last told. The new test failed before: two limits were left two minutes after their upstreams.

--- a/policy/permit_exchange.cc
+++ b/policy/permit_exchange.cc
@@ -81,6 +81,9 @@
                      now - found->second.second >= kTellInterval;
     if (!due) return Audience::kNobody;
   }
+  std::erase_if(this->told, [this](const auto& entry) {
+    return !this->limits->IsLimited(entry.first);
+  });
   this->told[std::string(instance)] = {per_second, now};
   return change == RateLimits::Change::kAnnounced ? Audience::kAll
                                                   : Audience::kIssuers;
--- a/policy/router.cc
+++ b/policy/router.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <chrono>
 #include <limits>
+#include <set>
 #include <utility>
 
 namespace hornbeamspool::policy {
@@ -16,6 +17,11 @@
 // The priority sent to engines is the first-token target in units of this.
 constexpr Duration kPriorityUnit = std::chrono::milliseconds(100);
 
+// How long the rate limit of an upstream is kept that is no longer listed, and
+// how often such limits are looked for.
+constexpr Duration kRateLimitRetention = std::chrono::minutes(1);
+constexpr Duration kPruneInterval = std::chrono::seconds(10);
+
 void AddEvent(Outbox& out, EventKind kind, std::string request,
               std::string detail, std::string budget = {}) {
   Event event;
@@ -644,9 +650,20 @@
   if (this->stopping && drained) this->budgets.ReturnAll(now, outcome);
   this->ApplyBudgetOutcome(outcome, now, out);
   this->Resume(this->permits.OnTick(now, out.peer_messages), now, out);
+  this->PruneRateLimits(now);
   this->FlushBilling(now, out);
 }
 
+void Router::PruneRateLimits(TimePoint now) {
+  if (this->permits.Limits().Empty() || now < this->next_prune) return;
+  this->next_prune = now + kPruneInterval;
+  std::set<std::string, std::less<>> live;
+  for (const auto& [name, upstream] : this->upstreams.All()) {
+    live.insert(upstream.listed.InstanceId());
+  }
+  this->permits.Limits().Prune(live, now - kRateLimitRetention);
+}
+
 bool Router::Stopped() const {
   return this->stopping && this->reservations.empty() &&
          this->billing.Backlog() == 0 && this->budgets.AllReturned();
--- a/policy/router.h
+++ b/policy/router.h
@@ -153,6 +153,8 @@
                     coordination::TimePoint now, Outbox& out);
   std::vector<std::string> ExcludedUpstreams(const Reservation& reservation,
                                              PermitFilter& filter);
+  // Drops what is known of upstreams that have left the list.
+  void PruneRateLimits(coordination::TimePoint now);
   void Resume(std::vector<PermitQueue::Ready> ready,
               coordination::TimePoint now, Outbox& out);
   // `retry_after_s`: of the refusal; empty: the error's own.
@@ -180,6 +182,7 @@
   RetryBudget retries;
   UpstreamSet upstreams;
   PermitQueue permits;
+  coordination::TimePoint next_prune{};
   std::map<std::uint64_t, Reservation> reservations;
   std::uint64_t next_reservation = 1;
   bool stopping = false;
--- a/tests/policy_test.cc
+++ b/tests/policy_test.cc
@@ -306,6 +306,17 @@
   CHECK_EQ(RefusalOf(next), ErrorKind::kUpstreamRateLimited);
 }
 
+TEST_CASE("a router forgets the limits of upstreams that have left") {
+  RateFixture fixture(1);
+  CHECK_EQ(fixture.router.RateStats(kNow).size(), 2);
+  Outbox next;
+  fixture.router.SetUpstreams({}, next);
+  fixture.router.OnTick(kNow + std::chrono::seconds(30), next);
+  CHECK_EQ(fixture.router.RateStats(kNow).size(), 2);
+  fixture.router.OnTick(kNow + std::chrono::minutes(2), next);
+  CHECK(fixture.router.RateStats(kNow).empty());
+}
+
 TEST_CASE("a router asks the issuer of an upstream's permits") {
   RateFixture fixture(1);
   fixture.router.SetPeers({"a", "b", "c", "d", "e", "f"}, fixture.out);
