Let a broken stream wait for a permit

What callers saw: nothing yet. A stream whose upstream broke off was cut when the other upstreams were at their limits, even if one had a permit 200 ms later; so was the retry of a request.

Cause: only first sends waited. A stream that goes on now counts its target from its last event, others from their arrival.

--- a/policy/gateway_core.cc
+++ b/policy/gateway_core.cc
@@ -190,11 +190,12 @@
 
 NextStep GatewayCore::WaitOrRefuse(const AdmittedRequest& admitted,
                                    const PermitFilter& filter) const {
+  // A stream that goes on is due since its last event.
+  const TimePoint due_since =
+      admitted.started ? admitted.last_event_at : admitted.arrived;
   const PermitFilter::Outcome outcome = filter.Decide(
-      admitted.arrived, admitted.route->target_latency, admitted.deadline);
-  if (outcome.waits && admitted.sends == 0) {
-    return PermitWait{outcome.retry_at};
-  }
+      due_since, admitted.route->target_latency, admitted.deadline);
+  if (outcome.waits) return PermitWait{outcome.retry_at};
   if (admitted.possible_runs > 0) {
     return Refusal{ErrorKind::kUpstreamFailed, {}};
   }
--- a/policy/router.cc
+++ b/policy/router.cc
@@ -355,7 +355,7 @@
   const PermitFilter::Outcome outcome =
       filter.Decide(reservation.arrived, reservation.targets.first_token,
                     reservation.arrived + reservation.targets.deadline);
-  if (outcome.waits && reservation.attempts.count == 1) {
+  if (outcome.waits) {
     this->permits.WaitUntil(id, outcome.retry_at);
     return;
   }
