--- a/tests/gateway_rate_limit_test.cc
+++ b/tests/gateway_rate_limit_test.cc
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "policy/gateway_core.h"
+#include "policy/version_rollout.h"
 #include "tests/one_route_config.h"
 
 namespace hornbeamspool::policy {
@@ -126,5 +127,58 @@
   CHECK_FALSE(fixture.core.TakeResend(admitted, plan.upstream, At(3)));
 }
 
+// The requests that each upstream gets, and those that are refused, while the
+// service changes to the version of `b`.
+struct CanaryCounts {
+  int a = 0;
+  int b = 0;
+  int refused = 0;
+};
+
+CanaryCounts SendDuringCanary(const char* limited) {
+  Fixture fixture;
+  for (const char* id : {"a", "b"}) {
+    UpstreamEntry entry = *fixture.core.Upstreams().Find(id);
+    entry.version = entry.id == "b" ? "v2" : "v1";
+    fixture.core.Upstreams().Put(entry);
+  }
+  const RolloutOrder order{"s", "v2", std::chrono::seconds(20), 1};
+  VersionRollouts& rollouts = fixture.core.Rollouts();
+  rollouts.SetOrder(order);
+  rollouts.SetProgress("s", BeginRollout(order, 1));
+  if (limited != nullptr) fixture.Limit(limited, 0);
+  CanaryCounts counts;
+  for (std::int64_t ms = 0; ms < 2'000; ms += 5) {
+    rollouts.SetStoreClock(2'000 + ms, At(ms));
+    AdmittedRequest admitted = fixture.Admit(ms);
+    auto next = fixture.core.NextSend(admitted, At(ms));
+    if (const auto* plan = std::get_if<SendPlan>(&next)) {
+      ++(plan->upstream.id == "a" ? counts.a : counts.b);
+      fixture.core.OnSendEnded(admitted, *plan, SendOutcome::kAnswered, At(ms));
+    } else {
+      ++counts.refused;
+    }
+    fixture.core.Finish(admitted);
+  }
+  return counts;
+}
+
+// Guards against a rollout's share that limits raise: requests of the old
+// version that spill over to the new one.
+TEST_CASE("limits don't move requests to a new version") {
+  const CanaryCounts free = SendDuringCanary(nullptr);
+  CHECK(free.a > 0);
+  CHECK(free.b > 0);
+  CHECK(free.refused == 0);
+  // Those of the new version go to the old one.
+  const CanaryCounts new_limited = SendDuringCanary("b");
+  CHECK(new_limited.b <= 1);
+  CHECK(new_limited.refused == 0);
+  // Those of the old version are refused.
+  const CanaryCounts old_limited = SendDuringCanary("a");
+  CHECK(old_limited.b <= free.b);
+  CHECK(old_limited.refused > 0);
+}
+
 }  // namespace
 }  // namespace hornbeamspool::policy
