Let the router ask UpstreamSet which upstreams are eligible

Found by reading the change once more: Router::ExcludedUpstreams spelled out again what UpstreamSet::Select calls eligible (service, version, draining, excluded), so that a rule added to one would be missed by the other. Both now use UpstreamSet::Eligible's check.

--- a/policy/permit_queue.h
+++ b/policy/permit_queue.h
@@ -31,6 +31,7 @@
   PermitQueue& operator=(const PermitQueue&) = delete;
 
   RateLimits& Limits() { return this->limits; }
+  const RateLimits& Limits() const { return this->limits; }
   // Sets the other VMs of the fleet. Once there are some, asks them for the
   // limits that they know.
   void SetPeers(std::vector<std::string> vms, std::vector<PeerMessage>& out);
--- a/policy/router.cc
+++ b/policy/router.cc
@@ -280,15 +280,16 @@
 
 void Router::Dispatch(std::uint64_t id, TimePoint now, Outbox& out) {
   Reservation& reservation = this->reservations.at(id);
-  PermitFilter filter(this->permits.Limits(), reservation.permits, now);
-  const std::vector<std::string> excluded =
-      this->ExcludedUpstreams(reservation, filter);
   UpstreamDemand demand;
   demand.service = reservation.service;
   demand.version = reservation.version;
   demand.availability_zone = this->options.availability_zone;
   demand.tokens =
       reservation.request.kind == RequestKind::kModel ? reservation.amount : 0;
+  demand.excluded = reservation.failed_upstreams;
+  PermitFilter filter(this->permits.Limits(), reservation.permits, now);
+  const std::vector<std::string> excluded =
+      this->ExcludedUpstreams(reservation, demand, filter);
   demand.excluded = excluded;
   const Upstream* chosen = this->upstreams.Select(demand, now);
   if (chosen == nullptr && filter.Excluded()) {
@@ -322,29 +323,22 @@
 // The upstreams that failed for the request, and those that are at their rate
 // limit. A permit that the request holds decides the upstream.
 std::vector<std::string> Router::ExcludedUpstreams(
-    const Reservation& reservation, PermitFilter& filter) {
+    const Reservation& reservation, const UpstreamDemand& demand,
+    PermitFilter& filter) const {
   std::vector<std::string> excluded = reservation.failed_upstreams;
   if (!this->permits.Limits().AnyLimited()) return excluded;
+  const std::vector<const Upstream*> eligible =
+      this->upstreams.Eligible(demand);
   const std::string& granted = reservation.permits.granted;
-  const auto serves = [&](const Upstream& upstream) {
-    return upstream.listed.service == reservation.service &&
-           !upstream.listed.draining &&
-           (reservation.version.empty() ||
-            upstream.listed.version == reservation.version) &&
-           std::find(excluded.begin(), excluded.end(), upstream.listed.name) ==
-               excluded.end();
-  };
-  bool holds_permit = false;
-  for (const auto& [name, upstream] : this->upstreams.All()) {
-    if (granted.empty() || upstream.listed.InstanceId() != granted) continue;
-    holds_permit = serves(upstream);
-  }
-  for (const auto& [name, upstream] : this->upstreams.All()) {
-    if (!serves(upstream)) continue;
-    const std::string& instance = upstream.listed.InstanceId();
+  const bool holds_permit = std::any_of(
+      eligible.begin(), eligible.end(), [&](const Upstream* upstream) {
+        return upstream->listed.InstanceId() == granted;
+      });
+  for (const Upstream* upstream : eligible) {
+    const std::string& instance = upstream->listed.InstanceId();
     const bool allowed =
         holds_permit ? instance == granted : filter.Allows(instance);
-    if (!allowed) excluded.push_back(name);
+    if (!allowed) excluded.push_back(upstream->listed.name);
   }
   return excluded;
 }
--- a/policy/router.h
+++ b/policy/router.h
@@ -152,7 +152,8 @@
   void WaitOrRefuse(std::uint64_t id, const PermitFilter& filter,
                     coordination::TimePoint now, Outbox& out);
   std::vector<std::string> ExcludedUpstreams(const Reservation& reservation,
-                                             PermitFilter& filter);
+                                             const UpstreamDemand& demand,
+                                             PermitFilter& filter) const;
   // Drops what is known of upstreams that have left the list.
   void PruneRateLimits(coordination::TimePoint now);
   void Resume(std::vector<PermitQueue::Ready> ready,
--- a/policy/upstream_set.cc
+++ b/policy/upstream_set.cc
@@ -83,6 +83,15 @@
   found->second.report = report;
 }
 
+std::vector<const Upstream*> UpstreamSet::Eligible(
+    const UpstreamDemand& demand) const {
+  std::vector<const Upstream*> eligible;
+  for (const auto& [name, upstream] : this->upstreams) {
+    if (IsEligible(upstream, demand)) eligible.push_back(&upstream);
+  }
+  return eligible;
+}
+
 const Upstream* UpstreamSet::Select(const UpstreamDemand& demand,
                                     coordination::TimePoint now) const {
   const Upstream* best = nullptr;
--- a/policy/upstream_set.h
+++ b/policy/upstream_set.h
@@ -60,6 +60,10 @@
 
   void SetReport(const LoadReport& report);
 
+  // The upstreams that serve the demand and may get new work: of its service
+  // and version, neither draining nor excluded.
+  std::vector<const Upstream*> Eligible(const UpstreamDemand& demand) const;
+
   // The least loaded upstream that has room for the demand; null when there is
   // none. Load is the used fraction of the KV cache, plus penalties for queued
   // requests and for another availability zone. Never returns a draining
