Name the parts of a prompt in the log lines of failed requests

Whether crashes are counted against the wrong thing can't be told from logs that name requests alone.

--- a/gateway/request_relay.cc
+++ b/gateway/request_relay.cc
@@ -1,5 +1,6 @@
 #include "gateway/request_relay.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/redirect_error.hpp>
 #include <chrono>
@@ -64,6 +65,22 @@
 // Approximate size of a message's HTTP head and its packet headers.
 constexpr std::int64_t kHeaderOverheadBytes = 700;
 
+// Limit on the parts of a prompt that a log line names.
+constexpr std::size_t kMaxLoggedParts = 8;
+
+// The log field that names the first parts of the request's prompt; empty when
+// it has none.
+std::string PartsField(const policy::GatewayRequest& request) {
+  if (!request.demand || request.demand->parts.empty()) return {};
+  const std::vector<policy::PromptPart>& parts = request.demand->parts;
+  std::string names;
+  for (std::size_t i = 0; i < std::min(parts.size(), kMaxLoggedParts); ++i) {
+    if (i > 0) names += ',';
+    names += policy::Hex(parts[i].id);
+  }
+  return ' ' + KeyValue("parts", names);
+}
+
 std::string_view NameOf(SendOutcome outcome) {
   static constexpr std::array<std::string_view,
                               static_cast<std::size_t>(SendOutcome::kCount)>
@@ -390,6 +407,7 @@
   fields += ' ' + KeyValue("status", std::int64_t{answer.status});
   fields += ' ' + KeyValue("after_ms", Milliseconds(Now() - this->arrived));
   if (this->admitted) {
+    fields += PartsField(this->admitted->request);
     fields += ' ' + KeyValue("route", this->admitted->route->name);
     fields += ' ' + KeyValue("sends", this->admitted->sends);
     if (this->admitted->organisation) {
@@ -449,6 +467,7 @@
     counter = Counter::kAnswersBroken;
   }
   this->context->metrics->Add(counter);
+  const bool answered = outcome == SendOutcome::kAnswered;
   if (this->admitted->sends > 1) this->context->metrics->Add(Counter::kRetries);
   std::string fields = KeyValue("request", this->request_id);
   fields += ' ' + KeyValue("fingerprint", policy::Hex(this->fingerprint));
@@ -457,6 +476,7 @@
   fields += ' ' + KeyValue("outcome", NameOf(outcome));
   fields += ' ' + KeyValue("send", this->admitted->sends);
   fields += ' ' + KeyValue("events", this->admitted->events_delivered);
+  if (!answered) fields += PartsField(this->admitted->request);
   if (this->admitted->started) {
     fields += ' ' + KeyValue("first_ms",
                              Milliseconds(this->admitted->time_to_first_event));
