--- a/tests/process/crash_request_test.sh
+++ b/tests/process/crash_request_test.sh
@@ -18,46 +18,17 @@
 trap end_all EXIT
 source tests/process/checks.sh
 source tests/process/gateways.sh
+source tests/process/crashing_servers.sh
 
 readonly contact_ms=3000    # every gateway knows of a crash after this time
 readonly late_sends=3       # crashes allowed after that
-readonly down_s=2           # a crashed server restarts after this time
-readonly lapse_s=3.6        # its old row lapses after three heartbeats
 readonly servers='1 2 3 4 5 6'
 readonly gateways='1 2 3'
 
 ports_are_free 19700 1970{1..6} 1971{1..3} || exit 1
 
-# Runs a server and restarts it under a new id whenever it has ended.
-server() {  # NUMBER
-  local start=0 id process
-  while [ ! -e "$dir/enough" ]; do
-    start=$((start + 1))
-    id=i-$1-$start
-    "$bin/standin" server --listen="127.0.0.1:1970$1" --name=$id >>"$dir/crashes" &
-    process=$!
-    echo $process >"$dir/server$1"
-    until_true curl -s -o /dev/null "http://127.0.0.1:1970$1/runs"
-    server_row $id 1970$1 ready
-    wait $process 2>/dev/null
-    (sleep $lapse_s; row servers/$id gone) &
-    sleep $down_s
-  done
-}
-
-# The times at which the request NAME crashed servers, in milliseconds.
-crashes() { sed -n "s/^crash at_ms=\([0-9]*\) body=CRASH-THE-SERVER $1\$/\1/p" "$dir/crashes" | sort -n; }
-# How many of these crashes came more than contact_ms after the third one, and
-# after FROM_MS.
-late_crashes() {  # NAME [FROM_MS]
-  crashes "$1" | awk -v from="${2:-0}" -v contact=$contact_ms '
-    NR == 3 && $1 + contact > from { from = $1 + contact }
-    NR > 3 && $1 > from { ++late }
-    END { print late + 0 }'
-}
 crashed_three() { [ "$(crashes "$1" | wc -l)" -ge 3 ] && echo true; }
-few_late_crashes() { [ "$(late_crashes "$@")" -le $late_sends ] && echo true || late_crashes "$@"; }
-ms() { date +%s%3N; }
+few_late_crashes() { [ "$(late_crashes "$1" 3 "${@:2}")" -le $late_sends ] && echo true || late_crashes "$1" 3 "${@:2}"; }
 
 # Sends the request to the gateways in turn, four times a second.
 send_repeatedly() {  # NAME PATH ROUNDS GATEWAY...
@@ -119,6 +90,6 @@
 check 'other requests are served' 200 "$(status 1 /lookup/x)"
 
 for name in lookup order away; do
-  echo "$name: $(crashes $name | wc -l) servers crashed, $(late_crashes $name) of them late"
+  echo "$name: $(crashes $name | wc -l) servers crashed, $(late_crashes $name 3) of them late"
 done
 exit $((failures > 0))
