Separate the sends that a crash counts against from the suspects

CrashSuspects keeps which sends were in flight at an instance, or got no complete answer, by fingerprint. The same bookkeeping is needed for other keys, so it becomes a template.

--- a/policy/crash_suspects.cc
+++ b/policy/crash_suspects.cc
@@ -10,11 +10,6 @@
 using coordination::Duration;
 using coordination::TimePoint;
 
-// How long an incomplete answer counts as evidence. A crash is detected within
-// this time: the upstream's registry entry expires after three missed
-// heartbeats.
-constexpr Duration kIncompleteAnswerTimeout = std::chrono::seconds(8);
-
 // Delay of the notice of a request's first crash. Most of the harmless requests
 // that were in flight at the crash have been answered elsewhere by then and
 // need no notice.
@@ -26,7 +21,7 @@
 // The shortest interval between probes of one instance.
 constexpr Duration kProbeInterval = std::chrono::seconds(1);
 
-// Limit of the incomplete answers, and of the suspects, that are kept.
+// Limit of the suspects that are kept.
 constexpr std::size_t kMaxEntries = 4096;
 
 // One in this many suspects is evicted when the limit is reached.
@@ -34,72 +29,19 @@
 
 }  // namespace
 
-void CrashSuspects::OnSent(std::uint64_t fingerprint,
-                           std::string_view instance_id) {
-  auto found = this->in_flight.find(instance_id);
-  if (found == this->in_flight.end()) {
-    found = this->in_flight.emplace(instance_id, std::vector<std::uint64_t>{})
-                .first;
-  }
-  found->second.push_back(fingerprint);
-}
-
-void CrashSuspects::OnEnded(std::uint64_t fingerprint,
-                            std::string_view instance_id) {
-  const auto found = this->in_flight.find(instance_id);
-  if (found == this->in_flight.end()) return;
-  std::vector<std::uint64_t>& fingerprints = found->second;
-  const auto ended =
-      std::find(fingerprints.begin(), fingerprints.end(), fingerprint);
-  if (ended == fingerprints.end()) return;
-  *ended = fingerprints.back();
-  fingerprints.pop_back();
-  if (fingerprints.empty()) this->in_flight.erase(found);
-}
-
-void CrashSuspects::OnIncompleteAnswer(std::uint64_t fingerprint,
-                                       std::string_view instance_id,
-                                       TimePoint now) {
-  this->ExpireIncompleteAnswers(now);
-  if (this->incomplete.size() >= kMaxEntries) this->incomplete.pop_front();
-  this->incomplete.push_back({fingerprint, std::string(instance_id), now});
-}
-
 void CrashSuspects::OnAnswered(std::uint64_t fingerprint) {
   this->suspects.erase(fingerprint);
-  std::erase_if(this->incomplete,
-                [fingerprint](const IncompleteAnswer& answer) {
-                  return answer.fingerprint == fingerprint;
-                });
+  this->sends.EraseIncomplete(
+      [fingerprint](std::uint64_t send) { return send == fingerprint; });
 }
 
-// The requests that are in flight at the instance or got no complete answer
-// from it. Drops its incomplete answers.
-std::vector<std::uint64_t> CrashSuspects::TakeAffected(
-    std::string_view instance_id) {
-  std::vector<std::uint64_t> fingerprints;
-  if (const auto found = this->in_flight.find(instance_id);
-      found != this->in_flight.end()) {
-    fingerprints = found->second;
-  }
-  for (const IncompleteAnswer& answer : this->incomplete) {
-    if (answer.instance_id == instance_id) {
-      fingerprints.push_back(answer.fingerprint);
-    }
-  }
-  std::erase_if(this->incomplete,
-                [instance_id](const IncompleteAnswer& answer) {
-                  return answer.instance_id == instance_id;
-                });
+void CrashSuspects::OnCrash(std::string_view instance_id, TimePoint now) {
+  std::vector<std::uint64_t> fingerprints =
+      this->sends.TakeAffected(instance_id, now);
   std::sort(fingerprints.begin(), fingerprints.end());
   fingerprints.erase(std::unique(fingerprints.begin(), fingerprints.end()),
                      fingerprints.end());
-  return fingerprints;
-}
-
-void CrashSuspects::OnCrash(std::string_view instance_id, TimePoint now) {
-  this->ExpireIncompleteAnswers(now);
-  for (const std::uint64_t fingerprint : this->TakeAffected(instance_id)) {
+  for (const std::uint64_t fingerprint : fingerprints) {
     const auto suspect = this->suspects.find(fingerprint);
     if (suspect != this->suspects.end() &&
         suspect->second.crashed.contains(instance_id)) {
@@ -122,10 +64,6 @@
   }
 }
 
-void CrashSuspects::ExtendIncompleteAnswers(TimePoint now) {
-  for (IncompleteAnswer& answer : this->incomplete) answer.at = now;
-}
-
 std::size_t CrashSuspects::CrashCount(std::uint64_t fingerprint,
                                       TimePoint now) {
   const auto found = this->suspects.find(fingerprint);
@@ -137,19 +75,10 @@
   return 0;
 }
 
-bool CrashSuspects::IsInFlight(std::uint64_t fingerprint) const {
-  return std::any_of(
-      this->in_flight.begin(), this->in_flight.end(), [&](const auto& entry) {
-        const std::vector<std::uint64_t>& fingerprints = entry.second;
-        return std::find(fingerprints.begin(), fingerprints.end(),
-                         fingerprint) != fingerprints.end();
-      });
-}
-
 bool CrashSuspects::MaySend(std::uint64_t fingerprint, TimePoint now) {
   const std::size_t crashes = this->CrashCount(fingerprint, now);
   if (crashes >= kSuspectCrashes) return false;
-  return crashes + 1 < kSuspectCrashes || !this->IsInFlight(fingerprint);
+  return crashes + 1 < kSuspectCrashes || !this->sends.IsInFlight(fingerprint);
 }
 
 void CrashSuspects::OnRefused(std::uint64_t fingerprint, TimePoint now) {
@@ -165,16 +94,11 @@
 }
 
 bool CrashSuspects::ShouldProbe(std::string_view instance_id, TimePoint now) {
-  this->ExpireIncompleteAnswers(now);
   std::erase_if(this->probed, [now](const auto& entry) {
     return now - entry.second >= kProbeInterval;
   });
-  const bool has_incomplete =
-      std::any_of(this->incomplete.begin(), this->incomplete.end(),
-                  [instance_id](const IncompleteAnswer& answer) {
-                    return answer.instance_id == instance_id;
-                  });
-  return has_incomplete && this->probed.emplace(instance_id, now).second;
+  return this->sends.HasIncomplete(instance_id, now) &&
+         this->probed.emplace(instance_id, now).second;
 }
 
 // Adds the request to a pending notice of the instance with this due time,
@@ -206,13 +130,6 @@
   return notices;
 }
 
-void CrashSuspects::ExpireIncompleteAnswers(TimePoint now) {
-  while (!this->incomplete.empty() &&
-         now - this->incomplete.front().at > kIncompleteAnswerTimeout) {
-    this->incomplete.pop_front();
-  }
-}
-
 // Evicts the suspects with the fewest crashes; among equals, the least recently
 // seen.
 void CrashSuspects::EvictSuspects() {
--- a/policy/crash_suspects.h
+++ b/policy/crash_suspects.h
@@ -21,6 +21,7 @@
 #include <vector>
 
 #include "coordination/time.h"
+#include "policy/unanswered_sends.h"
 
 namespace hornbeamspool::policy {
 
@@ -42,14 +43,20 @@
       std::chrono::minutes(2);
 
   // A copy of the request was sent to this instance of an upstream.
-  void OnSent(std::uint64_t fingerprint, std::string_view instance_id);
+  void OnSent(std::uint64_t fingerprint, std::string_view instance_id) {
+    this->sends.OnSent(fingerprint, instance_id);
+  }
   // A copy of the request is no longer in flight there.
-  void OnEnded(std::uint64_t fingerprint, std::string_view instance_id);
+  void OnEnded(std::uint64_t fingerprint, std::string_view instance_id) {
+    this->sends.OnEnded(fingerprint, instance_id);
+  }
   // The instance may have run the request and sent no complete answer. Kept
   // as evidence in case the instance turns out to have crashed.
   void OnIncompleteAnswer(std::uint64_t fingerprint,
                           std::string_view instance_id,
-                          coordination::TimePoint now);
+                          coordination::TimePoint now) {
+    this->sends.OnIncompleteAnswer(fingerprint, instance_id, now);
+  }
   // An upstream answered the request, and not with an error of its own. Clears
   // the request.
   void OnAnswered(std::uint64_t fingerprint);
@@ -61,7 +68,9 @@
   void ApplyNotice(const CrashNotice& notice, coordination::TimePoint seen_at);
   // Restarts the retention of incomplete answers. Called while the registry
   // does not show which instances have ended.
-  void ExtendIncompleteAnswers(coordination::TimePoint now);
+  void ExtendIncompleteAnswers(coordination::TimePoint now) {
+    this->sends.ExtendIncomplete(now);
+  }
 
   // The number of instances that crashed with this request in flight.
   std::size_t CrashCount(std::uint64_t fingerprint,
@@ -90,11 +99,6 @@
   // A request with this many crashes is suspect.
   static constexpr std::size_t kSuspectCrashes = 3;
 
-  struct IncompleteAnswer {
-    std::uint64_t fingerprint = 0;
-    std::string instance_id;
-    coordination::TimePoint at{};
-  };
   struct Suspect {
     // The instances that crashed with the request in flight.
     std::set<std::string, std::less<>> crashed;
@@ -106,16 +110,11 @@
     coordination::TimePoint due{};
   };
 
-  void ExpireIncompleteAnswers(coordination::TimePoint now);
   void EvictSuspects();
-  bool IsInFlight(std::uint64_t fingerprint) const;
-  std::vector<std::uint64_t> TakeAffected(std::string_view instance_id);
   void AddNotice(std::string_view instance_id, std::uint64_t fingerprint,
                  coordination::TimePoint due);
 
-  // Fingerprints by instance, one for each copy.
-  std::map<std::string, std::vector<std::uint64_t>, std::less<>> in_flight;
-  std::deque<IncompleteAnswer> incomplete;  // the oldest first
+  UnansweredSends<std::uint64_t> sends;  // fingerprints
   // Every request with a crash, whether or not it is suspect yet.
   std::map<std::uint64_t, Suspect> suspects;
   std::deque<PendingNotice> pending;
