Refuse requests with a prompt part that crashes upstreams

Cause: crashes were counted against a request, known by path, key and body. No two of these requests are alike, so each was counted once or twice and never came again. The class: an identity that is too narrow to learn from.

The part is in 70 broken sends and in no answer that began; the first part is in 264 and 506, so counting alone would name the first part. Crash notices reached all VMs within milliseconds, so late knowledge is ruled out.

Why it works: a crash counts against all shared parts of what was in flight at the instance and unanswered; an answer that begins clears its parts, at all VMs. Three crashes in succession, each of a request sent after the crash before, name a part, unless another named part explains them; crashes say less about a part the more answers hold it. Named parts are refused, at once and before budgets and permits, and tried twice at most, by one VM of the fleet. Records travel by datagram, three times, and by a row of the store, which a starting VM reads before it is ready.

--- a/gateway/crash_watch.cc
+++ b/gateway/crash_watch.cc
@@ -25,7 +25,8 @@
 using policy::CrashRecord;
 using policy::KeyValue;
 
-constexpr std::string_view kTable = "crashes";  // a CrashRow for each VM
+// A CrashRow and a PoisonPartRow for each VM.
+constexpr std::string_view kTable = "crashes";
 
 // A refusal arrives within a round trip; a probe that takes this long proves
 // nothing.
@@ -46,6 +47,7 @@
     : context(context),
       store(&store),
       vm(std::move(vm)),
+      parts(context, store, std::string(kTable), this->vm),
       table(*context.io, store, std::string(kTable),
             {[this](const auto& rows) { this->OnRows(rows); },
              [this](const auto& rows) { this->OnRows(rows); }, [](bool) {},
@@ -82,6 +84,7 @@
     this->context.peers->SendToAll(
         {std::move(notice.instance_id), std::move(notice.fingerprints)});
   }
+  this->parts.Publish(this->table.Clock(), this->table_read);
   const bool due = this->row_outdated && !this->writing && this->table_read &&
                    now - this->written_at >= kWriteInterval;
   if (!due) return;
@@ -118,6 +121,13 @@
 
 void CrashWatch::OnRows(const std::vector<StoreRow>& rows) {
   for (const StoreRow& row : rows) {
+    if (row.key.starts_with(PoisonPartSync::kKeyPrefix)) {
+      const bool is_own =
+          row.key.substr(PoisonPartSync::kKeyPrefix.size()) == this->vm;
+      const bool skipped = row.removed || (this->table_read && is_own);
+      if (!skipped) this->parts.OnRow(row, this->table.Clock());
+      continue;
+    }
     // The first read brings what the previous process left in this VM's row;
     // later, the row holds only what this process wrote.
     if (this->table_read && row.key == this->vm) continue;
--- a/gateway/crash_watch.h
+++ b/gateway/crash_watch.h
@@ -4,12 +4,14 @@
 #pragma once
 
 #include <cstdint>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "coordination/time.h"
 #include "gateway/context.h"
+#include "gateway/poison_part_sync.h"
 #include "http/task.h"
 #include "platform/store_client.h"
 #include "platform/table_follower.h"
@@ -39,6 +41,10 @@
                     policy::SendOutcome outcome);
   // Handles a crash notice of another gateway.
   void OnMessage(const transport::CrashMessage& message);
+  // Handles another gateway's records about poison parts.
+  void OnPartRecords(std::span<const policy::PoisonPartRecord> records) {
+    this->parts.OnMessage(records);
+  }
   // Sends the notices that are due, and writes this VM's row if it is outdated.
   void PublishNotices();
 
@@ -55,6 +61,7 @@
   Context context;
   platform::StoreClient* store;
   std::string vm;
+  PoisonPartSync parts;
   platform::TableFollower table;
   policy::CrashRecords records;           // that this VM's row is to hold
   policy::SeenCrashRecords seen_records;  // of all VMs' rows
--- a/gateway/event_log.cc
+++ b/gateway/event_log.cc
@@ -31,6 +31,8 @@
     {"config", 20, log4cplus::INFO_LOG_LEVEL},
     {"upstream", 50, log4cplus::INFO_LOG_LEVEL},
     {"crash", 50, log4cplus::WARN_LOG_LEVEL},
+    {"part", 30, log4cplus::INFO_LOG_LEVEL},
+    {"poison_part", 20, log4cplus::WARN_LOG_LEVEL},
     {"rate_limit", 30, log4cplus::INFO_LOG_LEVEL},
     {"dependency", 20, log4cplus::WARN_LOG_LEVEL},
     {"move", 20, log4cplus::INFO_LOG_LEVEL},
--- a/gateway/event_log.h
+++ b/gateway/event_log.h
@@ -22,6 +22,8 @@
   kConfig,      // a configuration is in force or unreadable
   kUpstream,    // an upstream was added, changed or removed
   kCrash,       // an upstream crashed with a request in flight
+  kPart,        // a crash, an answer, a trial or a refusal of a prompt part
+  kPoisonPart,  // a prompt part was named as crashing upstreams, or cleared
   kRateLimit,   // an upstream's rate limit was announced, changed or ended
   kDependency,  // the store was lost or regained, or the VM's load changed
   kRollout,     // a rollout was ordered, or entered another phase
--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -181,6 +181,9 @@
                },
                [this](const policy::RateMessage& message) {
                  this->permits.OnMessage(message);
+               },
+               [this](std::span<const policy::PoisonPartRecord> records) {
+                 this->crashes.OnPartRecords(records);
                }}),
       broker(this->context, this->channel, this->incarnation),
       permits(this->context, this->channel, this->settings.vm,
--- a/gateway/peer_channel.cc
+++ b/gateway/peer_channel.cc
@@ -17,6 +17,7 @@
 #include "policy/gateway_core.h"
 #include "transport/heartbeat.h"
 #include "transport/mac.h"
+#include "transport/poison_part_message.h"
 #include "transport/rate_message.h"
 
 namespace hornbeamspool::gateway {
@@ -179,6 +180,12 @@
                           transport::EncodeRateMessage(message));
 }
 
+void PeerChannel::SendToAll(std::span<const policy::PoisonPartRecord> records,
+                            coordination::TimePoint now) {
+  this->SendAuthenticated(this->directory.All(),
+                          transport::EncodePoisonPartMessage(records, now));
+}
+
 void PeerChannel::SendToRandomPeers(const transport::PrefillMessage& message,
                                     coordination::TimePoint now) {
   const std::chrono::duration<double> passed = now - this->send_credit_at;
@@ -207,6 +214,9 @@
   } else if (const auto rate = transport::DecodeRateMessage(payload)) {
     this->directory.OnAnswer(rate->sender);
     this->handlers.on_rate(*rate);
+  } else if (const auto parts =
+                 transport::DecodePoisonPartMessage(payload, Now())) {
+    this->handlers.on_parts(*parts);
   }
 }
 
--- a/gateway/peer_channel.h
+++ b/gateway/peer_channel.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <memory>
 #include <random>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -17,6 +18,7 @@
 #include "platform/store_client.h"
 #include "platform/table_follower.h"
 #include "policy/peer_directory.h"
+#include "policy/poison_part_record.h"
 #include "policy/rate_message.h"
 #include "transport/budget_message.h"
 #include "transport/crash_message.h"
@@ -32,6 +34,7 @@
     std::function<void(const transport::CrashMessage&)> on_crash;
     std::function<void(const transport::PrefillMessage&)> on_prefill;
     std::function<void(const policy::RateMessage&)> on_rate;
+    std::function<void(std::span<const policy::PoisonPartRecord>)> on_parts;
   };
 
   // `address` is this VM's own address, as ip:port.
@@ -54,6 +57,8 @@
   // Sends to all known peers.
   void SendToAll(const transport::CrashMessage& message);
   void SendToAll(const policy::RateMessage& message);
+  void SendToAll(std::span<const policy::PoisonPartRecord> records,
+                 coordination::TimePoint now);
   // Sends to all known peers, or to a random subset as far as the rate limit
   // allows.
   void SendToRandomPeers(const transport::PrefillMessage& message,
--- /dev/null
+++ b/gateway/poison_part_sync.cc
@@ -0,0 +1,187 @@
+#include "gateway/poison_part_sync.h"
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <cstdint>
+#include <utility>
+
+#include "gateway/event_log.h"
+#include "gateway/peer_channel.h"
+#include "gateway/poison_part_rows.h"
+#include "gateway/spawn.h"
+#include "hornbeamspool/clock.h"
+#include "hornbeamspool/metrics.h"
+#include "platform/single_writer_row.h"
+#include "policy/event.h"
+#include "policy/gateway_core.h"
+#include "transport/poison_part_message.h"
+
+namespace hornbeamspool::gateway {
+namespace {
+
+using coordination::Duration;
+using coordination::Milliseconds;
+using coordination::TimePoint;
+using policy::KeyValue;
+using policy::PoisonPartRecord;
+using policy::PoisonPartRecordKind;
+using policy::PoisonParts;
+
+// The shortest interval between writes of the row.
+constexpr Duration kWriteInterval = std::chrono::milliseconds(500);
+
+std::string_view NameOf(PoisonPartRecordKind kind) {
+  static constexpr std::array<
+      std::string_view, static_cast<std::size_t>(PoisonPartRecordKind::kCount)>
+      kNames{"crashed", "answered", "tried", "refused"};
+  return kNames.at(static_cast<std::size_t>(kind));
+}
+
+// Without the time of the latest answer, which changes all the time.
+std::vector<PoisonPartRecord> WithoutAnyPart(
+    std::vector<PoisonPartRecord> records) {
+  std::erase_if(records, [](const PoisonPartRecord& record) {
+    return record.part == PoisonParts::kAnyPart;
+  });
+  return records;
+}
+
+}  // namespace
+
+PoisonPartSync::PoisonPartSync(const Context& context,
+                               platform::StoreClient& store, std::string table,
+                               const std::string& vm)
+    : context(context),
+      store(&store),
+      table(std::move(table)),
+      key(std::string(kKeyPrefix) + vm) {}
+
+void PoisonPartSync::Publish(const policy::StoreClock& clock, bool may_write) {
+  const TimePoint now = Now();
+  PoisonParts& parts = this->context.core->Parts();
+  parts.Expire(now);
+  this->context.metrics->SetPoisonParts(parts.SuspectedCount(),
+                                        parts.NamedCount());
+
+  // Step 1: datagrams.
+  const std::vector<PoisonPartRecord> records = parts.TakeRecords(now);
+  for (std::size_t i = 0; i < records.size();
+       i += transport::kMaxPartRecordsPerMessage) {
+    const std::size_t count =
+        std::min(transport::kMaxPartRecordsPerMessage, records.size() - i);
+    this->context.peers->SendToAll(std::span(records).subspan(i, count), now);
+  }
+  for (const PoisonPartRecord& record : records) {
+    if (record.at == now) this->LogRecord(record, "own");
+  }
+  this->LogChanges();
+
+  // Step 2: the row.
+  if (!may_write || this->writing || now - this->written_at < kWriteInterval) {
+    return;
+  }
+  std::vector<PoisonPartRecord> held = parts.RowRecords(now);
+  std::vector<PoisonPartRecord> compared = WithoutAnyPart(held);
+  if (compared == this->written) return;
+  this->written = std::move(compared);
+  this->written_at = now;
+  this->writing = true;
+  PoisonPartRow row;
+  for (PoisonPartRecord& record : held) {
+    row.records.push_back({static_cast<std::uint8_t>(record.kind), record.part,
+                           std::move(record.subject), record.in_flight.count(),
+                           clock.At(now) - Milliseconds(now - record.at)});
+  }
+  Spawn(this->context, "part_keep", this->WriteRow(EncodeRow(row)),
+        [this] { this->writing = false; });
+}
+
+// Clears `written` when the write fails, so that the row is written again.
+http::Task<void> PoisonPartSync::WriteRow(std::string value) {
+  const bool done = co_await platform::UpsertRow(*this->store, this->table,
+                                                 this->key, std::move(value));
+  this->writing = false;
+  if (!done) this->written.clear();
+}
+
+void PoisonPartSync::OnMessage(std::span<const PoisonPartRecord> records) {
+  const TimePoint now = Now();
+  for (const PoisonPartRecord& record : records) {
+    this->context.core->Parts().Apply(record, now);
+    this->LogRecord(record, "peer");
+  }
+  this->LogChanges();
+}
+
+void PoisonPartSync::OnRow(const platform::StoreRow& row,
+                           const policy::StoreClock& clock) {
+  const TimePoint now = Now();
+  auto decoded = DecodeRow<PoisonPartRow>(row.value);
+  if (!decoded) {
+    this->context.log->Write(
+        LogKind::kPart,
+        KeyValue("outcome", "unreadable_row") + ' ' + KeyValue("row", row.key),
+        now);
+    return;
+  }
+  PoisonParts& parts = this->context.core->Parts();
+  for (PoisonPartRowRecord& record : decoded->records) {
+    const auto kind = static_cast<PoisonPartRecordKind>(record.kind);
+    if (kind >= PoisonPartRecordKind::kCount) continue;
+    const std::int64_t age_ms =
+        std::max<std::int64_t>(0, clock.At(now) - record.at_ms);
+    const PoisonPartRecord applied{kind, record.part, std::move(record.subject),
+                                   Duration(record.in_flight_us),
+                                   now - std::chrono::milliseconds(age_ms)};
+    // The next row of this VM holds what the previous process wrote.
+    if (row.key == this->key) {
+      parts.Adopt(applied, now);
+    } else {
+      parts.Apply(applied, now);
+    }
+  }
+  parts.Expire(now);
+  this->LogChanges();
+}
+
+void PoisonPartSync::LogRecord(const PoisonPartRecord& record,
+                               std::string_view source) {
+  if (record.part == PoisonParts::kAnyPart) return;
+  const TimePoint now = Now();
+  std::string fields = KeyValue("outcome", NameOf(record.kind));
+  fields += ' ' + KeyValue("part", policy::Hex(record.part));
+  if (record.kind == PoisonPartRecordKind::kCrashed) {
+    fields += ' ' + KeyValue("upstream", record.subject);
+  }
+  fields += ' ' + KeyValue("source", source);
+  fields += ' ' + KeyValue("age_ms", Milliseconds(now - record.at));
+  this->context.log->Write(LogKind::kPart, fields, now);
+}
+
+void PoisonPartSync::LogChanges() {
+  const TimePoint now = Now();
+  PoisonParts& parts = this->context.core->Parts();
+  for (const PoisonParts::Naming& naming : parts.TakeNamings()) {
+    std::string upstreams;
+    for (const std::string& instance : naming.crashed) {
+      if (!upstreams.empty()) upstreams += ',';
+      upstreams += instance;
+    }
+    this->context.metrics->Add(Counter::kPartsNamed);
+    this->context.log->Write(LogKind::kPoisonPart,
+                             KeyValue("outcome", "named") + ' ' +
+                                 KeyValue("part", policy::Hex(naming.part)) +
+                                 ' ' + KeyValue("upstreams", upstreams),
+                             now);
+  }
+  for (const std::uint64_t part : parts.TakeCleared()) {
+    this->context.metrics->Add(Counter::kPartsCleared);
+    this->context.log->Write(LogKind::kPoisonPart,
+                             KeyValue("outcome", "cleared") + ' ' +
+                                 KeyValue("part", policy::Hex(part)),
+                             now);
+  }
+}
+
+}  // namespace hornbeamspool::gateway
--- /dev/null
+++ b/gateway/poison_part_sync.h
@@ -0,0 +1,52 @@
+// Shares the records about poison parts with the other gateways, by datagram
+// and by a row of the store, and logs what is named and cleared.
+#pragma once
+
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "coordination/time.h"
+#include "gateway/context.h"
+#include "http/task.h"
+#include "platform/store_client.h"
+#include "policy/poison_part_record.h"
+#include "policy/store_clock.h"
+
+namespace hornbeamspool::gateway {
+
+class PoisonPartSync {
+ public:
+  // Writes to `table`, with keys that begin with kKeyPrefix.
+  PoisonPartSync(const Context& context, platform::StoreClient& store,
+                 std::string table, const std::string& vm);
+  PoisonPartSync(const PoisonPartSync&) = delete;
+  PoisonPartSync& operator=(const PoisonPartSync&) = delete;
+
+  static constexpr std::string_view kKeyPrefix = "parts/";
+
+  // Sends the records that are due, and writes this VM's row if it is outdated
+  // and `may_write`.
+  void Publish(const policy::StoreClock& clock, bool may_write);
+  // Handles records of another gateway.
+  void OnMessage(std::span<const policy::PoisonPartRecord> records);
+  // Handles a row of a gateway, or that of this VM's previous process.
+  void OnRow(const platform::StoreRow& row, const policy::StoreClock& clock);
+
+ private:
+  http::Task<void> WriteRow(std::string value);
+  void LogRecord(const policy::PoisonPartRecord& record,
+                 std::string_view source);
+  void LogChanges();
+
+  Context context;
+  platform::StoreClient* store;
+  std::string table;
+  std::string key;
+  std::vector<policy::PoisonPartRecord> written;  // that the row holds
+  bool writing = false;                  // a write of the row is in flight
+  coordination::TimePoint written_at{};  // start of the last write
+};
+
+}  // namespace hornbeamspool::gateway
--- a/gateway/request_relay.cc
+++ b/gateway/request_relay.cc
@@ -349,7 +349,8 @@
   }
   if (admitted.route->kind == policy::RouteKind::kStream && success) {
     StreamRelay relay(*this->context->core, *this->admitted, plan,
-                      *this->exchange, stream);
+                      *this->exchange, stream,
+                      [this] { this->context->crashes->PublishNotices(); });
     co_return co_await relay.Run();
   }
   this->context->core->Selector().OnStarted(plan.record, Now());
@@ -406,6 +407,9 @@
   fields += ' ' + KeyValue("reason", answer.name);
   fields += ' ' + KeyValue("status", std::int64_t{answer.status});
   fields += ' ' + KeyValue("after_ms", Milliseconds(Now() - this->arrived));
+  if (refusal.poison_part) {
+    fields += ' ' + KeyValue("poison_part", policy::Hex(*refusal.poison_part));
+  }
   if (this->admitted) {
     fields += PartsField(this->admitted->request);
     fields += ' ' + KeyValue("route", this->admitted->route->name);
@@ -426,6 +430,9 @@
   if (refusal.kind == ErrorKind::kCrashSuspect) {
     this->context->metrics->Add(Counter::kSuspectRefusals);
   }
+  if (refusal.kind == ErrorKind::kPoisonPart) {
+    this->context->metrics->Add(Counter::kPartRefusals);
+  }
   policy::Refused refused;
   refused.kind = refusal.kind;
   refused.retry_after_s = 0;
--- a/gateway/stream_relay.cc
+++ b/gateway/stream_relay.cc
@@ -64,7 +64,9 @@
 }
 
 void StreamRelay::QueueEvent(std::string_view raw) {
-  this->core->Selector().OnStarted(this->plan->record, Now());
+  if (this->core->OnAnswerBegun(*this->admitted, *this->plan, Now())) {
+    this->on_news();
+  }
   const std::optional<std::int64_t> id = EventIdOf(raw);
   std::optional<std::int64_t>& last = this->admitted->last_event_id;
   // A resumed stream may begin with events that were already delivered.
--- a/gateway/stream_relay.h
+++ b/gateway/stream_relay.h
@@ -3,8 +3,10 @@
 // backpressure to the upstream.
 #pragma once
 
+#include <functional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include "coordination/time.h"
 #include "http/client.h"
@@ -17,16 +19,18 @@
 
 class StreamRelay {
  public:
-  // Relays `stream`, the answer to the send `plan`. All arguments must outlive
-  // the relay.
+  // Relays `stream`, the answer to the send `plan`. Calls `on_news` when the
+  // answer cleared parts of the prompt, which the other VMs should be told. All
+  // arguments must outlive the relay.
   StreamRelay(policy::GatewayCore& core, policy::AdmittedRequest& admitted,
               policy::SendPlan& plan, http::Exchange& exchange,
-              http::ResponseStream& stream)
+              http::ResponseStream& stream, std::function<void()> on_news)
       : core(&core),
         admitted(&admitted),
         plan(&plan),
         exchange(&exchange),
-        stream(&stream) {}
+        stream(&stream),
+        on_news(std::move(on_news)) {}
 
   // Returns kAnswered when the stream was relayed to its end, kAbandoned when
   // the caller disconnected, kBroken when the upstream's answer was cut off or
@@ -47,6 +51,7 @@
   policy::SendPlan* plan;
   http::Exchange* exchange;
   http::ResponseStream* stream;
+  std::function<void()> on_news;
   http::EventStreamParser reader{kMaxEventBytes};
   std::string pending;  // whole events that have not been sent to the caller
   std::int64_t pending_events = 0;
--- a/hornbeamctl/explain.cc
+++ b/hornbeamctl/explain.cc
@@ -15,7 +15,7 @@
   std::string_view text;
 };
 
-constexpr std::array<Cause, 22> kCauses{{
+constexpr std::array<Cause, 23> kCauses{{
     {"budget_exhausted",
      "the organisation's prepaid tokens can't cover the request's maximum "
      "cost"},
@@ -31,6 +31,9 @@
      "all upstreams were at the rate limits that they announce"},
     {"crash_suspect",
      "three upstreams crashed while this request was in flight"},
+    {"poison_part",
+     "upstreams crashed when they began to answer requests with a part of this "
+     "prompt; the lines on the part above name them"},
     {"overloaded",
      "the VM's link was too slow to meet the request's latency target"},
     {"upstream_failed",
@@ -69,15 +72,20 @@
 }
 
 // Whether the line is about something that a request depends on at this VM: the
-// store, the configuration, its upstream or its organisation's budget.
-bool IsDependencyLine(std::string_view line, std::string_view vm,
-                      std::string_view upstream,
-                      std::string_view organisation) {
-  if (LogValue(line, "vm") != vm) return false;
+// store, the configuration, its upstream, its organisation's budget, or the
+// part of its prompt that it was refused for.
+bool IsDependencyLine(std::string_view line, std::string_view request_line) {
+  const auto matches = [&](std::string_view key, std::string_view request_key) {
+    return LogValue(line, key) == LogValue(request_line, request_key);
+  };
+  if (!matches("vm", "vm")) return false;
   const std::string_view event = LogValue(line, "event");
   if (event == "dependency" || event == "config") return true;
-  if (event == "upstream") return LogValue(line, "upstream") == upstream;
-  return event == "budget" && LogValue(line, "organisation") == organisation;
+  if (event == "upstream") return matches("upstream", "upstream");
+  if (event == "part" || event == "poison_part") {
+    return matches("part", "poison_part");
+  }
+  return event == "budget" && matches("organisation", "organisation");
 }
 
 }  // namespace
@@ -114,15 +122,12 @@
   std::vector<std::string> dependency_lines;
   for (const std::string& line : lines) {
     if (Timestamp(line) > Timestamp(last)) continue;
-    const bool is_dependency =
-        IsDependencyLine(line, LogValue(last, "vm"), LogValue(last, "upstream"),
-                         LogValue(last, "organisation"));
-    if (is_dependency) dependency_lines.push_back(line);
+    if (IsDependencyLine(line, last)) dependency_lines.push_back(line);
   }
   std::stable_sort(dependency_lines.begin(), dependency_lines.end(), earlier);
   std::vector<std::string> explanation;
   for (const std::string_view event :
-       {"config", "dependency", "upstream", "budget"}) {
+       {"config", "dependency", "upstream", "part", "poison_part", "budget"}) {
     std::vector<std::string> latest;
     for (const std::string& line : dependency_lines) {
       if (LogValue(line, "event") == event) latest.push_back(line);
--- a/hornbeamspool/metrics.cc
+++ b/hornbeamspool/metrics.cc
@@ -54,7 +54,10 @@
     "permits_refused",
     "permit_timeouts",
     "rate_limit_refusals",
-    "suspect_refusals"};
+    "suspect_refusals",
+    "parts_named",
+    "parts_cleared",
+    "part_refusals"};
 constexpr std::array<std::string_view, kTimings> kTimingNames{
     "first_token_seconds", "token_gap_seconds", "whole_answer_seconds",
     "admission_seconds", "table_call_seconds"};
@@ -73,6 +76,12 @@
                                  Axis(kBins, kMinSeconds, kMaxSeconds));
 }
 
+prometheus::MetricFamily GaugeFamily(std::string name, std::size_t value) {
+  prometheus::ClientMetric metric;
+  metric.gauge.value = static_cast<double>(value);
+  return {std::move(name), "", prometheus::MetricType::Gauge, {metric}};
+}
+
 prometheus::MetricFamily RateLimitFamily(
     std::string name, double RateLimitGauges::*value,
     const std::vector<RateLimitGauges>& gauges) {
@@ -93,6 +102,8 @@
   std::array<std::atomic<std::int64_t>, kCounters> counters{};
   std::vector<Histogram> histograms;
   std::array<std::atomic<std::int64_t>, kTimings> sums_us{};
+  std::atomic<std::size_t> parts_suspected = 0;
+  std::atomic<std::size_t> parts_named = 0;
   std::mutex rate_limits_mutex;
   std::vector<RateLimitGauges> rate_limits;
 };
@@ -118,6 +129,11 @@
                                              std::memory_order_relaxed);
 }
 
+void Metrics::SetPoisonParts(std::size_t suspected, std::size_t named) {
+  this->storage->parts_suspected = suspected;
+  this->storage->parts_named = named;
+}
+
 void Metrics::SetRateLimits(std::vector<RateLimitGauges> gauges) {
   const std::lock_guard lock(this->storage->rate_limits_mutex);
   this->storage->rate_limits = std::move(gauges);
@@ -154,6 +170,10 @@
     name += kTimingNames.at(i);
     families.push_back({name, "", prometheus::MetricType::Histogram, {metric}});
   }
+  families.push_back(GaugeFamily("hornbeamspool_prompt_parts_suspected",
+                                 this->storage->parts_suspected));
+  families.push_back(GaugeFamily("hornbeamspool_prompt_parts_named",
+                                 this->storage->parts_named));
   const std::lock_guard lock(this->storage->rate_limits_mutex);
   families.push_back(RateLimitFamily("hornbeamspool_upstream_limit_per_second",
                                      &RateLimitGauges::limit,
--- a/hornbeamspool/metrics.h
+++ b/hornbeamspool/metrics.h
@@ -44,6 +44,9 @@
   kPermitTimeouts,     // requests for a permit that no VM answered
   kRateLimitRefusals,  // requests refused because of upstreams' rate limits
   kSuspectRefusals,    // requests refused as suspected of causing crashes
+  kPartsNamed,         // prompt parts named as crashing upstreams
+  kPartsCleared,       // named parts that were cleared or forgotten
+  kPartRefusals,       // requests refused because of a named part
   kCount
 };
 
@@ -76,6 +79,9 @@
   void Add(Counter counter, std::int64_t amount = 1);
   void Observe(Timing timing, coordination::Duration duration);
 
+  // Sets the gauges of prompt parts that crashes count against, and that are
+  // named.
+  void SetPoisonParts(std::size_t suspected, std::size_t named);
   // Replaces the gauges of all limited upstreams.
   void SetRateLimits(std::vector<RateLimitGauges> gauges);
 
--- a/policy/error_kind.cc
+++ b/policy/error_kind.cc
@@ -33,6 +33,8 @@
     {"upstream_rate_limited", 503, kNot, 2,
      "all upstreams are at the rate limits that they announce"},
     {"crash_suspect", 503, kNot, 120, "upstreams went down with this request"},
+    {"poison_part", 503, kNot, 120,
+     "upstreams crash with a part of this request's prompt"},
     {"overloaded", 503, kNot, 1, "the router is at its limit"},
     {"not_ready", 503, kNot, 2, "the router has no configuration yet"},
     {"stopping", 503, kNot, 1, "the router is stopping"},
--- a/policy/error_kind.h
+++ b/policy/error_kind.h
@@ -26,6 +26,7 @@
   kNoUpstream,
   kUpstreamRateLimited,
   kCrashSuspect,
+  kPoisonPart,
   kOverloaded,
   kNotReady,
   kStopping,
--- a/policy/gateway_core.cc
+++ b/policy/gateway_core.cc
@@ -52,6 +52,19 @@
   return std::min(kMaxLinkDelay, route.target_latency / kLinkDelayDivisor);
 }
 
+// The parts of the prompt that other requests may share, each once.
+std::vector<std::uint64_t> SharedParts(const ModelDemand& demand) {
+  std::vector<std::uint64_t> shared;
+  for (std::size_t i = 0; i + 1 < demand.parts.size(); ++i) {
+    const std::uint64_t part = demand.parts[i].id;
+    if (part == PoisonParts::kAnyPart) continue;
+    if (shared.size() >= PoisonParts::kMaxPartsPerRequest) break;
+    if (std::find(shared.begin(), shared.end(), part) != shared.end()) continue;
+    shared.push_back(part);
+  }
+  return shared;
+}
+
 // The identity of a send for the counts of version rollouts.
 VersionRollouts::Send RolloutSend(const AdmittedRequest& admitted,
                                   const SendPlan& plan) {
@@ -75,6 +88,7 @@
       selector(this->options.availability_zone),
       budgets(start, this->options.budgets),
       rollouts(start.incarnation),
+      poison_parts(this->options.vm),
       rate_limits(this->options.vm),
       link(this->options.link_bytes_per_second),
       answer_buffers(this->options.memory_bytes / kAnswerBufferDivisor) {}
@@ -124,6 +138,10 @@
   if (!this->suspects.MaySend(request.fingerprint, now)) {
     return this->RefuseSuspect(request.fingerprint, now);
   }
+  if (request.demand) admitted.shared_parts = SharedParts(*request.demand);
+  if (!this->poison_parts.MaySend(admitted.shared_parts, now)) {
+    return this->RefusePoisonPart(admitted.shared_parts, now);
+  }
 
   // Step 4: load shedding. The links of other VMs may have room.
   if (this->link.QueueDelay(now) > MaxLinkDelay(*admitted.route)) {
@@ -154,6 +172,14 @@
           suspect ? CrashSuspects::kSuspicionTimeout : kRetryUpstream};
 }
 
+// A request with a named part is refused until the part is forgotten.
+Refusal GatewayCore::RefusePoisonPart(std::span<const std::uint64_t> parts,
+                                      TimePoint now) {
+  this->poison_parts.OnRefused(parts, now);
+  return {ErrorKind::kPoisonPart, PoisonParts::kTimeout,
+          this->poison_parts.NamedPart(parts)};
+}
+
 const Service* GatewayCore::ChooseService(const RouteTable& table,
                                           const Route& route,
                                           const GatewayRequest& request) const {
@@ -210,6 +236,12 @@
     }
     return this->RefuseSuspect(admitted.request.fingerprint, now);
   }
+  if (!this->poison_parts.MaySend(admitted.shared_parts, now)) {
+    if (admitted.possible_runs > 0) {
+      return Refusal{ErrorKind::kUpstreamFailed, {}};
+    }
+    return this->RefusePoisonPart(admitted.shared_parts, now);
+  }
   const Duration time_left = admitted.deadline - now;
   if (time_left < kMinTimeLeft) {
     const ErrorKind kind = admitted.possible_runs > 0
@@ -273,6 +305,8 @@
   plan.record = this->selector.OnSent(*upstream, criteria.demand, now);
   this->rate_limits.OnSent(instance, now);
   this->suspects.OnSent(admitted.request.fingerprint, instance);
+  this->poison_parts.OnSent(admitted.shared_parts, instance,
+                            plan.record.sent_at);
   plan.rollout_revision = this->rollouts.OnSent(RolloutSend(admitted, plan));
   return plan;
 }
@@ -375,7 +409,9 @@
 void GatewayCore::OnUpstreamDown(const UpstreamEntry& entry, TimePoint now) {
   const UpstreamEntry* known = this->upstreams.Find(entry.id);
   const bool draining = entry.draining || (known != nullptr && known->draining);
-  if (!draining) this->suspects.OnCrash(entry.InstanceId(), now);
+  if (draining) return;
+  this->suspects.OnCrash(entry.InstanceId(), now);
+  this->poison_parts.OnCrash(entry.InstanceId(), now);
 }
 
 std::vector<std::string> GatewayCore::ExpireUpstreams(TimePoint now) {
@@ -388,6 +424,7 @@
   }
   if (this->upstreams.RemovalIsUncertain(now)) {
     this->suspects.ExtendIncompleteAnswers(now);
+    this->poison_parts.ExtendIncompleteAnswers(now);
   }
   std::vector<std::string> expired;
   for (const UpstreamEntry& entry : this->upstreams.Expire(now)) {
@@ -405,6 +442,17 @@
   const std::uint64_t fingerprint = admitted.request.fingerprint;
   const std::string instance = plan.upstream.InstanceId();
   this->suspects.OnEnded(fingerprint, instance);
+  const bool may_have_crashed = outcome == SendOutcome::kBroken ||
+                                outcome == SendOutcome::kSilent ||
+                                outcome == SendOutcome::kAbandoned;
+  if (!plan.answer_begun && outcome == SendOutcome::kAnswered) {
+    (void)this->poison_parts.OnAnswerBegun(admitted.shared_parts, instance,
+                                           plan.record.sent_at, now);
+  } else if (!plan.answer_begun) {
+    this->poison_parts.OnEndedUnanswered(admitted.shared_parts, instance,
+                                         plan.record.sent_at, may_have_crashed,
+                                         now);
+  }
   switch (outcome) {
     case SendOutcome::kAnswered:
       this->suspects.OnAnswered(fingerprint);
@@ -423,6 +471,15 @@
   }
 }
 
+bool GatewayCore::OnAnswerBegun(const AdmittedRequest& admitted, SendPlan& plan,
+                                TimePoint now) {
+  this->selector.OnStarted(plan.record, now);
+  if (std::exchange(plan.answer_begun, true)) return false;
+  return this->poison_parts.OnAnswerBegun(admitted.shared_parts,
+                                          plan.upstream.InstanceId(),
+                                          plan.record.sent_at, now);
+}
+
 bool GatewayCore::OnSendEnded(AdmittedRequest& admitted, const SendPlan& plan,
                               SendOutcome outcome, TimePoint now) {
   this->selector.OnEnded(plan.record, outcome, now);
@@ -460,6 +517,10 @@
   if (this->rate_limits.IsLimited(upstream.InstanceId())) return false;
   const std::uint64_t fingerprint = admitted.request.fingerprint;
   if (this->suspects.CrashCount(fingerprint, now) > 0) return false;
+  if (this->poison_parts.NamedPart(admitted.shared_parts) !=
+      PoisonParts::kAnyPart) {
+    return false;
+  }
   return this->RetryBudgetOf(admitted.service->name)
       .TryWithdraw(this->fleet_size, now);
 }
--- a/policy/gateway_core.h
+++ b/policy/gateway_core.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -19,6 +20,7 @@
 #include "policy/gateway_request.h"
 #include "policy/link_meter.h"
 #include "policy/permit_filter.h"
+#include "policy/poison_parts.h"
 #include "policy/rate_limits.h"
 #include "policy/reachability_meter.h"
 #include "policy/route_table.h"
@@ -32,7 +34,8 @@
 // An error answer from the gateway itself.
 struct Refusal {
   ErrorKind kind = ErrorKind::kInternal;
-  coordination::Duration retry_after{};  // 0: a retry won't help
+  coordination::Duration retry_after{};        // 0: a retry won't help
+  std::optional<std::uint64_t> poison_part{};  // of a refusal because of it
 };
 
 // The state of a request from its admission to its end.
@@ -42,6 +45,7 @@
   const GatewayOrganisation* organisation = nullptr;  // null on public routes
   const Service* service = nullptr;                   // the same for all sends
   GatewayRequest request;
+  std::vector<std::uint64_t> shared_parts;  // of the prompt
   coordination::TimePoint arrived{};
   coordination::TimePoint deadline{};  // for the end of the answer
   std::int64_t reserved = 0;           // tokens, until Finish
@@ -67,6 +71,7 @@
   std::int64_t urgency = 0;            // 0 to 9; 0 is the most urgent
   std::size_t max_connections = 0;     // of this VM to this upstream
   std::uint64_t rollout_revision = 0;  // of the order that counts the send
+  bool answer_begun = false;
   SendRecord record;
 };
 
@@ -108,6 +113,7 @@
   // Sets the other VMs of the fleet.
   void SetPeers(std::vector<std::string> vms) {
     this->SetFleetSize(vms.size() + 1);
+    this->poison_parts.SetPeers(vms);
     this->rate_limits.SetMembers(std::move(vms));
   }
 
@@ -138,6 +144,10 @@
   void OnPermit(AdmittedRequest& admitted, std::string instance) {
     admitted.permits.granted = std::move(instance);
   }
+  // The first whole event of the answer to this send has arrived. Returns
+  // whether the other VMs should be told at once.
+  bool OnAnswerBegun(const AdmittedRequest& admitted, SendPlan& plan,
+                     coordination::TimePoint now);
   // Records how a send ended. Returns whether the request may be retried;
   // NextSend then decides whether and where.
   bool OnSendEnded(AdmittedRequest& admitted, const SendPlan& plan,
@@ -166,6 +176,7 @@
   UpstreamSelector& Selector() { return this->selector; }
   BudgetManager& Budgets() { return this->budgets; }
   CrashSuspects& Suspects() { return this->suspects; }
+  PoisonParts& Parts() { return this->poison_parts; }
   RateLimits& Limits() { return this->rate_limits; }
   VersionRollouts& Rollouts() { return this->rollouts; }
   LinkMeter& Link() { return this->link; }
@@ -187,6 +198,8 @@
   NextStep WaitOrRefuse(const AdmittedRequest& admitted,
                         const PermitFilter& filter) const;
   Refusal RefuseSuspect(std::uint64_t fingerprint, coordination::TimePoint now);
+  Refusal RefusePoisonPart(std::span<const std::uint64_t> parts,
+                           coordination::TimePoint now);
   void RecordCrashEvidence(const AdmittedRequest& admitted,
                            const SendPlan& plan, SendOutcome outcome,
                            coordination::TimePoint now);
@@ -203,6 +216,7 @@
   BudgetManager budgets;
   VersionRollouts rollouts;
   CrashSuspects suspects;
+  PoisonParts poison_parts;
   RateLimits rate_limits;
   LinkMeter link;
   BufferQuota answer_buffers;
--- a/tests/explain_test.cc
+++ b/tests/explain_test.cc
@@ -41,11 +41,25 @@
   CHECK(Explain("r2", lines).empty());
 }
 
+TEST_CASE("Explain shows the crashes that a refused part is known for") {
+  const std::vector<std::string> lines{
+      "00:01Z event=part vm=a outcome=crashed part=0c upstream=i-1 source=peer",
+      "00:01Z event=part vm=a outcome=crashed part=0d upstream=i-1 source=peer",
+      "00:02Z event=poison_part vm=a outcome=named part=0c upstreams=i-1,i-2",
+      "00:03Z event=refused vm=a request=r1 reason=poison_part poison_part=0c"};
+  const std::vector<std::string> explanation = Explain("r1", lines);
+  REQUIRE(explanation.size() == 4);
+  CHECK(explanation[0].find("upstream=i-1") != std::string::npos);
+  CHECK(explanation[1].find("outcome=named") != std::string::npos);
+  CHECK(explanation[3].starts_with("cause: poison_part: upstreams crashed"));
+}
+
 TEST_CASE("Explain has a text for each refusal reason of a gateway") {
   for (const char* reason :
        {"budget_exhausted", "budget_unavailable", "not_ready", "not_found",
         "unauthenticated", "no_upstream", "upstream_rate_limited",
-        "crash_suspect", "overloaded", "upstream_failed", "upstream_timeout"}) {
+        "crash_suspect", "poison_part", "overloaded", "upstream_failed",
+        "upstream_timeout"}) {
     const std::vector<std::string> lines{
         "00:03Z event=refused vm=a request=r1 reason=" + std::string(reason)};
     const std::vector<std::string> explanation = Explain("r1", lines);
--- a/tests/process/crash_part_test.sh
+++ b/tests/process/crash_part_test.sh
@@ -64,7 +64,7 @@
   awk -v from="$2" '$1 >= from { ++n; served += $2 == 200 } END { print n ? int(100 * served / n) : 0 }' "$dir/sound-$1"
 }
 # When the bounds of NAME apply: twice contact_ms after its fifth crash.
-bound_ms() { crashes "$1" | awk -v contact=$contact_ms -v free=$free_crashes 'NR == free { print $1 + 2 * contact }'; }
+bound_ms() { crashes "$1" | awk -v contact=$contact_ms -v free=$free_crashes 'NR == free { printf "%.0f\n", $1 + 2 * contact }'; }
 at_least() { [ "$1" -ge "$2" ] && echo true || echo "$1"; }
 
 "$bin/standin" store --listen=$store & pids+=($!)
--- a/tests/transport_test.cc
+++ b/tests/transport_test.cc
@@ -8,6 +8,7 @@
 #include "transport/crash_message.h"
 #include "transport/heartbeat.h"
 #include "transport/mac.h"
+#include "transport/poison_part_message.h"
 #include "transport/prefill_message.h"
 #include "transport/rate_message.h"
 
@@ -103,6 +104,28 @@
   CHECK_FALSE(DecodePrefillMessage(EncodeCrashMessage({"i-7", {1}})));
 }
 
+TEST_CASE(
+    "records about poison parts are decoded as they were encoded; other bytes "
+    "are rejected") {
+  const coordination::TimePoint now{std::chrono::seconds(100)};
+  const policy::PoisonPartRecord record{
+      policy::PoisonPartRecordKind::kCrashed, 0x5c1e07a2U, std::string(60, 'i'),
+      std::chrono::milliseconds(20), now - std::chrono::seconds(1)};
+  const std::vector<policy::PoisonPartRecord> records(kMaxPartRecordsPerMessage,
+                                                      record);
+  const std::string text = EncodePoisonPartMessage(records, now);
+  CHECK(text.size() < 1'368);  // a datagram without its MAC
+  const auto decoded = DecodePoisonPartMessage(text, now);
+  REQUIRE(decoded);
+  CHECK(*decoded == records);
+  CHECK_FALSE(DecodePoisonPartMessage("no message", now));
+  CHECK_FALSE(DecodePoisonPartMessage(text.substr(0, 40), now));
+  policy::PoisonPartRecord unknown = record;
+  unknown.kind = policy::PoisonPartRecordKind::kCount;
+  CHECK_FALSE(DecodePoisonPartMessage(
+      EncodePoisonPartMessage(std::span(&unknown, 1), now), now));
+}
+
 TEST_CASE("a rate message is decoded as it was encoded") {
   RateMessage message;
   message.kind = RateMessageKind::kPermitVerdict;
