Refuse messages that crash upstreams in the chat-completions router

A router kept nothing of crashes at all, so a message that crashes engines was sent for as long as requests held it, each to three upstreams.

The listener tells the router when an answer begins, when it breaks off, and whether the upstream's address refuses connections right after that, which shows that the process has ended. The same PoisonParts decides; records go to all members by datagram, and again when a member is new, since there is no row in the store for them.

Tests: policy_test, two new cases (three crashes at one router; its peer refuses as well; own errors and broken answers of live upstreams name nothing). Before, RetryRequest could not tell a crash, and the first case's last request was admitted.

--- a/hornbeamspool/admission_client.cc
+++ b/hornbeamspool/admission_client.cc
@@ -36,11 +36,16 @@
 }
 
 http::Task<policy::AdmissionReply> AdmissionClient::Retry(
-    std::uint64_t reservation, bool reached) {
-  const std::uint64_t correlation_id = this->next_correlation_id++;
-  this->to_router->TryPush(
-      policy::RetryRequest{correlation_id, reservation, reached});
-  co_return co_await this->AwaitReply(correlation_id);
+    policy::RetryRequest retry) {
+  retry.correlation_id = this->next_correlation_id++;
+  this->to_router->TryPush(retry);
+  co_return co_await this->AwaitReply(retry.correlation_id);
+}
+
+// Without a free slot the completion tells that the request was answered.
+void AdmissionClient::ReportAnswerBegun(std::uint64_t reservation) {
+  if (this->to_router->FreeSlots() <= this->reserved_slots) return;
+  this->to_router->TryPush(policy::AnswerBegun{reservation});
 }
 
 void AdmissionClient::Complete(policy::Completion completion) {
--- a/hornbeamspool/admission_client.h
+++ b/hornbeamspool/admission_client.h
@@ -29,9 +29,10 @@
   http::Task<policy::AdmissionReply> RequestAdmission(
       policy::AdmissionRequest request);
   // Requests another upstream for an admitted request whose last attempt
-  // failed. `reached` is true if that attempt may have reached the upstream.
-  http::Task<policy::AdmissionReply> Retry(std::uint64_t reservation,
-                                           bool reached);
+  // failed. The correlation id of `retry` is set here.
+  http::Task<policy::AdmissionReply> Retry(policy::RetryRequest retry);
+  // Reports that the first event of an answer has arrived.
+  void ReportAnswerBegun(std::uint64_t reservation);
   // Reports the end of a reservation, stamped with the wall-clock time.
   void Complete(policy::Completion completion);
 
--- a/hornbeamspool/chat_request.cc
+++ b/hornbeamspool/chat_request.cc
@@ -1,10 +1,14 @@
 #include "hornbeamspool/chat_request.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/json/array.hpp>
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 
+#include "coordination/rendezvous.h"
+#include "policy/poison_parts.h"
+
 namespace hornbeamspool {
 namespace {
 
@@ -81,6 +85,19 @@
   return {};
 }
 
+// Each message once, as far as they are tracked.
+std::vector<std::uint64_t> SharedParts(const json::array& messages) {
+  std::vector<std::uint64_t> parts;
+  for (std::size_t i = 0; i + 1 < messages.size(); ++i) {
+    if (parts.size() >= policy::PoisonParts::kMaxPartsPerRequest) break;
+    const std::uint64_t part =
+        coordination::StableHash(json::serialize(messages[i]));
+    if (std::find(parts.begin(), parts.end(), part) != parts.end()) continue;
+    parts.push_back(part);
+  }
+  return parts;
+}
+
 }  // namespace
 
 std::variant<ChatRequest, ChatRequestError> ParseChatRequest(
@@ -106,6 +123,7 @@
   if (message.empty()) message = ParseTokenLimits(request.body, request);
   if (message.empty()) message = ParseStreamOptions(request.body, request);
   if (!message.empty()) return ChatRequestError{std::move(message)};
+  request.shared_parts = SharedParts(request.body.at("messages").get_array());
   for (const std::string_view key : kPromptMembers) {
     const json::value* member = request.body.if_contains(key);
     if (member == nullptr) continue;
--- a/hornbeamspool/chat_request.h
+++ b/hornbeamspool/chat_request.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <string_view>
 #include <variant>
+#include <vector>
 
 namespace hornbeamspool {
 
@@ -17,6 +18,8 @@
   bool include_usage = false;  // the caller requests usage in the stream
   std::optional<std::int64_t> max_tokens;
   std::int64_t prompt_bytes = 0;  // serialized size of all prompt members
+  // Hashes of all messages but the last, which belongs to the request itself.
+  std::vector<std::uint64_t> shared_parts;
 };
 
 // Why a body is refused; the message is sent to the caller.
--- a/hornbeamspool/model_relay.cc
+++ b/hornbeamspool/model_relay.cc
@@ -35,8 +35,14 @@
 struct AttemptResult {
   AttemptOutcome outcome = AttemptOutcome::kFailed;
   bool reached = false;  // the upstream may have received the request
+  bool broken = false;   // it sent no complete answer
+  bool refused = false;  // it refused the connection
 };
 
+// How long a broken answer's upstream is probed. One that has crashed refuses
+// the connection within a round trip.
+constexpr coordination::Duration kProbeTimeout = std::chrono::milliseconds(200);
+
 // An admitted request that is sent to one upstream.
 struct UpstreamAttempt {
   HandlerContext* context = nullptr;
@@ -182,6 +188,8 @@
 void StreamRelay::RecordToken(TimePoint now) {
   Metrics& metrics = *this->attempt->context->metrics;
   if (this->tokens == 0) {
+    this->attempt->context->admission_client->ReportAnswerBegun(
+        this->attempt->admitted->reservation);
     metrics.Observe(Timing::kFirstToken, now - this->attempt->arrived);
   } else {
     metrics.Observe(Timing::kTokenGap, now - this->last_token);
@@ -211,7 +219,8 @@
 // event, which marks the answer as incomplete.
 http::Task<AttemptResult> StreamRelay::Fail(ErrorKind kind) {
   if (!this->response_started) {
-    co_return AttemptResult{AttemptOutcome::kFailed, true};
+    const bool broken = kind == ErrorKind::kAnswerBroken;
+    co_return AttemptResult{AttemptOutcome::kFailed, true, broken, false};
   }
   http::Exchange& exchange = *this->attempt->exchange;
   const std::string body = ErrorBody(policy::Refused{kind, {}, {}});
@@ -239,7 +248,9 @@
                                         http::ResponseStream& stream,
                                         ReservationGuard& reservation) {
   std::optional<std::string> body = co_await ReadAll(stream);
-  if (!body) co_return AttemptResult{AttemptOutcome::kFailed, true};
+  if (!body) {
+    co_return AttemptResult{AttemptOutcome::kFailed, true, true, false};
+  }
   const bool success = stream.Head().status < 300;
   const AnswerSummary summary = InspectAnswer(*body, attempt.request_id);
   if (success && !(summary.id_matches && summary.usage)) {
@@ -274,7 +285,8 @@
       attempt.admitted->address, UpstreamRequest(attempt), options);
   if (opened.status != http::FetchStatus::kOk) {
     const bool reached = http::MayHaveArrived(opened.status);
-    co_return AttemptResult{AttemptOutcome::kFailed, reached};
+    const bool refused = opened.status == http::FetchStatus::kRefused;
+    co_return AttemptResult{AttemptOutcome::kFailed, reached, reached, refused};
   }
   http::ResponseStream& stream = *opened.stream;
   attempt.context->admission_client->ReportAnswer(
@@ -309,6 +321,7 @@
   admission.kind = policy::RequestKind::kModel;
   admission.target = chat.model;
   admission.prompt_bytes = chat.prompt_bytes;
+  admission.shared_parts = chat.shared_parts;
   admission.max_tokens = chat.max_tokens;
   const std::string request_id = admission.request_id;
   policy::AdmissionReply reply =
@@ -323,15 +336,24 @@
                                  CompletionOutcome::kNotRun);
     const UpstreamAttempt attempt{&context, &exchange,  &chat,
                                   admitted, request_id, arrived};
-    const AttemptResult result = co_await AttemptUpstream(attempt, reservation);
+    AttemptResult result = co_await AttemptUpstream(attempt, reservation);
     if (result.outcome == AttemptOutcome::kAnswered) {
       context.metrics->Observe(Timing::kWholeAnswer, Now() - arrived);
       co_return;
     }
     reservation.Release();
     context.metrics->Add(Counter::kRetries);
-    reply = co_await context.admission_client->Retry(admitted->reservation,
-                                                     result.reached);
+    if (result.broken) {
+      const http::FetchStatus probed =
+          co_await context.client->Probe(admitted->address, kProbeTimeout);
+      result.refused = probed == http::FetchStatus::kRefused;
+    }
+    policy::RetryRequest retry;
+    retry.reservation = admitted->reservation;
+    retry.reached = result.reached;
+    retry.broken = result.broken;
+    retry.crashed = result.refused;
+    reply = co_await context.admission_client->Retry(retry);
   }
 
   // Step 4: send the error response if the router refused the request.
--- a/hornbeamspool/peer_thread.cc
+++ b/hornbeamspool/peer_thread.cc
@@ -4,12 +4,15 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
+#include <span>
 #include <utility>
+#include <variant>
 
 #include "hornbeamspool/clock.h"
 #include "http/address.h"
 #include "http/task.h"
 #include "transport/mac.h"
+#include "transport/poison_part_message.h"
 #include "transport/rate_message.h"
 
 namespace hornbeamspool {
@@ -95,6 +98,10 @@
       this->to_router->TryPush(std::move(*message));
       return;
     }
+    if (auto records = transport::DecodePoisonPartMessage(*payload, Now())) {
+      this->to_router->TryPush(std::move(*records));
+      return;
+    }
   }
   const auto heartbeat =
       payload ? transport::DecodeHeartbeat(*payload) : std::nullopt;
@@ -200,16 +207,32 @@
 
 // Sends the messages of the router to the members that are known by name.
 void PeerThread::SendOutgoing() {
-  this->outgoing.Drain([this](const policy::PeerMessage& message) {
-    const std::string datagram =
-        transport::AppendMac(this->settings.peers.key,
-                             transport::EncodeRateMessage(message.message));
-    for (const auto& [name, member] : this->membership.Members()) {
-      const bool addressed =
-          message.to.empty() ? name != this->settings.name : name == message.to;
-      if (addressed) this->SendTo(member.report.peer_address, datagram);
+  this->outgoing.Drain([this](const PeerOutput& output) {
+    if (const auto* message = std::get_if<policy::PeerMessage>(&output)) {
+      this->SendToMembers(message->to,
+                          transport::EncodeRateMessage(message->message));
+      return;
+    }
+    const std::span<const policy::PoisonPartRecord> records =
+        std::get<PartRecords>(output);
+    for (std::size_t i = 0; i < records.size();
+         i += transport::kMaxPartRecordsPerMessage) {
+      const std::size_t count =
+          std::min(transport::kMaxPartRecordsPerMessage, records.size() - i);
+      this->SendToMembers({}, transport::EncodePoisonPartMessage(
+                                  records.subspan(i, count), Now()));
     }
   });
 }
 
+void PeerThread::SendToMembers(std::string_view to, std::string_view text) {
+  const std::string datagram =
+      transport::AppendMac(this->settings.peers.key, text);
+  for (const auto& [name, member] : this->membership.Members()) {
+    const bool addressed =
+        to.empty() ? name != this->settings.name : name == to;
+    if (addressed) this->SendTo(member.report.peer_address, datagram);
+  }
+}
+
 }  // namespace hornbeamspool
--- a/hornbeamspool/peer_thread.h
+++ b/hornbeamspool/peer_thread.h
@@ -43,7 +43,7 @@
   // Binds the address and starts the thread. Returns false if binding fails.
   bool Start(SpscQueue<PeerUpdate>& to_router);
   // The queue of messages from the router's thread.
-  SpscQueue<policy::PeerMessage>& Outgoing() { return this->outgoing; }
+  SpscQueue<PeerOutput>& Outgoing() { return this->outgoing; }
   // Marks this node as leaving in all later heartbeats: it accepts no new
   // requests.
   void AnnounceLeave() { this->leaving = true; }
@@ -63,6 +63,8 @@
   transport::Heartbeat BuildHeartbeat();
   void PublishMembership();
   void SendOutgoing();
+  // Sends to the member of this name; to all other members when it is empty.
+  void SendToMembers(std::string_view to, std::string_view text);
 
   settings::NodeSettings settings;
   std::uint64_t incarnation;
@@ -74,7 +76,7 @@
   boost::asio::io_context io{1};
   http::UdpSocket socket;
   IoWakeup outgoing_wakeup;
-  SpscQueue<policy::PeerMessage> outgoing;
+  SpscQueue<PeerOutput> outgoing;
   coordination::MemberView membership;
   std::minstd_rand random;
   std::uint64_t heartbeats_sent = 0;
--- a/hornbeamspool/plain_relay.cc
+++ b/hornbeamspool/plain_relay.cc
@@ -136,9 +136,10 @@
     if (IsFailedAttempt(result, admitted->repeatable)) {
       reservation.Release();
       context.metrics->Add(Counter::kRetries);
-      const bool reached = http::MayHaveArrived(result.status);
-      reply = co_await context.admission_client->Retry(admitted->reservation,
-                                                       reached);
+      policy::RetryRequest retry;
+      retry.reservation = admitted->reservation;
+      retry.reached = http::MayHaveArrived(result.status);
+      reply = co_await context.admission_client->Retry(retry);
       continue;
     }
     reservation.MutableCompletion().answer =
--- a/hornbeamspool/platform_messages.h
+++ b/hornbeamspool/platform_messages.h
@@ -10,6 +10,8 @@
 #include "policy/announced_rate.h"
 #include "policy/fleet_config.h"
 #include "policy/messages.h"
+#include "policy/permit_queue.h"
+#include "policy/poison_part_record.h"
 #include "policy/rate_message.h"
 #include "policy/table_messages.h"
 #include "policy/upstream_set.h"
@@ -43,6 +45,12 @@
   std::vector<std::string> peers;  // names of the members that don't leave
 };
 
-using PeerUpdate = std::variant<MembershipUpdate, policy::RateMessage>;
+using PartRecords = std::vector<policy::PoisonPartRecord>;
+
+using PeerUpdate =
+    std::variant<MembershipUpdate, policy::RateMessage, PartRecords>;
+
+// What the router sends to other nodes; records go to all.
+using PeerOutput = std::variant<policy::PeerMessage, PartRecords>;
 
 }  // namespace hornbeamspool
--- a/hornbeamspool/router_thread.cc
+++ b/hornbeamspool/router_thread.cc
@@ -43,7 +43,7 @@
 
 void RouterThread::Start(SpscQueue<policy::AdmissionReply>& to_listener,
                          SpscQueue<policy::TableCommand>& to_platform,
-                         SpscQueue<policy::PeerMessage>& to_peers) {
+                         SpscQueue<PeerOutput>& to_peers) {
   this->to_listener = &to_listener;
   this->to_peers = &to_peers;
   this->to_platform = &to_platform;
@@ -96,6 +96,8 @@
     this->router.OnRequest(*request, now, this->outbox);
   } else if (const auto* retry = std::get_if<policy::RetryRequest>(&message)) {
     this->router.OnRetry(*retry, now, this->outbox);
+  } else if (const auto* begun = std::get_if<policy::AnswerBegun>(&message)) {
+    this->router.OnAnswerBegun(*begun, now);
   } else if (const auto* end = std::get_if<policy::Completion>(&message)) {
     this->router.OnCompletion(*end, now, this->outbox);
   } else if (const auto* answer =
@@ -130,6 +132,8 @@
     this->newest_epoch = std::max(this->newest_epoch, membership->newest_epoch);
   } else if (const auto* message = std::get_if<policy::RateMessage>(&update)) {
     this->router.OnPeerMessage(*message, Now(), this->outbox);
+  } else if (const auto* records = std::get_if<PartRecords>(&update)) {
+    this->router.OnPartRecords(*records, Now());
   }
   this->FlushOutbox();
 }
@@ -149,6 +153,10 @@
   for (policy::PeerMessage& message : this->outbox.peer_messages) {
     this->to_peers->TryPush(std::move(message));
   }
+  // Records are sent again later.
+  if (!this->outbox.part_records.empty()) {
+    this->to_peers->TryPush(std::move(this->outbox.part_records));
+  }
   this->outbox = {};
   PushUntilFull(this->unsent_replies, *this->to_listener);
   PushUntilFull(this->unsent_commands, *this->to_platform);
@@ -171,6 +179,8 @@
                       stats.issued});
   }
   this->metrics->SetRateLimits(std::move(gauges));
+  this->metrics->SetPoisonParts(this->router.Parts().SuspectedCount(),
+                                this->router.Parts().NamedCount());
   next.fleet_size = this->fleet_size;
   next.config_epoch = this->router.ConfigEpoch();
   // While a peer has a newer configuration, this node is not ready until it has
--- a/hornbeamspool/router_thread.h
+++ b/hornbeamspool/router_thread.h
@@ -39,7 +39,7 @@
   // Starts the thread, with the queues for its output.
   void Start(SpscQueue<policy::AdmissionReply>& to_listener,
              SpscQueue<policy::TableCommand>& to_platform,
-             SpscQueue<policy::PeerMessage>& to_peers);
+             SpscQueue<PeerOutput>& to_peers);
 
   // Begins a graceful shutdown. Stopped() turns true once every bill is written
   // and every unspent grant is returned to its budget.
@@ -75,7 +75,7 @@
   SpscQueue<PeerUpdate> peer_queue;
   SpscQueue<policy::AdmissionReply>* to_listener = nullptr;
   SpscQueue<policy::TableCommand>* to_platform = nullptr;
-  SpscQueue<policy::PeerMessage>* to_peers = nullptr;
+  SpscQueue<PeerOutput>* to_peers = nullptr;
   policy::Outbox outbox;
   // Output that did not fit into a full queue yet. Bounded by the requests in
   // flight.
--- a/policy/event.cc
+++ b/policy/event.cc
@@ -21,7 +21,7 @@
                 "budget_topped_up", "grant_drawn",
                 "grant_returned",   "draw_failed",
                 "intent_committed", "intent_exists",
-                "settle_failed"};
+                "settle_failed",    "poison_part"};
 
 bool NeedsQuotes(std::string_view value) {
   if (value.empty()) return true;
--- a/policy/event.h
+++ b/policy/event.h
@@ -33,6 +33,7 @@
   kIntentCommitted,
   kIntentExists,
   kSettleFailed,
+  kPoisonPart,  // a part of prompts was named as crashing upstreams, or cleared
   kCount
 };
 
--- a/policy/messages.h
+++ b/policy/messages.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 #include <variant>
+#include <vector>
 
 #include "coordination/time.h"
 #include "policy/announced_rate.h"
@@ -38,6 +39,8 @@
   std::uint64_t fingerprint = 0;  // hash of method, target and body
   std::int64_t prompt_bytes = 0;
   std::optional<std::int64_t> max_tokens;
+  // Of a model request: hashes of the messages that other requests may share.
+  std::vector<std::uint64_t> shared_parts;
 };
 
 // The request is admitted and is to be sent to this upstream.
@@ -79,6 +82,13 @@
   std::uint64_t correlation_id = 0;
   std::uint64_t reservation = 0;
   bool reached = false;  // a byte of the request may have reached the upstream
+  bool broken = false;   // the upstream sent no complete answer
+  bool crashed = false;  // its address refuses connections
+};
+
+// The first event of an answer has arrived. May be left out.
+struct AnswerBegun {
+  std::uint64_t reservation = 0;
 };
 
 // Logged as a number: keep the order.
@@ -110,7 +120,7 @@
   coordination::TimePoint sent_at{};  // of the request
 };
 
-using ListenerMessage =
-    std::variant<AdmissionRequest, RetryRequest, Completion, UpstreamAnswer>;
+using ListenerMessage = std::variant<AdmissionRequest, RetryRequest,
+                                     AnswerBegun, Completion, UpstreamAnswer>;
 
 }  // namespace hornbeamspool::policy
--- a/policy/poison_parts.cc
+++ b/policy/poison_parts.cc
@@ -50,6 +50,17 @@
 
 }  // namespace
 
+void PoisonParts::SetPeers(std::vector<std::string> vms) {
+  std::sort(vms.begin(), vms.end());
+  const bool any_new = !std::includes(this->peers.begin(), this->peers.end(),
+                                      vms.begin(), vms.end());
+  this->peers = std::move(vms);
+  if (!any_new) return;
+  for (OwnRecord& entry : this->own) {
+    if (this->named.contains(entry.record.part)) entry.announcements = 0;
+  }
+}
+
 void PoisonParts::OnSent(std::span<const std::uint64_t> parts,
                          std::string_view instance_id, TimePoint now) {
   for (const std::uint64_t part : parts) {
--- a/policy/poison_parts.h
+++ b/policy/poison_parts.h
@@ -49,8 +49,9 @@
 
   explicit PoisonParts(std::string vm) : vm(std::move(vm)) {}
 
-  // Sets the other VMs of the fleet.
-  void SetPeers(std::vector<std::string> vms) { this->peers = std::move(vms); }
+  // Sets the other VMs of the fleet. Records of named parts are sent again when
+  // one is new.
+  void SetPeers(std::vector<std::string> vms);
 
   // A request with these parts was sent to the instance. A trial if one of the
   // parts is named.
--- a/policy/router.cc
+++ b/policy/router.cc
@@ -106,7 +106,8 @@
 Router::Router(RouterOptions options)
     : options(std::move(options)),
       budgets(this->options.grant_policy),
-      permits(this->options.node, this->options.incarnation) {}
+      permits(this->options.node, this->options.incarnation),
+      poison_parts(this->options.node) {}
 
 bool Router::SetConfig(std::uint64_t epoch, FleetConfig config, Outbox& out) {
   if (!this->config.Offer(epoch, std::move(config))) return false;
@@ -161,7 +162,14 @@
     return;
   }
 
-  // Step 3: admit only one request at a time for each request key.
+  // Step 3: refuse prompts that crash upstreams.
+  if (!this->poison_parts.MaySend(request.shared_parts, now)) {
+    this->poison_parts.OnRefused(request.shared_parts, now);
+    AddRefusal(out, request, ErrorKind::kPoisonPart);
+    return;
+  }
+
+  // Step 4: admit only one request at a time for each request key.
   if (reservation.request.request_key.empty()) {
     reservation.request.request_key = request.request_id;
   }
@@ -171,7 +179,7 @@
     return;
   }
 
-  // Step 4: reserve the budget. An order commits its intent before that, so
+  // Step 5: reserve the budget. An order commits its intent before that, so
   // that a request that repeats its key gets the recorded answer even when the
   // budget is exhausted.
   const std::uint64_t id = this->next_reservation++;
@@ -280,6 +288,10 @@
 
 void Router::Dispatch(std::uint64_t id, TimePoint now, Outbox& out) {
   Reservation& reservation = this->reservations.at(id);
+  if (!this->poison_parts.MaySend(reservation.request.shared_parts, now)) {
+    this->RefusePoisonPart(id, now, out);
+    return;
+  }
   UpstreamDemand demand;
   demand.service = reservation.service;
   demand.version = reservation.version;
@@ -317,7 +329,65 @@
   }
   reservation.permits.granted.clear();
   this->permits.Limits().OnSent(instance, now);
-  this->Admit(id, *chosen, out);
+  this->Admit(id, *chosen, now, out);
+}
+
+void Router::RefusePoisonPart(std::uint64_t id, TimePoint now, Outbox& out) {
+  const Reservation& reservation = this->reservations.at(id);
+  this->poison_parts.OnRefused(reservation.request.shared_parts, now);
+  const ErrorKind kind = reservation.attempts.reached
+                             ? FinalError(reservation.attempts)
+                             : ErrorKind::kPoisonPart;
+  this->Refuse(id, kind, now, out);
+}
+
+void Router::EndWait(Reservation& reservation, bool answered, bool may_have_run,
+                     TimePoint now) {
+  if (!std::exchange(reservation.awaits_answer, false)) return;
+  const std::vector<std::uint64_t>& parts = reservation.request.shared_parts;
+  if (answered) {
+    (void)this->poison_parts.OnAnswerBegun(parts, reservation.instance,
+                                           reservation.sent_at, now);
+    return;
+  }
+  this->poison_parts.OnEndedUnanswered(parts, reservation.instance,
+                                       reservation.sent_at, may_have_run, now);
+}
+
+void Router::OnAnswerBegun(const AnswerBegun& begun, TimePoint now) {
+  const auto found = this->reservations.find(begun.reservation);
+  if (found == this->reservations.end()) return;
+  this->EndWait(found->second, true, false, now);
+}
+
+void Router::OnPartRecords(std::span<const PoisonPartRecord> records,
+                           TimePoint now) {
+  for (const PoisonPartRecord& record : records) {
+    this->poison_parts.Apply(record, now);
+  }
+}
+
+void Router::CollectPartRecords(TimePoint now, Outbox& out) {
+  this->poison_parts.Expire(now);
+  std::vector<PoisonPartRecord> records = this->poison_parts.TakeRecords(now);
+  std::move(records.begin(), records.end(),
+            std::back_inserter(out.part_records));
+  for (const PoisonParts::Naming& naming : this->poison_parts.TakeNamings()) {
+    std::string upstreams;
+    for (const std::string& instance : naming.crashed) {
+      if (!upstreams.empty()) upstreams += ',';
+      upstreams += instance;
+    }
+    AddEvent(out, EventKind::kPoisonPart, {},
+             KeyValue("outcome", "named") + ' ' +
+                 KeyValue("part", Hex(naming.part)) + ' ' +
+                 KeyValue("upstreams", upstreams));
+  }
+  for (const std::uint64_t part : this->poison_parts.TakeCleared()) {
+    AddEvent(
+        out, EventKind::kPoisonPart, {},
+        KeyValue("outcome", "cleared") + ' ' + KeyValue("part", Hex(part)));
+  }
 }
 
 // The upstreams that failed for the request, and those that are at their rate
@@ -388,9 +458,15 @@
   AddRateEvent(out, answer.instance, change, "answer");
 }
 
-void Router::Admit(std::uint64_t id, const Upstream& chosen, Outbox& out) {
+void Router::Admit(std::uint64_t id, const Upstream& chosen, TimePoint now,
+                   Outbox& out) {
   Reservation& reservation = this->reservations.at(id);
   reservation.upstream = chosen.listed.name;
+  reservation.instance = chosen.listed.InstanceId();
+  reservation.sent_at = now;
+  reservation.awaits_answer = true;
+  this->poison_parts.OnSent(reservation.request.shared_parts,
+                            reservation.instance, now);
   this->upstreams.BeginRequest(
       reservation.upstream,
       reservation.request.kind == RequestKind::kModel ? reservation.amount : 0);
@@ -426,6 +502,8 @@
   Reservation& reservation = found->second;
   reservation.request.correlation_id = retry.correlation_id;
   reservation.attempts.reached = reservation.attempts.reached || retry.reached;
+  this->EndWait(reservation, false, retry.broken, now);
+  if (retry.crashed) this->poison_parts.OnCrash(reservation.instance, now);
   const std::int64_t kv_tokens =
       reservation.request.kind == RequestKind::kModel ? reservation.amount : 0;
   this->upstreams.EndRequest(reservation.upstream, kv_tokens);
@@ -484,7 +562,10 @@
                           Outbox& out) {
   const auto found = this->reservations.find(completion.reservation);
   if (found == this->reservations.end()) return;
-  const Reservation& reservation = found->second;
+  Reservation& reservation = found->second;
+  this->EndWait(reservation,
+                completion.outcome == CompletionOutcome::kDelivered,
+                completion.outcome != CompletionOutcome::kNotRun, now);
   std::int64_t used = completion.prompt_tokens + completion.completion_tokens;
   if (reservation.request.kind == RequestKind::kPlain) {
     const bool ran =
@@ -645,6 +726,7 @@
   this->ApplyBudgetOutcome(outcome, now, out);
   this->Resume(this->permits.OnTick(now, out.peer_messages), now, out);
   this->PruneRateLimits(now);
+  this->CollectPartRecords(now, out);
   this->FlushBilling(now, out);
 }
 
--- a/policy/router.h
+++ b/policy/router.h
@@ -20,6 +20,8 @@
 #include "policy/messages.h"
 #include "policy/permit_filter.h"
 #include "policy/permit_queue.h"
+#include "policy/poison_part_record.h"
+#include "policy/poison_parts.h"
 #include "policy/rate_limits.h"
 #include "policy/rate_message.h"
 #include "policy/retry.h"
@@ -34,6 +36,7 @@
   std::vector<TableCommand> commands;
   std::vector<Event> events;
   std::vector<PeerMessage> peer_messages;
+  std::vector<PoisonPartRecord> part_records;  // for all other nodes
 };
 
 struct RouterOptions {
@@ -61,12 +64,16 @@
   void SetHolders(std::int64_t holders) { this->budgets.SetHolders(holders); }
 
   // Sets the other nodes of the fleet, with which this node shares the rate
-  // limits of upstreams.
+  // limits of upstreams and what it knows of poison parts.
   void SetPeers(std::vector<std::string> nodes, Outbox& out) {
+    this->poison_parts.SetPeers(nodes);
     this->permits.SetPeers(std::move(nodes), out.peer_messages);
   }
   void OnPeerMessage(const RateMessage& message, coordination::TimePoint now,
                      Outbox& out);
+  // Handles another node's records about poison parts.
+  void OnPartRecords(std::span<const PoisonPartRecord> records,
+                     coordination::TimePoint now);
   void OnUpstreamAnswer(const UpstreamAnswer& answer,
                         coordination::TimePoint now, Outbox& out);
   std::vector<RateLimits::Stats> RateStats(coordination::TimePoint now) {
@@ -79,6 +86,7 @@
                  Outbox& out);
   void OnRetry(const RetryRequest& retry, coordination::TimePoint now,
                Outbox& out);
+  void OnAnswerBegun(const AnswerBegun& begun, coordination::TimePoint now);
   void OnCompletion(const Completion& completion, coordination::TimePoint now,
                     Outbox& out);
   void OnTableReply(const TableReply& reply, coordination::TimePoint now,
@@ -104,6 +112,7 @@
   // Number of settlements that are not yet written to the store.
   std::size_t BillingBacklog() const { return this->billing.Backlog(); }
   const UpstreamSet& Upstreams() const { return this->upstreams; }
+  const PoisonParts& Parts() const { return this->poison_parts; }
   std::map<std::string, GrantStats> AllStats() const {
     return this->budgets.AllStats();
   }
@@ -133,6 +142,9 @@
     bool intent_found = false;  // the key had an intent already
     AttemptState attempts;
     std::string upstream;  // of the current attempt; may be empty
+    std::string instance;  // of that upstream
+    coordination::TimePoint sent_at{};
+    bool awaits_answer = false;  // sent, and the answer has not begun
     std::vector<std::string> failed_upstreams;
     coordination::TimePoint arrived{};
     PermitState permits;
@@ -148,7 +160,14 @@
   void ReserveBudget(std::uint64_t id, coordination::TimePoint now,
                      Outbox& out);
   void Dispatch(std::uint64_t id, coordination::TimePoint now, Outbox& out);
-  void Admit(std::uint64_t id, const Upstream& chosen, Outbox& out);
+  void Admit(std::uint64_t id, const Upstream& chosen,
+             coordination::TimePoint now, Outbox& out);
+  void RefusePoisonPart(std::uint64_t id, coordination::TimePoint now,
+                        Outbox& out);
+  // Ends the wait for an answer of the current attempt.
+  void EndWait(Reservation& reservation, bool answered, bool may_have_run,
+               coordination::TimePoint now);
+  void CollectPartRecords(coordination::TimePoint now, Outbox& out);
   void WaitOrRefuse(std::uint64_t id, const PermitFilter& filter,
                     coordination::TimePoint now, Outbox& out);
   std::vector<std::string> ExcludedUpstreams(const Reservation& reservation,
@@ -183,6 +202,7 @@
   RetryBudget retries;
   UpstreamSet upstreams;
   PermitQueue permits;
+  PoisonParts poison_parts;
   coordination::TimePoint next_prune{};
   std::map<std::uint64_t, Reservation> reservations;
   std::uint64_t next_reservation = 1;
--- a/tests/http_client_test.cc
+++ b/tests/http_client_test.cc
@@ -164,6 +164,29 @@
 // Guards against a VM that runs out of memory, or waits until the deadline of
 // the call, on an endless response. kMaxSentBytes covers the size limits of the
 // client and the buffers of both sockets.
+// A response without a length ends with its connection; a crash of the server
+// must not look like that end.
+TEST_CASE("a response without a length is complete unless it was reset") {
+  for (const bool is_reset : {false, true}) {
+    const ScriptedServer server([is_reset](tcp::acceptor& acceptor) {
+      tcp::socket socket = acceptor.accept();
+      ReadRequest(socket);
+      net::write(socket, net::buffer(std::string(
+                             "HTTP/1.1 200 OK\r\n\r\nid: 1\ndata: x\n\n")));
+      if (!is_reset) return;
+      std::this_thread::sleep_for(std::chrono::milliseconds(50));
+      socket.set_option(net::socket_base::linger(true, 0));
+      socket.close();
+    });
+    net::io_context io{1};
+    Client client(io);
+    const FetchResult result = Get(io, client, server.Address());
+    CHECK(result.status ==
+          (is_reset ? FetchStatus::kBroken : FetchStatus::kOk));
+    CHECK(result.response.body == "id: 1\ndata: x\n\n");
+  }
+}
+
 TEST_CASE("an endless response ends the call by its size") {
   constexpr std::size_t kMaxSentBytes = 16U << 20U;
   for (const auto& responses : {EndlessHeads(), EndlessBodies()}) {
--- a/tests/policy_test.cc
+++ b/tests/policy_test.cc
@@ -462,5 +462,106 @@
   CHECK_EQ(AnswerFor(kind).run, RunState::kMayHaveRun);
 }
 
+// A fixture whose budget has a grant, with one upstream that may restart.
+struct CrashFixture : Fixture {
+  CrashFixture() {
+    const Outbox next = this->Draw();
+    this->End(next, CompletionOutcome::kNotRun, kNow);
+  }
+
+  Outbox Draw() {
+    this->Request(ModelRequest(1));
+    return this->AnswerDraw(100'000);
+  }
+  void End(const Outbox& next, CompletionOutcome outcome, TimePoint now) {
+    Completion completion;
+    completion.reservation =
+        std::get<Admitted>(next.replies.at(0).verdict).reservation;
+    completion.outcome = outcome;
+    Outbox ended;
+    this->router.OnCompletion(completion, now, ended);
+  }
+  Outbox Send(const std::vector<std::uint64_t>& parts, TimePoint now) {
+    AdmissionRequest request = ModelRequest(++this->requests);
+    request.shared_parts = parts;
+    Outbox next;
+    this->router.OnRequest(request, now, next);
+    return next;
+  }
+  // The upstream restarts as another instance.
+  void Restart() {
+    const std::vector<ListedUpstream> listed{
+        {"near", "s", "v1", "zone-a", "1", false,
+         "near@" + std::to_string(++this->starts)}};
+    this->router.SetUpstreams(listed, this->out);
+  }
+  // Sends a request with these parts, which crashes the upstream.
+  void CrashBy(const std::vector<std::uint64_t>& parts, TimePoint now) {
+    this->Restart();
+    const Outbox next = this->Send(parts, now);
+    RetryRequest retry;
+    retry.reservation =
+        std::get<Admitted>(next.replies.at(0).verdict).reservation;
+    retry.reached = true;
+    retry.broken = true;
+    retry.crashed = true;
+    Outbox retried;
+    this->router.OnRetry(retry, now + std::chrono::milliseconds(5), retried);
+    CHECK_EQ(RefusalOf(retried), ErrorKind::kUpstreamFailed);
+  }
+
+  std::uint64_t requests = 100;
+  int starts = 0;
+};
+
+// Routers used to send requests with a message that crashes engines for ever,
+// since no two of them are alike.
+TEST_CASE(
+    "a router refuses a message that crashes upstreams, as do its peers") {
+  constexpr std::uint64_t kSystem = 1;  // the message that all requests hold
+  constexpr std::uint64_t kPoison = 7;
+  CrashFixture fixture;
+  TimePoint now = kNow;
+  Outbox records;
+  for (int i = 0; i < 3; ++i) {
+    now += std::chrono::milliseconds(100);
+    fixture.CrashBy({kSystem, kPoison}, now);
+    fixture.Restart();
+    const Outbox sound = fixture.Send({kSystem}, now);
+    now += std::chrono::milliseconds(100);
+    fixture.End(sound, CompletionOutcome::kDelivered, now);
+    fixture.router.OnTick(now, records);
+  }
+  CHECK_EQ(RefusalOf(fixture.Send({kSystem, kPoison}, now)),
+           ErrorKind::kPoisonPart);
+  CHECK(std::holds_alternative<Admitted>(
+      fixture.Send({kSystem}, now).replies.at(0).verdict));
+
+  CrashFixture peer;
+  peer.router.OnPartRecords(records.part_records, now);
+  CHECK_EQ(RefusalOf(peer.Send({kPoison}, now)), ErrorKind::kPoisonPart);
+}
+
+TEST_CASE("a message is not named for upstreams' own errors or slow answers") {
+  constexpr std::uint64_t kMessage = 7;
+  CrashFixture fixture;
+  TimePoint now = kNow;
+  for (int i = 0; i < 6; ++i) {
+    now += std::chrono::milliseconds(100);
+    fixture.Restart();
+    const Outbox next = fixture.Send({kMessage}, now);
+    RetryRequest retry;
+    retry.reservation =
+        std::get<Admitted>(next.replies.at(0).verdict).reservation;
+    retry.reached = true;
+    retry.broken = i % 2 == 0;
+    Outbox retried;
+    fixture.router.OnRetry(retry, now, retried);
+    const Outbox sound = fixture.Send({}, now);
+    fixture.End(sound, CompletionOutcome::kDelivered, now);
+  }
+  CHECK_EQ(fixture.router.Parts().NamedCount(), 0);
+}
+
 }  // namespace
 }  // namespace hornbeamspool::policy
