Log when the store is in another era, and let the stand-in be restored

Nothing tells that the store came back from an older copy: its answers carry Store-Era, and no line names it. The stand-in of the store takes a copy, goes back to it, raises its era, and answers 410 for versions that it has not given out. No change of what is decided.

--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -113,6 +113,7 @@
   void ApplyUpstreamRows(const std::vector<platform::StoreRow>& rows);
   void ReplaceUpstreams(const std::vector<platform::StoreRow>& rows);
   void LogStoreReachable(std::string_view table, bool reachable);
+  void LogStoreRestored(std::string_view table, std::uint64_t era);
   bool Ready() const;
   http::Task<void> ServeReadiness(http::Exchange& exchange);
   http::Task<void> ServeMetrics(http::Exchange& exchange);
@@ -218,6 +219,9 @@
            },
            [this](std::string_view error) {
              LogException(this->context, platform::kOperatorTable, error);
+           },
+           [this](std::uint64_t era) {
+             this->LogStoreRestored(platform::kOperatorTable, era);
            }}),
       upstream_table(
           this->io, this->store, std::string(platform::kUpstreamTable),
@@ -229,6 +233,9 @@
            },
            [this](std::string_view error) {
              LogException(this->context, platform::kUpstreamTable, error);
+           },
+           [this](std::uint64_t era) {
+             this->LogStoreRestored(platform::kUpstreamTable, era);
            }}),
       signals(this->io, SIGTERM, SIGINT, SIGHUP) {}
 
@@ -354,6 +361,15 @@
                   Now());
 }
 
+void Gateway::State::LogStoreRestored(std::string_view table,
+                                      std::uint64_t era) {
+  this->log.Write(LogKind::kDependency,
+                  KeyValue("store", "restored") + ' ' +
+                      KeyValue("table", table) + ' ' +
+                      KeyValue("era", static_cast<std::int64_t>(era)),
+                  Now());
+}
+
 bool Gateway::State::Ready() const {
   return !this->stopping && !this->overloaded &&
          this->core.Table() != nullptr && this->upstreams_loaded &&
--- a/standin/store_standin.cc
+++ b/standin/store_standin.cc
@@ -90,23 +90,45 @@
     co_await exchange.Send(http::JsonResponse(200, "{}"));
     co_return;
   }
+  if (this->HandleRestore(path)) {
+    co_await exchange.Send(http::JsonResponse(200, "{}"));
+    co_return;
+  }
   if (!co_await this->fault_injector.BeforeRequest(exchange)) co_return;
   if (path == "/api/rows-feed") {
     http::Response answer = co_await this->GetChanges(request);
-    co_await exchange.Send(std::move(answer));
+    co_await exchange.Send(this->WithEra(std::move(answer)));
     co_return;
   }
   if (path == "/api/rows-get") {
-    co_await exchange.Send(this->GetRows(request));
+    co_await exchange.Send(this->WithEra(this->GetRows(request)));
     co_return;
   }
   if (path.starts_with("/api/blob-")) {
-    co_await exchange.Send(this->HandleObject(request));
+    co_await exchange.Send(this->WithEra(this->HandleObject(request)));
     co_return;
   }
   // Only answers to transactions can be lost.
-  co_await this->fault_injector.Respond(exchange,
-                                        this->ExecuteTransaction(request.body));
+  co_await this->fault_injector.Respond(
+      exchange, this->WithEra(this->ExecuteTransaction(request.body)));
+}
+
+bool StoreStandin::HandleRestore(std::string_view path) {
+  if (path == "/copy") {
+    this->copy = {this->rows, this->objects, this->version};
+    return true;
+  }
+  if (path != "/restore") return false;
+  this->rows = this->copy.rows;
+  this->objects = this->copy.objects;
+  this->version = this->copy.version;
+  ++this->era;
+  return true;
+}
+
+http::Response StoreStandin::WithEra(http::Response response) const {
+  response.headers.push_back({"Store-Era", std::to_string(this->era)});
+  return response;
 }
 
 json::object StoreStandin::ToJson(const RowKey& key, const Row& row) const {
@@ -151,6 +173,8 @@
       std::chrono::milliseconds(ParseNumber(request.QueryValue("wait_ms")));
   http::Timer timer(*this->io);
   while (true) {
+    // A version that the store has not given out has no history.
+    if (after > this->version) co_return http::JsonResponse(410, "{}");
     std::multimap<std::uint64_t, json::value> changed;  // by version
     for (const auto& [key, row] : this->rows) {
       if (key.table != table || row.version <= after) continue;
--- a/standin/store_standin.h
+++ b/standin/store_standin.h
@@ -19,7 +19,9 @@
 
 // Holds versioned rows and objects in memory. Implements conditional
 // transactions and the change feed. PUT /faults sets faults, and PUT
-// /rows/TABLE/KEY writes a row as the operator or a server would.
+// /rows/TABLE/KEY writes a row as the operator or a server would. PUT /copy
+// takes a copy, and PUT /restore goes back to it: what was written since is
+// lost, its versions are given out again, and the era rises.
 class StoreStandin {
  public:
   explicit StoreStandin(boost::asio::io_context& io);
@@ -44,7 +46,17 @@
     auto operator<=>(const RowKey&) const = default;
   };
 
+  // What a copy holds.
+  struct Content {
+    std::map<RowKey, Row> rows;
+    std::map<std::string, std::string, std::less<>> objects;
+    std::uint64_t version = 0;
+  };
+
   http::Task<void> Handle(http::Exchange& exchange);
+  // Handles the calls that copy and restore. False if it is another call.
+  bool HandleRestore(std::string_view path);
+  http::Response WithEra(http::Response response) const;
   http::Response GetRows(const http::Request& request) const;
   http::Task<http::Response> GetChanges(const http::Request& request);
   http::Response ExecuteTransaction(std::string_view body);
@@ -62,6 +74,8 @@
   std::map<RowKey, Row> rows;
   std::map<std::string, std::string, std::less<>> objects;
   std::uint64_t version = 0;
+  Content copy;
+  std::uint64_t era = 1;
 };
 
 }  // namespace hornbeamspool::standin
