--- a/bench/budget_simulation.cc
+++ b/bench/budget_simulation.cc
@@ -22,6 +22,8 @@
 constexpr Duration kReturnInterval = std::chrono::milliseconds(500);
 constexpr int kMaxRetries = 10;
 constexpr std::size_t kHomesPerOrganisation = 2;
+constexpr Duration kCopyInterval = std::chrono::milliseconds(500);
+constexpr std::size_t kMaxCopies = 20;
 
 // The part of its budget that an organisation can rely on.
 constexpr double kGuaranteedFraction = 0.97;
@@ -116,6 +118,42 @@
   }
   if (this->options.standard_day) this->InjectStandardDayFaults();
   if (this->options.rolling_restart) this->RollingRestart();
+  if (this->options.restore_rate > 0) this->CopyOrRestoreStore();
+}
+
+void BudgetSimulation::CopyOrRestoreStore() {
+  const bool copy_due = this->copies.empty() ||
+                        this->now - this->copies.back().at >= kCopyInterval;
+  if (copy_due) {
+    this->copies.push_back({this->now, this->store, this->store_version});
+  }
+  if (this->copies.size() > kMaxCopies) {
+    this->copies.erase(this->copies.begin());
+  }
+  const double step = Seconds(kStep);
+  if (this->RandomFraction() < this->options.restore_rate * step) {
+    this->RestoreStore();
+  }
+}
+
+// All VMs lose the store; each finds it again, as it was, some time later.
+void BudgetSimulation::RestoreStore() {
+  ++this->result.restores;
+  const auto copy = static_cast<std::size_t>(
+      this->RandomFraction() * static_cast<double>(this->copies.size()));
+  this->store = this->copies[copy].rows;
+  for (auto& [organisation, rows] : this->store) rows.busy_until = this->now;
+  this->store_version = this->copies[copy].version;
+  this->copies.resize(copy + 1);
+  const auto away = std::chrono::milliseconds(
+      300 + static_cast<std::int64_t>(this->RandomFraction() * 1500));
+  for (Vm& vm : this->vms) {
+    const auto reconnect = std::chrono::milliseconds(
+        static_cast<std::int64_t>(this->RandomFraction() * 300));
+    vm.partitioned = true;
+    vm.partitioned_until =
+        std::max(vm.partitioned_until, this->now + away + reconnect);
+  }
 }
 
 void BudgetSimulation::RollingRestart() {
--- a/bench/budget_simulation.h
+++ b/bench/budget_simulation.h
@@ -59,6 +59,9 @@
   bool standard_day = false;
   // Restarts all VMs one after the other in the first 34 s.
   bool rolling_restart = false;
+  // Probability, per second, that the store goes down for a moment and comes
+  // back from a copy of up to 10 s ago.
+  double restore_rate = 0;
 };
 
 // Counts are of requests, amounts are in tokens, unless noted otherwise.
@@ -80,6 +83,7 @@
   std::int64_t gifts_lost_in_kills = 0;  // the part of `stranded` due to gifts
   std::int64_t store_calls = 0;
   std::int64_t overspend = 0;  // maximum over the organisations
+  std::int64_t restores = 0;
 };
 
 // Simulates the BudgetManagers of a fleet in virtual time. The managers are the
@@ -119,6 +123,13 @@
     coordination::TimePoint busy_until{};  // end of the queued transactions
   };
 
+  // The store's rows at one time.
+  struct StoreCopy {
+    coordination::TimePoint at{};
+    std::map<std::string, StoredRows> rows;
+    std::uint64_t version = 0;
+  };
+
   // Uniform in [0, 1).
   double RandomFraction() { return this->uniform(this->random); }
   bool ReachesStore(std::size_t vm) const;
@@ -129,6 +140,8 @@
   void InjectFaults();
   void InjectStandardDayFaults();
   void RollingRestart();
+  void CopyOrRestoreStore();
+  void RestoreStore();
   void GenerateRequests();
   void Serve(std::size_t vm, std::size_t organisation, std::int64_t amount,
              int retries_left);
@@ -154,6 +167,7 @@
   std::vector<OrganisationState> organisations;
   std::map<std::string, StoredRows> store;
   std::uint64_t store_version = 0;
+  std::vector<StoreCopy> copies;  // the oldest first
   std::uint64_t next_incarnation = 1;
   std::size_t restarted_vms = 0;
   std::multimap<coordination::TimePoint, std::function<void()>> events;
