--- a/tests/store_restore_test.cc
+++ b/tests/store_restore_test.cc
@@ -75,7 +75,7 @@
   fixture.Put("/restore", "");
   fixture.Put("/rows/op/config", "confirmed");
   for (int i = 0; i < 5; ++i) fixture.Put("/rows/servers/a", "x");
-  fixture.Put("/faults", "{}");
+  fixture.Put("/faults", R"({"down":false})");
   fixture.Await("confirmed");
   CHECK(fixture.Received("confirmed"));
 }
