Write shares of budgets again before any limit is raised, after a restore

Cause: the total and the shares in the store are those of the copy. What VMs had drawn since is missing, while they go on to spend it; others see room and draw it again. And a VM that had returned tokens since takes the older share for its own, and spends what others drew meanwhile. The class: what was acknowledged is taken for what is stored.

Evidence: totals in the log go back at the drill, limits of other VMs are written again only when they next need tokens, after the rest was drawn. Late writes are not the cause of these: without them it is the same.

Why it works: each VM is the witness of its own share. When the era rises it keeps the limit that it held, never more, reads the rows and writes its share again at once, as a difference to the restored one, so that the order does not matter. No limit is raised for 4 s, and for up to 14 s while a share with tokens in it has not been written in the new era. Answers from another era change nothing.

--- a/bench/budget_simulation.cc
+++ b/bench/budget_simulation.cc
@@ -24,6 +24,7 @@
 constexpr std::size_t kHomesPerOrganisation = 2;
 constexpr Duration kCopyInterval = std::chrono::milliseconds(500);
 constexpr std::size_t kMaxCopies = 20;
+constexpr double kPollMs = 1200;  // the wait of a long poll
 
 // The part of its budget that an organisation can rely on.
 constexpr double kGuaranteedFraction = 0.97;
@@ -139,6 +140,7 @@
 // All VMs lose the store; each finds it again, as it was, some time later.
 void BudgetSimulation::RestoreStore() {
   ++this->result.restores;
+  ++this->store_era;
   const auto copy = static_cast<std::size_t>(
       this->RandomFraction() * static_cast<double>(this->copies.size()));
   this->store = this->copies[copy].rows;
@@ -147,15 +149,26 @@
   this->copies.resize(copy + 1);
   const auto away = std::chrono::milliseconds(
       300 + static_cast<std::int64_t>(this->RandomFraction() * 1500));
-  for (Vm& vm : this->vms) {
+  for (std::size_t i = 0; i < this->vms.size(); ++i) {
+    Vm& vm = this->vms[i];
     const auto reconnect = std::chrono::milliseconds(
         static_cast<std::int64_t>(this->RandomFraction() * 300));
     vm.partitioned = true;
     vm.partitioned_until =
         std::max(vm.partitioned_until, this->now + away + reconnect);
+    // The VM hears of the new era by the next response to a long poll.
+    const auto poll = std::chrono::milliseconds(
+        static_cast<std::int64_t>(this->RandomFraction() * kPollMs));
+    this->Schedule(vm.partitioned_until - this->now + poll,
+                   [this, i] { this->HearEra(i); });
   }
 }
 
+void BudgetSimulation::HearEra(std::size_t vm) {
+  if (!this->ReachesStore(vm)) return;
+  this->vms[vm].budgets->OnEra(this->store_era, this->now);
+}
+
 void BudgetSimulation::RollingRestart() {
   const double progress =
       Seconds(this->now.time_since_epoch()) / Seconds(kKillAllAt);
@@ -323,11 +336,12 @@
     row.share = found->second.first;
     row.share_version = found->second.second;
   }
+  row.era = this->store_era;
   std::int64_t held_elsewhere = 0;
   for (const auto& [other, share] : stored.shares) {
-    if (other == vm) continue;
-    held_elsewhere +=
-        std::max<std::int64_t>(0, share.first.limit - share.first.spent);
+    if (other == vm || share.first.limit <= share.first.spent) continue;
+    held_elsewhere += share.first.limit - share.first.spent;
+    if (share.first.era < row.era) row.unasserted_elsewhere = true;
   }
   row.held_elsewhere = held_elsewhere;
   const bool ignores_rate_limit =
@@ -341,6 +355,7 @@
 
 void BudgetSimulation::ReadRows(std::size_t vm,
                                 const std::string& organisation) {
+  this->vms[vm].budgets->OnEra(this->store_era, this->now);
   this->vms[vm].budgets->OnStoreClock(StoreMs(this->now), this->now, this->now);
   this->vms[vm].budgets->OnRead(this->RowsFor(vm, organisation));
 }
@@ -428,9 +443,15 @@
                       this->options.transaction_time;
   this->Schedule(stored.busy_until - this->now, [this, vm, rows, alive, budgets,
                                                  asked = this->now] {
+    if (rows.era != this->store_era) {
+      // The call was lost with the store.
+      if (alive()) budgets->OnWriteUnknown(rows.organisation);
+      return;
+    }
     const bool done = this->ApplyWrite(vm, rows);
     if (!done) ++this->result.conflicts;
     if (!alive()) return;
+    budgets->OnEra(this->store_era, this->now);
     budgets->OnStoreClock(StoreMs(this->now), asked, this->now);
     if (done) {
       budgets->OnWritten(rows.organisation, this->store_version);
--- a/bench/budget_simulation.h
+++ b/bench/budget_simulation.h
@@ -142,6 +142,7 @@
   void RollingRestart();
   void CopyOrRestoreStore();
   void RestoreStore();
+  void HearEra(std::size_t vm);
   void GenerateRequests();
   void Serve(std::size_t vm, std::size_t organisation, std::int64_t amount,
              int retries_left);
@@ -168,6 +169,7 @@
   std::map<std::string, StoredRows> store;
   std::uint64_t store_version = 0;
   std::vector<StoreCopy> copies;  // the oldest first
+  std::uint64_t store_era = 1;
   std::uint64_t next_incarnation = 1;
   std::size_t restarted_vms = 0;
   std::multimap<coordination::TimePoint, std::function<void()>> events;
--- a/gateway/budget_rows.h
+++ b/gateway/budget_rows.h
@@ -16,11 +16,11 @@
 void save(Archive& archive, const BudgetShare& share) {
   archive(share.incarnation, share.limit, share.spent, share.committed,
           share.checkpoint_ms, share.burst, share.per_second,
-          share.initial_per_second, share.initial_rate_ms);
+          share.initial_per_second, share.initial_rate_ms, share.era);
 }
 
-// Earlier builds did not write the last two fields: their rate limit did not
-// depend on the checkpoint's age.
+// Earlier builds did not write the last fields: their rate limit did not depend
+// on the checkpoint's age, and they did not know of eras.
 template <typename Archive>
 void load(Archive& archive, BudgetShare& share) {
   archive(share.incarnation, share.limit, share.spent, share.committed,
@@ -30,6 +30,12 @@
   } catch (const cereal::Exception&) {
     share.initial_per_second = share.per_second;
     share.initial_rate_ms = 0;
+    return;
+  }
+  try {
+    archive(share.era);
+  } catch (const cereal::Exception&) {
+    share.era = 0;
   }
 }
 
--- a/gateway/budget_sync.cc
+++ b/gateway/budget_sync.cc
@@ -122,12 +122,25 @@
   });
 }
 
+// The record of this VM's holdings may be lost as well.
+void BudgetSync::OnEra(std::uint64_t era) {
+  policy::BudgetManager& budgets = this->context.core->Budgets();
+  if (era <= budgets.Era()) return;
+  const bool restored = budgets.Era() != 0;
+  budgets.OnEra(era, Now());
+  if (!restored) return;
+  this->holdings.clear();
+  this->holdings_known = false;
+  this->WakeNow();
+}
+
 http::Task<void> BudgetSync::ReadHoldings() {
   const coordination::TimePoint sent_at = Now();
   const platform::KeyRange all{{}, {}, this->vm};
   const platform::StoreResponse answer =
       co_await this->store->Read(std::string(kHoldingTable), all);
   const bool answered = answer.status == StoreStatus::kOk;
+  this->OnEra(answer.era);
   if (answered) {
     this->context.core->Budgets().OnStoreClock(answer.store_ms, sent_at, Now());
     for (const StoreRow& row : answer.rows) {
@@ -161,6 +174,7 @@
   const std::string share_key = this->ShareKey();
   BudgetRows decoded;
   decoded.organisation = organisation;
+  decoded.era = this->context.core->Budgets().Era();
   for (const StoreRow& row : rows) {
     if (row.key == kTotalKey) {
       const auto total = DecodeRow<policy::BudgetTotal>(row.value);
@@ -177,19 +191,19 @@
   return decoded;
 }
 
-// Tokens that the other VMs' shares had left at their checkpoints.
-std::int64_t BudgetSync::UnspentElsewhere(
-    std::span<const StoreRow> rows) const {
+// Adds what the other VMs' shares had left at their checkpoints.
+void BudgetSync::AddSharesElsewhere(std::span<const StoreRow> rows,
+                                    BudgetRows& decoded) const {
   const std::string own = this->ShareKey();
-  std::int64_t unspent = 0;
+  std::int64_t total = 0;
   for (const StoreRow& row : rows) {
     if (!row.key.starts_with(kSharePrefix) || row.key == own) continue;
     const auto share = DecodeRow<policy::BudgetShare>(row.value);
-    if (share) {
-      unspent += std::max<std::int64_t>(0, share->limit - share->spent);
-    }
+    if (!share || share->limit <= share->spent) continue;
+    total += share->limit - share->spent;
+    if (share->era < decoded.era) decoded.unasserted_elsewhere = true;
   }
-  return unspent;
+  decoded.held_elsewhere = total;
 }
 
 // Takes over all rows of the organisation's budget, as read from the store.
@@ -197,7 +211,7 @@
                            std::string_view organisation) {
   policy::BudgetManager& budgets = this->context.core->Budgets();
   if (auto decoded = this->DecodeOwnRows(rows, organisation)) {
-    decoded->held_elsewhere = this->UnspentElsewhere(rows);
+    this->AddSharesElsewhere(rows, *decoded);
     budgets.OnRead(*decoded);
     return;
   }
@@ -211,7 +225,9 @@
   const platform::KeyRange all{{}, {}, organisation};
   const platform::StoreResponse answer =
       co_await this->store->Read(std::string(kBudgetTable), all);
-  const bool answered = answer.status == StoreStatus::kOk;
+  this->OnEra(answer.era);
+  const bool answered =
+      answer.status == StoreStatus::kOk && answer.era == budgets.Era();
   if (answered) {
     budgets.OnStoreClock(answer.store_ms, sent_at, Now());
     this->ApplyRows(answer.rows, organisation);
@@ -256,9 +272,15 @@
       {std::string(kBudgetTable), this->ShareKey(), EncodeRow(rows.share),
        rows.share_version, false, organisation}};
   const coordination::TimePoint sent_at = Now();
-  const platform::StoreResponse answer = co_await this->store->Write(puts);
+  platform::StoreResponse answer = co_await this->store->Write(puts);
+  this->OnEra(answer.era);
   const bool answered = answer.status == StoreStatus::kOk ||
                         answer.status == StoreStatus::kConflict;
+  // The versions that the write is conditional on are those of another era, or
+  // the response is late: the rows must be read.
+  const bool era_changed =
+      answered && (answer.era != rows.era || answer.era != budgets.Era());
+  if (era_changed) answer.status = StoreStatus::kUnknown;
   if (answered) budgets.OnStoreClock(answer.store_ms, sent_at, Now());
   switch (answer.status) {
     case StoreStatus::kOk:
--- a/gateway/budget_sync.h
+++ b/gateway/budget_sync.h
@@ -31,6 +31,8 @@
 
   // Starts the background task that makes the calls.
   void Start();
+  // The store was restored from an older copy.
+  void OnEra(std::uint64_t era);
   // Checks at once whether a call is due.
   void WakeNow() { this->timer.cancel(); }
 
@@ -46,7 +48,8 @@
   std::optional<policy::BudgetRows> DecodeOwnRows(
       std::span<const platform::StoreRow> rows,
       std::string_view organisation) const;
-  std::int64_t UnspentElsewhere(std::span<const platform::StoreRow> rows) const;
+  void AddSharesElsewhere(std::span<const platform::StoreRow> rows,
+                          policy::BudgetRows& decoded) const;
   void ApplyRows(std::span<const platform::StoreRow> rows,
                  std::string_view organisation);
   void LogLimits(const policy::BudgetRows& rows);
--- a/policy/budget_manager.cc
+++ b/policy/budget_manager.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cstdlib>
+#include <limits>
 #include <utility>
 
 #include "coordination/rendezvous.h"
@@ -68,6 +69,12 @@
 constexpr std::int64_t kClockDriftDivisor = 100;
 constexpr std::int64_t kClockResolutionMs = 2;
 
+// After a restore of the store, limits are not raised for kAssertTime: VMs
+// learn of it within a long poll and a reconnect, and write their shares again.
+// While another VM has not done so, they are not raised for kMaxAssertTime.
+constexpr coordination::Duration kAssertTime = std::chrono::seconds(4);
+constexpr coordination::Duration kMaxAssertTime = std::chrono::seconds(14);
+
 // Number of distinct values of a random delay.
 constexpr std::int64_t kJitterSteps = 1000;
 
@@ -114,13 +121,51 @@
   this->store_clock.Set(store_ms, now);
 }
 
+void BudgetManager::OnEra(std::uint64_t era, coordination::TimePoint now) {
+  if (era <= this->era) return;
+  const bool restored = this->era != 0;
+  this->era = era;
+  if (!restored) return;
+  this->restored_at = now;
+  for (auto& [organisation, entry] : this->entries) {
+    const bool holds = entry.rows.share.incarnation != 0 ||
+                       entry.account.Committed() > 0 || !entry.in_doubt.empty();
+    // A limit that an earlier restore left to be written is still held.
+    const std::int64_t held = entry.must_assert ? entry.asserted_limit : 0;
+    entry.asserted_limit = std::max(held, this->LimitOf(entry));
+    entry.must_assert = entry.must_assert || holds;
+    entry.unasserted_elsewhere = true;
+    entry.close_deferred = false;
+    if (entry.must_assert) {
+      this->ScheduleRead(entry, now);
+    } else {
+      entry.rows_known = false;
+    }
+  }
+}
+
+std::int64_t BudgetManager::MaxLimit(const Entry& entry,
+                                     coordination::TimePoint now) const {
+  constexpr std::int64_t kUnlimited = std::numeric_limits<std::int64_t>::max();
+  if (this->restored_at == coordination::TimePoint{}) return kUnlimited;
+  const coordination::Duration since = now - this->restored_at;
+  const bool settled = since >= kMaxAssertTime ||
+                       (since >= kAssertTime && !entry.unasserted_elsewhere);
+  if (settled) return kUnlimited;
+  const std::int64_t held =
+      entry.must_assert ? entry.asserted_limit : this->LimitOf(entry);
+  return std::max(held, entry.account.Committed());
+}
+
 std::int64_t BudgetManager::LimitOf(const Entry& entry) const {
   std::int64_t limit =
       this->OwnsStoredShare(entry) ? entry.rows.share.limit : 0;
   for (const BudgetShare& share : entry.in_doubt) {
     limit = std::min(limit, share.limit);
   }
-  return limit;
+  // A restored share may still have tokens that this VM returned and others
+  // drew since the copy.
+  return entry.must_assert ? std::min(limit, entry.asserted_limit) : limit;
 }
 
 std::int64_t BudgetManager::CapOf(const Entry& entry,
@@ -131,7 +176,7 @@
   for (const BudgetShare& share : entry.in_doubt) {
     cap = std::min(cap, share.CapAt(store_ms));
   }
-  return cap;
+  return entry.must_assert ? std::min(cap, entry.asserted_limit) : cap;
 }
 
 BudgetVerdict BudgetManager::Reserve(std::string_view organisation,
@@ -314,7 +359,7 @@
                                coordination::TimePoint now) const {
   const std::int64_t limit = this->LimitOf(entry);
   const std::int64_t committed = entry.account.Committed();
-  if (!entry.in_doubt.empty()) return true;
+  if (!entry.in_doubt.empty() || entry.must_assert) return true;
   // A predecessor's share is replaced at once, to free its unspent tokens.
   const bool inherited =
       !this->OwnsStoredShare(entry) && entry.rows.share.incarnation != 0;
@@ -382,6 +427,7 @@
       static_cast<std::int64_t>(demand * rate.rate_factor * fraction);
   next.share.initial_rate_ms =
       coordination::Milliseconds(rate.initial_rate_time);
+  next.share.era = this->era;
 
   const BudgetShare& before = entry.rows.share;
   if (this->OwnsStoredShare(entry)) {
@@ -511,7 +557,12 @@
   const LimitRequest request{entry.prepaid, current_limit, committed,
                              committed + entry.shortfall,
                              this->WantedLimit(entry, now)};
-  const std::int64_t limit = NextLimit(request, total);
+  const std::int64_t max_limit = this->MaxLimit(entry, now);
+  const std::int64_t limit = std::min(NextLimit(request, total), max_limit);
+  // Another VM may have written its share again since the rows were read.
+  if (limit == max_limit && entry.unasserted_elsewhere) {
+    entry.refresh_requested = true;
+  }
   const std::int64_t returning = this->ReturnableGifts(entry, now);
   const bool due = this->IsWriteDue(entry, limit, now) ||
                    returning > entry.prepaid / kReturnThresholdDivisor;
@@ -554,6 +605,7 @@
   entry->returning = 0;
   entry->conflicts = 0;
   entry->close_deferred = false;
+  entry->must_assert = false;
 }
 
 void BudgetManager::OnNotWritten(std::string_view organisation) {
@@ -594,7 +646,10 @@
   Entry* entry = this->Find(rows.organisation);
   if (entry == nullptr) return;
   entry->rows = rows;
-  if (rows.held_elsewhere) entry->held_elsewhere = *rows.held_elsewhere;
+  if (rows.held_elsewhere) {
+    entry->held_elsewhere = *rows.held_elsewhere;
+    entry->unasserted_elsewhere = rows.unasserted_elsewhere;
+  }
   entry->busy = false;
   entry->rows_known = true;
   entry->read_scheduled = false;
--- a/policy/budget_manager.h
+++ b/policy/budget_manager.h
@@ -26,6 +26,10 @@
   // Unspent tokens of other VMs' shares at their checkpoints. Empty if only the
   // rows above were read.
   std::optional<std::int64_t> held_elsewhere = std::nullopt;
+  // Another VM has unspent tokens in a share that was written before the store
+  // was restored. Set together with `held_elsewhere`.
+  bool unasserted_elsewhere = false;
+  std::uint64_t era = 0;  // of the store whose versions these are
   // In rows to write: tokens of the predecessor's share that this write counts
   // as spent although no checkpoint says so.
   std::int64_t stranded = 0;
@@ -193,6 +197,12 @@
   void OnConflict(const BudgetRows& rows, coordination::TimePoint now);
   // The write may have been carried out: the rows must be read again.
   void OnWriteUnknown(std::string_view organisation);
+  // The store is in this era. A newer era than before means that it was
+  // restored from an older copy: the shares and totals there lack what was
+  // drawn since. A VM goes on with the limits that it holds and writes them
+  // again at once; no limit is raised until the other VMs have done so, too.
+  void OnEra(std::uint64_t era, coordination::TimePoint now);
+  std::uint64_t Era() const { return this->era; }
   // An answer received at `now`, to a call made at `asked`, gave the store's
   // clock in milliseconds.
   void OnStoreClock(std::int64_t store_ms, coordination::TimePoint asked,
@@ -238,6 +248,10 @@
     bool read_scheduled = false;     // at `read_at`
     bool refresh_requested = false;  // a request needs what other VMs hold
     bool write_requested = false;    // before `next_write`
+    // The share must be written again, with this limit, after a restore.
+    bool must_assert = false;
+    std::int64_t asserted_limit = 0;
+    bool unasserted_elsewhere = false;  // as of the last complete read
     // Shares that writes may have put, or may still put, into the store.
     std::vector<BudgetShare> in_doubt;
 
@@ -267,6 +281,8 @@
   std::int64_t CapOf(const Entry& entry, coordination::TimePoint now) const;
   std::int64_t WantedLimit(const Entry& entry,
                            coordination::TimePoint now) const;
+  // The limit that a write may set at most, after a restore of the store.
+  std::int64_t MaxLimit(const Entry& entry, coordination::TimePoint now) const;
   bool IsWriteDue(const Entry& entry, std::int64_t next_limit,
                   coordination::TimePoint now) const;
   BudgetRows NextRows(const Entry& entry, std::int64_t limit,
@@ -283,6 +299,8 @@
   std::map<std::string, Entry, std::less<>> entries;
   coordination::TimePoint last_sample{};
   StoreClock store_clock;
+  std::uint64_t era = 0;                  // of the store; 0: not known
+  coordination::TimePoint restored_at{};  // zero: never
   // Upper bound of the store's clock when this process started.
   std::int64_t started_ms = std::numeric_limits<std::int64_t>::max();
   ProcessStart start;
--- a/policy/budget_share.h
+++ b/policy/budget_share.h
@@ -42,6 +42,7 @@
   std::int64_t per_second = 0;  // from `initial_rate_ms` after the checkpoint
   std::int64_t initial_per_second = 0;  // before
   std::int64_t initial_rate_ms = 0;
+  std::uint64_t era = 0;  // of the store when the row was written
 
   // The most tokens that the process may have committed by `store_ms` on the
   // store's clock: the rate limit's bound, at most `limit`.
--- a/tests/budget_test.cc
+++ b/tests/budget_test.cc
@@ -483,6 +483,73 @@
   CHECK(budgets.AllStats().front().spent == limit);
 }
 
+// A home that holds a limit, when the store is restored at 1 s.
+struct RestoredHome {
+  RestoredHome() : budgets(HomeManager(7, AbsentRows())) {
+    this->budgets.OnEra(1, At(1));
+    const std::vector<BudgetRows> planned = this->budgets.PlanWrites(At(1), 1);
+    this->held = planned.front();
+    this->budgets.OnWritten("t", 5);
+    this->budgets.OnEra(2, At(1'000));
+  }
+  // The write that follows when the store holds these rows.
+  std::vector<BudgetRows> WriteAfterRead(BudgetRows rows) {
+    CHECK(this->budgets.PlanReads(At(1'000), 1).size() == 1);
+    this->budgets.OnRead(rows);
+    return this->budgets.PlanWrites(At(1'010), 1);
+  }
+
+  BudgetManager budgets;
+  BudgetRows held;
+};
+
+TEST_CASE("a VM writes the share that a restored store has lost again") {
+  RestoredHome home;
+  const std::vector<BudgetRows> written = home.WriteAfterRead(AbsentRows());
+  REQUIRE(written.size() == 1);
+  CHECK(written.front().share.limit == home.held.share.limit);
+  CHECK(written.front().total.committed == home.held.total.committed);
+}
+
+TEST_CASE("no limit is raised before all VMs have written their shares again") {
+  RestoredHome home;
+  BudgetRows rows = AbsentRows();
+  rows.held_elsewhere = 1'000;
+  rows.unasserted_elsewhere = true;
+  REQUIRE(home.WriteAfterRead(rows).size() == 1);
+  home.budgets.OnWritten("t", 6);
+  for (const std::int64_t ms : {2'000, 4'900, 9'000}) {
+    home.budgets.AddShortfall("t", home.held.share.limit * 2);
+    for (const BudgetRows& next : home.budgets.PlanWrites(At(ms), 1)) {
+      CHECK(next.share.limit <= home.held.share.limit);
+      home.budgets.OnWritten("t", static_cast<std::uint64_t>(ms));
+    }
+  }
+  rows = home.held;
+  rows.held_elsewhere = 1'000;
+  rows.unasserted_elsewhere = false;
+  home.budgets.OnRead(rows);
+  home.budgets.AddShortfall("t", home.held.share.limit * 2);
+  const std::vector<BudgetRows> raised = home.budgets.PlanWrites(At(9'600), 1);
+  REQUIRE(raised.size() == 1);
+  CHECK(raised.front().share.limit > home.held.share.limit);
+}
+
+// Tokens that a VM had returned after the copy were spent by others meanwhile.
+TEST_CASE("a restored share gives no returned tokens back") {
+  RestoredHome home;
+  BudgetRows rows = home.held;
+  rows.share.limit *= 2;
+  rows.share.burst *= 2;
+  rows.total.committed *= 2;
+  CHECK(home.budgets.PlanReads(At(1'000), 1).size() == 1);
+  home.budgets.OnRead(rows);
+  CHECK(home.budgets.AvailableShare("t", At(1'001)) <= home.held.share.limit);
+  const std::vector<BudgetRows> written = home.budgets.PlanWrites(At(1'010), 1);
+  REQUIRE(written.size() == 1);
+  CHECK(written.front().share.limit <= home.held.share.limit);
+}
+
 TEST_CASE("no run with kills, partitions and lost answers overspends") {
   std::int64_t served = 0;
   for (std::uint64_t seed = 1; seed <= kRuns; ++seed) {
