Keep upstreams that drain or have left so when the registry is restored

Cause: a row that says ready is taken as news, whoever wrote it and when. The class: older rows are evidence of nothing new, until the upstream writes again.

Why it works: the rows of a restored registry are merged. An instance that was seen draining stays so, one that has left is remembered for two minutes, and only a write of its own, which comes as a change, makes it usable. The second reading, before the old rows have lapsed, keeps to that as well. In both daemons.

Evidence: gateway_policy_test's new case; with the merge reduced to what was done before it fails (4 usable upstreams for 2, three checks).

--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -236,6 +236,10 @@
            },
            [this](std::uint64_t era) {
              this->LogStoreRestored(platform::kUpstreamTable, era);
+           },
+           [this](const auto& rows) {
+             this->core.Upstreams().Merge(platform::DecodeUpstreams(rows),
+                                          Now());
            }}),
       signals(this->io, SIGTERM, SIGINT, SIGHUP) {}
 
--- a/hornbeamspool/platform_thread.cc
+++ b/hornbeamspool/platform_thread.cc
@@ -81,6 +81,11 @@
            [this](bool reachable) {
              this->upstreams.SetReachable(reachable, Now());
              this->RecordStoreReachability(platform::kUpstreamTable, reachable);
+           },
+           [](std::string_view) {}, [](std::uint64_t) {},
+           [this](const auto& rows) {
+             this->upstreams.Merge(platform::DecodeUpstreams(rows), Now());
+             this->SendUpstreamList();
            }}),
       router_table(this->io, this->store, std::string(kRouterTable),
                    {[this](const auto& rows) { this->OnRouterSnapshot(rows); },
--- a/policy/upstream_directory.cc
+++ b/policy/upstream_directory.cc
@@ -7,6 +7,7 @@
 namespace hornbeamspool::policy {
 
 void UpstreamDirectory::Put(UpstreamEntry entry) {
+  this->left.erase(entry.InstanceId());
   std::string id = entry.id;
   this->entries[std::move(id)] = TrackedEntry{std::move(entry), false};
 }
@@ -35,9 +36,40 @@
     found->second.expires_at = this->ExpiryOf(now);
     return;
   }
+  this->RememberLeft(found->second.entry, now);
   this->entries.erase(found);
 }
 
+void UpstreamDirectory::RememberLeft(const UpstreamEntry& entry,
+                                     coordination::TimePoint now) {
+  std::erase_if(this->left, [now](const auto& instance) {
+    return now - instance.second >= kLeftMemory;
+  });
+  this->left[entry.InstanceId()] = now;
+}
+
+bool UpstreamDirectory::IsOutdated(const UpstreamEntry& entry) const {
+  if (this->left.contains(entry.InstanceId())) return true;
+  const auto found = this->entries.find(entry.id);
+  if (found == this->entries.end()) return false;
+  const UpstreamEntry& known = found->second.entry;
+  const bool same = known.InstanceId() == entry.InstanceId();
+  return same ? known.draining && !entry.draining
+              : entry.start_time_ms <= known.start_time_ms;
+}
+
+void UpstreamDirectory::Merge(const std::vector<UpstreamEntry>& entries,
+                              coordination::TimePoint now) {
+  this->restored_at = now;
+  for (const UpstreamEntry& entry : entries) {
+    const auto found = this->entries.find(entry.id);
+    const bool listed = found != this->entries.end() && !found->second.removed;
+    // A listed upstream writes what else has changed with its next heartbeat.
+    if (this->IsOutdated(entry) || (listed && !entry.draining)) continue;
+    this->Put(entry);
+  }
+}
+
 void UpstreamDirectory::Remove(std::string_view id,
                                coordination::TimePoint now) {
   const auto found = this->entries.find(id);
@@ -47,8 +79,11 @@
 void UpstreamDirectory::Replace(std::vector<UpstreamEntry> entries,
                                 coordination::TimePoint now) {
   std::set<std::string, std::less<>> present;
+  const bool restored =
+      this->restored_at && now - *this->restored_at < kRestoreMemory;
   for (UpstreamEntry& entry : entries) {
     present.insert(entry.id);
+    if (restored && this->IsOutdated(entry)) continue;
     this->Put(std::move(entry));
   }
   for (auto it = this->entries.begin(); it != this->entries.end();) {
@@ -69,6 +104,7 @@
   for (auto it = this->entries.begin(); it != this->entries.end();) {
     const auto current = it++;
     if (!current->second.removed || now < current->second.expires_at) continue;
+    this->RememberLeft(current->second.entry, now);
     expired.push_back(std::move(current->second.entry));
     this->entries.erase(current);
   }
--- a/policy/upstream_directory.h
+++ b/policy/upstream_directory.h
@@ -50,6 +50,11 @@
   static constexpr coordination::Duration kLateRemovalGrace =
       std::chrono::milliseconds(1400);
 
+  // How long a restored registry may hold entries of upstreams that have left:
+  // an entry lapses after three missed heartbeats.
+  static constexpr coordination::Duration kRestoreMemory =
+      std::chrono::seconds(30);
+
   // Adds or updates an entry; ends its grace period.
   void Put(UpstreamEntry entry);
 
@@ -60,6 +65,13 @@
   // are handled as by Remove.
   void Replace(std::vector<UpstreamEntry> entries, coordination::TimePoint now);
 
+  // Adds the entries of a registry that was restored from an older copy. Some
+  // are older than what is known: an instance that was seen draining or leaving
+  // gets no new work, until it writes its entry itself and Put is called. For
+  // kRestoreMemory the same holds for Replace.
+  void Merge(const std::vector<UpstreamEntry>& entries,
+             coordination::TimePoint now);
+
   // Replaces the set of availability zones that the operator evacuates: their
   // upstreams get no new work.
   void SetEvacuatedZones(std::set<std::string, std::less<>> zones) {
@@ -101,6 +113,12 @@
   static constexpr coordination::Duration kQueuedUpdates =
       std::chrono::milliseconds(100);
 
+  // How long instances that have left are remembered.
+  static constexpr coordination::Duration kLeftMemory = std::chrono::minutes(2);
+
+  // Whether the instance of a restored entry is known to drain or to have left.
+  bool IsOutdated(const UpstreamEntry& entry) const;
+  void RememberLeft(const UpstreamEntry& entry, coordination::TimePoint now);
   // When the grace period of an entry that is removed now ends.
   coordination::TimePoint ExpiryOf(coordination::TimePoint now) const;
   // Deletes an entry, or starts its grace period.
@@ -108,9 +126,12 @@
             coordination::TimePoint now);
 
   std::map<std::string, TrackedEntry, std::less<>> entries;
+  // Instances that have left, and when.
+  std::map<std::string, coordination::TimePoint, std::less<>> left;
   std::set<std::string, std::less<>> evacuated;
   bool reachable = false;
   std::optional<coordination::TimePoint> reconnected_at;
+  std::optional<coordination::TimePoint> restored_at;
 };
 
 }  // namespace hornbeamspool::policy
--- a/tests/gateway_policy_test.cc
+++ b/tests/gateway_policy_test.cc
@@ -414,6 +414,47 @@
   CHECK(upstreams.Usable("engines", At(18'000)).size() == 1);
 }
 
+// A restored registry lists upstreams as they were some seconds ago: those that
+// had left or begun to drain since used to get requests again.
+TEST_CASE("upstreams that drain or have left stay so after a restore") {
+  UpstreamDirectory upstreams;
+  upstreams.SetReachable(true, At(0));
+  std::vector<UpstreamEntry> copy;
+  for (const char* id : {"drains", "left", "lives", "lapsed"}) {
+    UpstreamEntry entry = MakeUpstream(id);
+    entry.start_time_ms = 1;
+    copy.push_back(entry);
+    upstreams.Put(std::move(entry));
+  }
+  UpstreamEntry draining = copy[0];
+  draining.draining = true;
+  upstreams.Put(draining);
+  upstreams.Remove("left", At(10'000));
+  upstreams.SetReachable(false, At(15'000));
+  upstreams.Remove("lapsed", At(15'500));
+  upstreams.SetReachable(true, At(16'000));
+  CHECK(upstreams.Usable("engines", At(16'000)).size() == 2);
+
+  upstreams.Merge(copy, At(16'010));
+  CHECK(upstreams.Usable("engines", At(16'010)).size() == 2);
+  // The second reading, before the old entries have lapsed.
+  upstreams.Replace(copy, At(19'010));
+  CHECK(upstreams.Usable("engines", At(19'010)).size() == 2);
+
+  // Instances that are new, or that write their entries themselves, are used.
+  UpstreamEntry restarted = copy[1];
+  restarted.start_time_ms = 2;
+  UpstreamEntry fresh = MakeUpstream("fresh");
+  upstreams.Merge({restarted, fresh}, At(19'020));
+  CHECK(upstreams.Usable("engines", At(19'020)).size() == 4);
+  upstreams.Put(copy[0]);
+  CHECK(upstreams.Usable("engines", At(19'030)).size() == 5);
+  // Long after a restore, a snapshot is taken as it is.
+  upstreams.Remove("fresh", At(60'000));
+  upstreams.Replace({fresh}, At(60'010));
+  CHECK(upstreams.Usable("engines", At(60'010)).size() == 1);
+}
+
 TEST_CASE(
     "an upstream removed just after a store outage has a shorter grace "
     "period") {
