Keep a rollout's outcome, and write it again, when the store is restored

A rollout that had ended: its status is missing in the older copy, or says an earlier phase, and nobody writes it again, for its driver remembers that it did. The operator's order, written again under another version, begins the rollout anew. The class: a version taken for an identity, and a belief taken for the store's content.

--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -368,6 +368,7 @@
 void Gateway::State::LogStoreRestored(std::string_view table,
                                       std::uint64_t era) {
   this->budget_sync.OnEra(era);
+  this->rollout_driver.OnRestored();
   this->log.Write(LogKind::kDependency,
                   KeyValue("store", "restored") + ' ' +
                       KeyValue("table", table) + ' ' +
--- a/gateway/rollout_driver.cc
+++ b/gateway/rollout_driver.cc
@@ -42,6 +42,10 @@
 // service.
 constexpr std::size_t kDriverCandidates = 2;
 
+// After a restore of the store, an order for the same version within this time
+// is the operator's earlier one, written again.
+constexpr coordination::Duration kRepeatedOrderTime = std::chrono::seconds(10);
+
 // The name of the phase in log lines.
 std::string_view NameOf(RolloutPhase phase) {
   static constexpr std::array<std::string_view,
@@ -94,6 +98,10 @@
   }
   const auto* known = this->context.core->Rollouts().Find(service);
   if (known != nullptr && known->order.revision >= order->revision) return;
+  const bool repeated = known != nullptr && this->restored_at &&
+                        Now() - *this->restored_at < kRepeatedOrderTime &&
+                        known->order.version == order->version;
+  if (repeated) return;
   pairs += ' ' + KeyValue("outcome", "ordered");
   pairs += ' ' + KeyValue("version", order->version);
   pairs +=
@@ -104,6 +112,13 @@
   this->StartOnce();
 }
 
+void RolloutDriver::OnRestored() {
+  this->restored_at = Now();
+  for (const auto& [service, rollout] : this->context.core->Rollouts().All()) {
+    if (HasEnded(rollout)) this->unwritten.insert(service);
+  }
+}
+
 void RolloutDriver::ApplyProgress(const std::string& service,
                                   const RolloutProgress& progress) {
   policy::VersionRollouts& rollouts = this->context.core->Rollouts();
@@ -134,6 +149,7 @@
     this->LogUnreadableRow(row);
     return;
   }
+  if (policy::IsFinal(progress->phase)) this->unwritten.erase(row.key);
   this->ApplyProgress(row.key, *progress);
 }
 
@@ -151,9 +167,9 @@
     std::vector<std::string> services;
     for (const auto& [service, rollout] :
          this->context.core->Rollouts().All()) {
-      if (rollout.order.revision != 0 && !HasEnded(rollout)) {
-        services.push_back(service);
-      }
+      const bool is_open =
+          !HasEnded(rollout) || this->unwritten.contains(service);
+      if (rollout.order.revision != 0 && is_open) services.push_back(service);
     }
     for (const std::string& service : services) {
       co_await this->Update(service);
@@ -264,8 +280,10 @@
   RolloutProgress next = rollout->begun
                              ? rollout->progress
                              : policy::BeginRollout(rollout->order, store_ms);
-  next.phase = policy::NextPhase(
-      next, *reports, this->channel->Directory().Size() + 1, store_ms);
+  if (!policy::IsFinal(next.phase)) {
+    next.phase = policy::NextPhase(
+        next, *reports, this->channel->Directory().Size() + 1, store_ms);
+  }
   next.driver = this->channel->Vm();
   next.driver_lease_until_ms = store_ms + kDriverLeaseMs;
   co_await this->WriteProgress(service, std::move(next));
@@ -299,6 +317,7 @@
   if (answer.status != StoreStatus::kOk) co_return;
   this->row_versions[service].progress = answer.version;
   this->row_versions[service].status = answer.version;
+  if (policy::IsFinal(progress.phase)) this->unwritten.erase(service);
   this->ApplyProgress(service, progress);
 }
 
--- a/gateway/rollout_driver.h
+++ b/gateway/rollout_driver.h
@@ -10,6 +10,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -38,6 +39,9 @@
 
   // A row with an order of a rollout was written or removed.
   void OnOrder(const platform::StoreRow& row);
+  // The store was restored from an older copy: the outcome of a rollout may be
+  // missing there, and the operator writes its orders again.
+  void OnRestored();
 
  private:
   // The known versions of a service's rows; 0: no such row.
@@ -72,6 +76,8 @@
   platform::TableFollower progress_table;
   std::map<std::string, RowVersions> row_versions;            // by service
   std::map<std::string, coordination::TimePoint> ordered_at;  // by service
+  std::set<std::string> unwritten;  // services whose outcome may be missing
+  std::optional<coordination::TimePoint> restored_at;
   bool started = false;        // an order has been seen
   bool progress_read = false;  // the whole table has been read
 };
--- a/policy/version_rollout.cc
+++ b/policy/version_rollout.cc
@@ -251,6 +251,10 @@
                                   const RolloutProgress& progress) {
   Rollout& rollout = this->rollouts[std::string(service)];
   if (progress.order_revision < rollout.order.revision) return;
+  // A restored store may hold an earlier phase.
+  const bool same_order = rollout.begun && rollout.progress.order_revision ==
+                                               progress.order_revision;
+  if (same_order && IsBehind(progress.phase, rollout.progress.phase)) return;
   rollout.progress = progress;
   rollout.begun = progress.order_revision != 0 &&
                   progress.order_revision == rollout.order.revision;
--- a/policy/version_rollout.h
+++ b/policy/version_rollout.h
@@ -39,6 +39,12 @@
          phase == RolloutPhase::kRolledBack;
 }
 
+// Whether a rollout that was seen in the phase `known` can't be in `phase` any
+// more.
+constexpr bool IsBehind(RolloutPhase phase, RolloutPhase known) {
+  return IsFinal(known) ? phase != known : phase < known;
+}
+
 // The state of a rollout. Kept as one row in the store, written by the driver:
 // the VM that decides on the phase while its lease lasts.
 struct RolloutProgress {
--- a/tests/version_move_test.cc
+++ b/tests/version_move_test.cc
@@ -398,5 +398,23 @@
         RolloutPhase::kCompleted);
 }
 
+// A store that came back from an older copy used to undo a rollout's outcome.
+TEST_CASE("a rollout does not go back to an earlier phase") {
+  VersionRollouts rollouts(1);
+  rollouts.SetOrder(Order());
+  RolloutProgress progress = BeginRollout(Order(), kBeganMs);
+  for (const RolloutPhase outcome :
+       {RolloutPhase::kSwitched, RolloutPhase::kCompleted}) {
+    RolloutProgress older = progress;
+    progress.phase = outcome;
+    rollouts.SetProgress("llm", progress);
+    rollouts.SetProgress("llm", older);
+    CHECK(rollouts.Find("llm")->progress.phase == outcome);
+  }
+  progress.phase = RolloutPhase::kRolledBack;
+  rollouts.SetProgress("llm", progress);
+  CHECK(rollouts.Find("llm")->progress.phase == RolloutPhase::kCompleted);
+}
+
 }  // namespace
 }  // namespace hornbeamspool::policy
