Write a VM's own rows again after a restore, and answer 404 only when confirmed

In the older copy of the store a VM's address, the fleet's key and its crash records may be missing; each was written once, and nobody looked again. After a restore each VM writes its own rows, and the key unless there is one. Until the operator's table has been read a second time, an unknown route or key is answered 503 with a time to come back, not 404 or 401: it may be one that the copy lacks.

--- a/gateway/crash_watch.h
+++ b/gateway/crash_watch.h
@@ -41,6 +41,12 @@
                     policy::SendOutcome outcome);
   // Handles a crash notice of another gateway.
   void OnMessage(const transport::CrashMessage& message);
+  // The store was restored from an older copy, where this VM's rows may lack
+  // records.
+  void OnRestored() {
+    this->row_outdated = true;
+    this->parts.OnRestored();
+  }
   // Handles another gateway's records about poison parts.
   void OnPartRecords(std::span<const policy::PoisonPartRecord> records) {
     this->parts.OnMessage(records);
--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -113,7 +113,7 @@
   void ApplyUpstreamRows(const std::vector<platform::StoreRow>& rows);
   void ReplaceUpstreams(const std::vector<platform::StoreRow>& rows);
   void LogStoreReachable(std::string_view table, bool reachable);
-  void LogStoreRestored(std::string_view table, std::uint64_t era);
+  void OnStoreRestored(std::string_view table, std::uint64_t era);
   bool Ready() const;
   http::Task<void> ServeReadiness(http::Exchange& exchange);
   http::Task<void> ServeMetrics(http::Exchange& exchange);
@@ -154,6 +154,7 @@
   bool stopping = false;
   bool overloaded = false;  // not ready, so that callers go to other VMs
   bool upstreams_loaded = false;
+  bool operator_restored = false;  // its table was, and is to be read again
 };
 
 Gateway::State::State(settings::GatewaySettings initial_settings, Reload reload)
@@ -214,14 +215,15 @@
           {[this](const auto& rows) { this->ReplaceOperatorRows(rows); },
            [this](const auto& rows) { this->ApplyOperatorRows(rows); },
            [this](bool reachable) {
-             this->core.SetConfigConfirmed(reachable);
+             this->core.SetConfigConfirmed(reachable &&
+                                           !this->operator_restored);
              this->LogStoreReachable(platform::kOperatorTable, reachable);
            },
            [this](std::string_view error) {
              LogException(this->context, platform::kOperatorTable, error);
            },
            [this](std::uint64_t era) {
-             this->LogStoreRestored(platform::kOperatorTable, era);
+             this->OnStoreRestored(platform::kOperatorTable, era);
            }}),
       upstream_table(
           this->io, this->store, std::string(platform::kUpstreamTable),
@@ -235,7 +237,7 @@
              LogException(this->context, platform::kUpstreamTable, error);
            },
            [this](std::uint64_t era) {
-             this->LogStoreRestored(platform::kUpstreamTable, era);
+             this->OnStoreRestored(platform::kUpstreamTable, era);
            },
            [this](const auto& rows) {
              this->core.Upstreams().Merge(platform::DecodeUpstreams(rows),
@@ -262,6 +264,8 @@
 // has been withdrawn.
 void Gateway::State::ReplaceOperatorRows(
     const std::vector<platform::StoreRow>& rows) {
+  this->operator_restored = false;
+  this->core.SetConfigConfirmed(true);
   this->SetEvacuatedZones(ApplyEvacuations({}, rows));
   this->ApplyOperatorRows(rows);
 }
@@ -365,15 +369,22 @@
                   Now());
 }
 
-void Gateway::State::LogStoreRestored(std::string_view table,
-                                      std::uint64_t era) {
-  this->budget_sync.OnEra(era);
-  this->rollout_driver.OnRestored();
+void Gateway::State::OnStoreRestored(std::string_view table,
+                                     std::uint64_t era) {
   this->log.Write(LogKind::kDependency,
                   KeyValue("store", "restored") + ' ' +
                       KeyValue("table", table) + ' ' +
                       KeyValue("era", static_cast<std::int64_t>(era)),
                   Now());
+  this->budget_sync.OnEra(era);
+  if (table != platform::kOperatorTable) return;
+  // Until the operator has written again, what the store holds may be older
+  // than what callers know.
+  this->operator_restored = true;
+  this->core.SetConfigConfirmed(false);
+  this->rollout_driver.OnRestored();
+  this->channel.OnRestored();
+  this->crashes.OnRestored();
 }
 
 bool Gateway::State::Ready() const {
--- a/gateway/peer_channel.cc
+++ b/gateway/peer_channel.cc
@@ -131,6 +131,28 @@
   co_return !this->key.empty();
 }
 
+void PeerChannel::OnRestored() {
+  if (this->key.empty()) return;  // Register is still running
+  Spawn(this->context, "peer_restore", this->WriteAgain());
+}
+
+http::Task<void> PeerChannel::WriteAgain() {
+  http::Timer timer(*this->context.io);
+  while (!co_await this->WriteKey() || !co_await this->WriteAddress()) {
+    timer.expires_after(kRetryInterval);
+    co_await timer.async_wait(http::kAwait);
+  }
+}
+
+// Writes the key unless the store holds one. False: try again.
+http::Task<bool> PeerChannel::WriteKey() {
+  const std::vector<StoreRow> rows{
+      {std::string(kFleetTable), std::string(kKeyRow), this->key}};
+  const platform::StoreResponse written = co_await this->store->Write(rows);
+  co_return written.status == StoreStatus::kOk ||
+      written.status == StoreStatus::kConflict;
+}
+
 http::Task<bool> PeerChannel::WriteAddress() {
   if (this->unregistered) co_return true;
   co_return co_await platform::UpsertRow(*this->store, std::string(kPeerTable),
--- a/gateway/peer_channel.h
+++ b/gateway/peer_channel.h
@@ -46,6 +46,9 @@
   // Starts receiving and registers this VM. Returns an error message when the
   // address can't be bound, else an empty string.
   std::string Start();
+  // The store was restored from an older copy, where this VM's row and the
+  // fleet's key may be missing.
+  void OnRestored();
   // Removes this VM from the table, so that peers send their requests to other
   // VMs.
   http::Task<void> Unregister();
@@ -73,6 +76,8 @@
  private:
   http::Task<void> Register();
   http::Task<bool> ReadOrCreateKey();
+  http::Task<void> WriteAgain();
+  http::Task<bool> WriteKey();
   http::Task<bool> WriteAddress();
   http::Task<void> Receive();
   bool SendDatagram(std::string_view vm, std::string_view datagram);
--- a/gateway/poison_part_sync.h
+++ b/gateway/poison_part_sync.h
@@ -29,6 +29,8 @@
   // Sends the records that are due, and writes this VM's row if it is outdated
   // and `may_write`.
   void Publish(const policy::StoreClock& clock, bool may_write);
+  // The store may lack records: the row is written again.
+  void OnRestored() { this->written.clear(); }
   // Handles records of another gateway.
   void OnMessage(std::span<const policy::PoisonPartRecord> records);
   // Handles a row of a gateway, or that of this VM's previous process.
