Collect the tracked parts of a request in one place

Both daemons wrote the same rules: each part once, no pseudo part, at most 32. PoisonParts::AddPart holds them now.

--- a/hornbeamspool/chat_request.cc
+++ b/hornbeamspool/chat_request.cc
@@ -1,6 +1,5 @@
 #include "hornbeamspool/chat_request.h"
 
-#include <algorithm>
 #include <array>
 #include <boost/json/array.hpp>
 #include <boost/json/parse.hpp>
@@ -85,15 +84,13 @@
   return {};
 }
 
-// Each message once, as far as they are tracked.
+// Hashes of the messages that other requests may share.
 std::vector<std::uint64_t> SharedParts(const json::array& messages) {
   std::vector<std::uint64_t> parts;
   for (std::size_t i = 0; i + 1 < messages.size(); ++i) {
     if (parts.size() >= policy::PoisonParts::kMaxPartsPerRequest) break;
-    const std::uint64_t part =
-        coordination::StableHash(json::serialize(messages[i]));
-    if (std::find(parts.begin(), parts.end(), part) != parts.end()) continue;
-    parts.push_back(part);
+    policy::PoisonParts::AddPart(
+        parts, coordination::StableHash(json::serialize(messages[i])));
   }
   return parts;
 }
--- a/policy/gateway_core.cc
+++ b/policy/gateway_core.cc
@@ -52,15 +52,11 @@
   return std::min(kMaxLinkDelay, route.target_latency / kLinkDelayDivisor);
 }
 
-// The parts of the prompt that other requests may share, each once.
+// The parts of the prompt that other requests may share.
 std::vector<std::uint64_t> SharedParts(const ModelDemand& demand) {
   std::vector<std::uint64_t> shared;
   for (std::size_t i = 0; i + 1 < demand.parts.size(); ++i) {
-    const std::uint64_t part = demand.parts[i].id;
-    if (part == PoisonParts::kAnyPart) continue;
-    if (shared.size() >= PoisonParts::kMaxPartsPerRequest) break;
-    if (std::find(shared.begin(), shared.end(), part) != shared.end()) continue;
-    shared.push_back(part);
+    PoisonParts::AddPart(shared, demand.parts[i].id);
   }
   return shared;
 }
--- a/policy/poison_parts.cc
+++ b/policy/poison_parts.cc
@@ -50,6 +50,13 @@
 
 }  // namespace
 
+void PoisonParts::AddPart(std::vector<std::uint64_t>& parts,
+                          std::uint64_t part) {
+  if (part == kAnyPart || parts.size() >= kMaxPartsPerRequest) return;
+  if (std::find(parts.begin(), parts.end(), part) != parts.end()) return;
+  parts.push_back(part);
+}
+
 void PoisonParts::SetPeers(std::vector<std::string> vms) {
   std::sort(vms.begin(), vms.end());
   const bool any_new = !std::includes(this->peers.begin(), this->peers.end(),
--- a/policy/poison_parts.h
+++ b/policy/poison_parts.h
@@ -41,6 +41,9 @@
   // The parts of one request that are tracked.
   static constexpr std::size_t kMaxPartsPerRequest = 32;
 
+  // Adds a part of a request, as far as it is tracked and not there yet.
+  static void AddPart(std::vector<std::uint64_t>& parts, std::uint64_t part);
+
   // A named part, for logs.
   struct Naming {
     std::uint64_t part = 0;
