--- a/gateway/peer_channel.cc
+++ b/gateway/peer_channel.cc
@@ -204,8 +204,10 @@
 
 void PeerChannel::SendToAll(std::span<const policy::PoisonPartRecord> records,
                             coordination::TimePoint now) {
-  this->SendAuthenticated(this->directory.All(),
-                          transport::EncodePoisonPartMessage(records, now));
+  for (const std::string& text :
+       transport::EncodePoisonPartMessages(records, now)) {
+    this->SendAuthenticated(this->directory.All(), text);
+  }
 }
 
 void PeerChannel::SendToRandomPeers(const transport::PrefillMessage& message,
--- a/gateway/poison_part_sync.cc
+++ b/gateway/poison_part_sync.cc
@@ -15,7 +15,6 @@
 #include "platform/single_writer_row.h"
 #include "policy/event.h"
 #include "policy/gateway_core.h"
-#include "transport/poison_part_message.h"
 
 namespace hornbeamspool::gateway {
 namespace {
@@ -66,12 +65,7 @@
 
   // Step 1: datagrams.
   const std::vector<PoisonPartRecord> records = parts.TakeRecords(now);
-  for (std::size_t i = 0; i < records.size();
-       i += transport::kMaxPartRecordsPerMessage) {
-    const std::size_t count =
-        std::min(transport::kMaxPartRecordsPerMessage, records.size() - i);
-    this->context.peers->SendToAll(std::span(records).subspan(i, count), now);
-  }
+  this->context.peers->SendToAll(records, now);
   for (const PoisonPartRecord& record : records) {
     if (record.at == now) this->LogRecord(record, "own");
   }
--- a/hornbeamspool/peer_thread.cc
+++ b/hornbeamspool/peer_thread.cc
@@ -4,7 +4,6 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
-#include <span>
 #include <utility>
 #include <variant>
 
@@ -213,14 +212,9 @@
                           transport::EncodeRateMessage(message->message));
       return;
     }
-    const std::span<const policy::PoisonPartRecord> records =
-        std::get<PartRecords>(output);
-    for (std::size_t i = 0; i < records.size();
-         i += transport::kMaxPartRecordsPerMessage) {
-      const std::size_t count =
-          std::min(transport::kMaxPartRecordsPerMessage, records.size() - i);
-      this->SendToMembers({}, transport::EncodePoisonPartMessage(
-                                  records.subspan(i, count), Now()));
+    for (const std::string& text : transport::EncodePoisonPartMessages(
+             std::get<PartRecords>(output), Now())) {
+      this->SendToMembers({}, text);
     }
   });
 }
--- a/transport/poison_part_message.cc
+++ b/transport/poison_part_message.cc
@@ -74,6 +74,18 @@
   return EncodeDatagram(kMagic, message);
 }
 
+std::vector<std::string> EncodePoisonPartMessages(
+    std::span<const PoisonPartRecord> records, coordination::TimePoint now) {
+  std::vector<std::string> messages;
+  while (!records.empty()) {
+    const std::size_t count =
+        std::min(kMaxPartRecordsPerMessage, records.size());
+    messages.push_back(EncodePoisonPartMessage(records.first(count), now));
+    records = records.subspan(count);
+  }
+  return messages;
+}
+
 std::optional<std::vector<PoisonPartRecord>> DecodePoisonPartMessage(
     std::string_view bytes, coordination::TimePoint now) {
   const auto message = DecodeDatagram<WireMessage>(kMagic, bytes);
--- a/transport/poison_part_message.h
+++ b/transport/poison_part_message.h
@@ -21,6 +21,11 @@
     std::span<const policy::PoisonPartRecord> records,
     coordination::TimePoint now);
 
+// As many messages as the records need.
+std::vector<std::string> EncodePoisonPartMessages(
+    std::span<const policy::PoisonPartRecord> records,
+    coordination::TimePoint now);
+
 // Empty when the bytes are not a valid message.
 std::optional<std::vector<policy::PoisonPartRecord>> DecodePoisonPartMessage(
     std::string_view bytes, coordination::TimePoint now);
