Describe what is named and cleared once, for both daemons' logs

Two lists and two copies of the same log fields become one list of changes with its text. The lines are as before, in the same order: named parts, then cleared ones. poison_parts_test and policy_test pass.

--- a/gateway/poison_part_sync.cc
+++ b/gateway/poison_part_sync.cc
@@ -156,26 +156,11 @@
 
 void PoisonPartSync::LogChanges() {
   const TimePoint now = Now();
-  PoisonParts& parts = this->context.core->Parts();
-  for (const PoisonParts::Naming& naming : parts.TakeNamings()) {
-    std::string upstreams;
-    for (const std::string& instance : naming.crashed) {
-      if (!upstreams.empty()) upstreams += ',';
-      upstreams += instance;
-    }
-    this->context.metrics->Add(Counter::kPartsNamed);
-    this->context.log->Write(LogKind::kPoisonPart,
-                             KeyValue("outcome", "named") + ' ' +
-                                 KeyValue("part", policy::Hex(naming.part)) +
-                                 ' ' + KeyValue("upstreams", upstreams),
-                             now);
-  }
-  for (const std::uint64_t part : parts.TakeCleared()) {
-    this->context.metrics->Add(Counter::kPartsCleared);
-    this->context.log->Write(LogKind::kPoisonPart,
-                             KeyValue("outcome", "cleared") + ' ' +
-                                 KeyValue("part", policy::Hex(part)),
-                             now);
+  for (const PoisonParts::Change& change :
+       this->context.core->Parts().TakeChanges()) {
+    this->context.metrics->Add(change.named ? Counter::kPartsNamed
+                                            : Counter::kPartsCleared);
+    this->context.log->Write(LogKind::kPoisonPart, change.Fields(), now);
   }
 }
 
--- a/policy/poison_parts.cc
+++ b/policy/poison_parts.cc
@@ -6,6 +6,7 @@
 #include <optional>
 
 #include "coordination/rendezvous.h"
+#include "policy/event.h"
 
 namespace hornbeamspool::policy {
 namespace {
@@ -50,6 +51,18 @@
 
 }  // namespace
 
+std::string PoisonParts::Change::Fields() const {
+  std::string fields = KeyValue("outcome", this->named ? "named" : "cleared");
+  fields += ' ' + KeyValue("part", Hex(this->part));
+  if (!this->named) return fields;
+  std::string upstreams;
+  for (const std::string& instance_id : this->crashed) {
+    if (!upstreams.empty()) upstreams += ',';
+    upstreams += instance_id;
+  }
+  return fields + ' ' + KeyValue("upstreams", upstreams);
+}
+
 void PoisonParts::AddPart(std::vector<std::uint64_t>& parts,
                           std::uint64_t part) {
   if (part == kAnyPart || parts.size() >= kMaxPartsPerRequest) return;
@@ -312,14 +325,14 @@
   // Step 3: report what changed.
   for (const auto& [part, since] : chosen) {
     if (this->named.contains(part)) continue;
-    Naming naming{part, {}};
+    Change change{part, true};
     for (const auto& [instance_id, crash] : this->suspects[part].crashes) {
-      naming.crashed.push_back(instance_id);
+      change.crashed.push_back(instance_id);
     }
-    this->namings.push_back(std::move(naming));
+    this->changes.push_back(std::move(change));
   }
   for (const auto& [part, since] : this->named) {
-    if (!chosen.contains(part)) this->cleared.push_back(part);
+    if (!chosen.contains(part)) this->changes.push_back({part, false});
   }
   this->named = std::move(chosen);
 }
--- a/policy/poison_parts.h
+++ b/policy/poison_parts.h
@@ -44,10 +44,15 @@
   // Adds a part of a request, as far as it is tracked and not there yet.
   static void AddPart(std::vector<std::uint64_t>& parts, std::uint64_t part);
 
-  // A named part, for logs.
-  struct Naming {
+  // A part was named, or a named part was cleared or forgotten, or another part
+  // explains its crashes.
+  struct Change {
     std::uint64_t part = 0;
-    std::vector<std::string> crashed;  // instances
+    bool named = false;
+    std::vector<std::string> crashed{};  // instances, of a named part
+
+    // The fields of a log line.
+    std::string Fields() const;
   };
 
   explicit PoisonParts(std::string vm) : vm(std::move(vm)) {}
@@ -105,13 +110,8 @@
   // Returns the records for this VM's row in the store, the latest last.
   std::vector<PoisonPartRecord> RowRecords(coordination::TimePoint now) const;
 
-  // Returns the parts that were named since the last call.
-  std::vector<Naming> TakeNamings() { return std::exchange(this->namings, {}); }
-  // Returns the named parts that were cleared or forgotten, or whose crashes
-  // another part explains, since the last call.
-  std::vector<std::uint64_t> TakeCleared() {
-    return std::exchange(this->cleared, {});
-  }
+  // Returns the changes since the last call.
+  std::vector<Change> TakeChanges() { return std::exchange(this->changes, {}); }
   // The number of parts that crashes count against.
   std::size_t SuspectedCount() const;
   std::size_t NamedCount() const { return this->named.size(); }
@@ -163,8 +163,7 @@
   TimePoint answer_begun_at{};                // the latest that is known of
   // A part lacks only an answer to another request to be named.
   bool awaits_answer = false;
-  std::vector<Naming> namings;
-  std::vector<std::uint64_t> cleared;
+  std::vector<Change> changes;
 };
 
 }  // namespace hornbeamspool::policy
--- a/policy/router.cc
+++ b/policy/router.cc
@@ -370,21 +370,8 @@
   std::vector<PoisonPartRecord> records = this->poison_parts.TakeRecords(now);
   std::move(records.begin(), records.end(),
             std::back_inserter(out.part_records));
-  for (const PoisonParts::Naming& naming : this->poison_parts.TakeNamings()) {
-    std::string upstreams;
-    for (const std::string& instance : naming.crashed) {
-      if (!upstreams.empty()) upstreams += ',';
-      upstreams += instance;
-    }
-    AddEvent(out, EventKind::kPoisonPart, {},
-             KeyValue("outcome", "named") + ' ' +
-                 KeyValue("part", Hex(naming.part)) + ' ' +
-                 KeyValue("upstreams", upstreams));
-  }
-  for (const std::uint64_t part : this->poison_parts.TakeCleared()) {
-    AddEvent(
-        out, EventKind::kPoisonPart, {},
-        KeyValue("outcome", "cleared") + ' ' + KeyValue("part", Hex(part)));
+  for (const PoisonParts::Change& change : this->poison_parts.TakeChanges()) {
+    AddEvent(out, EventKind::kPoisonPart, {}, change.Fields());
   }
 }
 
