--- a/policy/budget_manager.cc
+++ b/policy/budget_manager.cc
@@ -128,19 +128,16 @@
   if (!restored) return;
   this->restored_at = now;
   for (auto& [organisation, entry] : this->entries) {
-    const bool holds = entry.rows.share.incarnation != 0 ||
-                       entry.account.Committed() > 0 || !entry.in_doubt.empty();
-    // A limit that an earlier restore left to be written is still held.
-    const std::int64_t held = entry.must_assert ? entry.asserted_limit : 0;
-    entry.asserted_limit = std::max(held, this->LimitOf(entry));
-    entry.must_assert = entry.must_assert || holds;
     entry.unasserted_elsewhere = true;
     entry.close_deferred = false;
-    if (entry.must_assert) {
-      this->ScheduleRead(entry, now);
-    } else {
-      entry.rows_known = false;
-    }
+    entry.rows_known = false;
+    const bool holds = entry.held_limit || entry.rows.share.incarnation != 0 ||
+                       entry.account.Committed() > 0 || !entry.in_doubt.empty();
+    if (!holds) continue;
+    // A limit that an earlier restore left to be written is still held.
+    entry.held_limit =
+        std::max(entry.held_limit.value_or(0), this->LimitOf(entry));
+    this->ScheduleRead(entry, now);
   }
 }
 
@@ -152,9 +149,8 @@
   const bool settled = since >= kMaxAssertTime ||
                        (since >= kAssertTime && !entry.unasserted_elsewhere);
   if (settled) return kUnlimited;
-  const std::int64_t held =
-      entry.must_assert ? entry.asserted_limit : this->LimitOf(entry);
-  return std::max(held, entry.account.Committed());
+  return std::max(entry.held_limit.value_or(this->LimitOf(entry)),
+                  entry.account.Committed());
 }
 
 std::int64_t BudgetManager::LimitOf(const Entry& entry) const {
@@ -165,7 +161,7 @@
   }
   // A restored share may still have tokens that this VM returned and others
   // drew since the copy.
-  return entry.must_assert ? std::min(limit, entry.asserted_limit) : limit;
+  return std::min(limit, entry.held_limit.value_or(limit));
 }
 
 std::int64_t BudgetManager::CapOf(const Entry& entry,
@@ -176,7 +172,7 @@
   for (const BudgetShare& share : entry.in_doubt) {
     cap = std::min(cap, share.CapAt(store_ms));
   }
-  return entry.must_assert ? std::min(cap, entry.asserted_limit) : cap;
+  return std::min(cap, entry.held_limit.value_or(cap));
 }
 
 BudgetVerdict BudgetManager::Reserve(std::string_view organisation,
@@ -359,7 +355,7 @@
                                coordination::TimePoint now) const {
   const std::int64_t limit = this->LimitOf(entry);
   const std::int64_t committed = entry.account.Committed();
-  if (!entry.in_doubt.empty() || entry.must_assert) return true;
+  if (!entry.in_doubt.empty() || entry.held_limit) return true;
   // A predecessor's share is replaced at once, to free its unspent tokens.
   const bool inherited =
       !this->OwnsStoredShare(entry) && entry.rows.share.incarnation != 0;
@@ -605,7 +601,7 @@
   entry->returning = 0;
   entry->conflicts = 0;
   entry->close_deferred = false;
-  entry->must_assert = false;
+  entry->held_limit.reset();
 }
 
 void BudgetManager::OnNotWritten(std::string_view organisation) {
--- a/policy/budget_manager.h
+++ b/policy/budget_manager.h
@@ -248,9 +248,9 @@
     bool read_scheduled = false;     // at `read_at`
     bool refresh_requested = false;  // a request needs what other VMs hold
     bool write_requested = false;    // before `next_write`
-    // The share must be written again, with this limit, after a restore.
-    bool must_assert = false;
-    std::int64_t asserted_limit = 0;
+    // After a restore of the store, until the share has been written again: the
+    // limit that this VM holds.
+    std::optional<std::int64_t> held_limit;
     bool unasserted_elsewhere = false;  // as of the last complete read
     // Shares that writes may have put, or may still put, into the store.
     std::vector<BudgetShare> in_doubt;
