Write both rows of crash records through one paced writer

CrashWatch and PoisonPartSync each kept the interval, the write in flight and what follows a failure. PacedRow does it for both. The copy in PoisonPartSync forgot, after an exception, that its row was not written; with one writer every failure marks the row as outdated (by reading; no test raises that exception). Else no change: intervals, rows and log names are as before. crash_part_test and crash_request_test pass.

--- a/gateway/crash_watch.cc
+++ b/gateway/crash_watch.cc
@@ -10,7 +10,6 @@
 #include "hornbeamspool/clock.h"
 #include "hornbeamspool/metrics.h"
 #include "http/client.h"
-#include "platform/single_writer_row.h"
 #include "policy/event.h"
 #include "policy/gateway_core.h"
 
@@ -32,10 +31,6 @@
 // nothing.
 constexpr Duration kProbeTimeout = std::chrono::milliseconds(500);
 
-// The shortest interval between writes of the row, so that an outage with many
-// crashes causes few writes.
-constexpr Duration kWriteInterval = std::chrono::milliseconds(500);
-
 static_assert(policy::CrashSuspects::kMaxNoticeFingerprints <=
                   transport::kMaxFingerprintsPerMessage,
               "peers would reject a notice as malformed");
@@ -45,8 +40,8 @@
 CrashWatch::CrashWatch(const Context& context, platform::StoreClient& store,
                        std::string vm)
     : context(context),
-      store(&store),
       vm(std::move(vm)),
+      row(context, store, "crash_keep", std::string(kTable), this->vm),
       parts(context, store, std::string(kTable), this->vm),
       table(*context.io, store, std::string(kTable),
             {[this](const auto& rows) { this->OnRows(rows); },
@@ -85,25 +80,12 @@
         {std::move(notice.instance_id), std::move(notice.fingerprints)});
   }
   this->parts.Publish(this->table.Clock(), this->table_read);
-  const bool due = this->row_outdated && !this->writing && this->table_read &&
-                   now - this->written_at >= kWriteInterval;
+  const bool due =
+      this->row_outdated && this->table_read && this->row.MayWrite(now);
   if (!due) return;
-  this->writing = true;
-  Spawn(this->context, "crash_keep", this->WriteRow(), [this] {
-    this->writing = false;
-    this->row_outdated = true;
-  });
-}
-
-// Writes the records to this VM's row. The row stays outdated when that fails.
-http::Task<void> CrashWatch::WriteRow() {
   this->row_outdated = false;
-  this->written_at = Now();
-  std::string value = this->EncodeRecords(this->written_at);
-  const bool written = co_await platform::UpsertRow(
-      *this->store, std::string(kTable), this->vm, std::move(value));
-  this->writing = false;
-  if (!written) this->row_outdated = true;
+  this->row.Write(this->EncodeRecords(now), now,
+                  [this] { this->row_outdated = true; });
 }
 
 std::string CrashWatch::EncodeRecords(TimePoint now) {
--- a/gateway/crash_watch.h
+++ b/gateway/crash_watch.h
@@ -11,6 +11,7 @@
 
 #include "coordination/time.h"
 #include "gateway/context.h"
+#include "gateway/paced_row.h"
 #include "gateway/poison_part_sync.h"
 #include "http/task.h"
 #include "platform/store_client.h"
@@ -56,7 +57,6 @@
 
  private:
   http::Task<void> Probe(policy::UpstreamEntry upstream);
-  http::Task<void> WriteRow();
   void OnRows(const std::vector<platform::StoreRow>& rows);
   void OnRow(const platform::StoreRow& row);
   void ApplyNotice(const policy::CrashNotice& notice, std::string_view source,
@@ -65,16 +65,14 @@
   std::string EncodeRecords(coordination::TimePoint now);
 
   Context context;
-  platform::StoreClient* store;
   std::string vm;
+  PacedRow row;
   PoisonPartSync parts;
   platform::TableFollower table;
   policy::CrashRecords records;           // that this VM's row is to hold
   policy::SeenCrashRecords seen_records;  // of all VMs' rows
   bool table_read = false;
   bool row_outdated = false;  // `records` changed since the last write
-  bool writing = false;       // a write of the row is in flight
-  coordination::TimePoint written_at{};  // start of the last write
 };
 
 }  // namespace hornbeamspool::gateway
--- a/gateway/poison_part_sync.cc
+++ b/gateway/poison_part_sync.cc
@@ -9,10 +9,8 @@
 #include "gateway/event_log.h"
 #include "gateway/peer_channel.h"
 #include "gateway/poison_part_rows.h"
-#include "gateway/spawn.h"
 #include "hornbeamspool/clock.h"
 #include "hornbeamspool/metrics.h"
-#include "platform/single_writer_row.h"
 #include "policy/event.h"
 #include "policy/gateway_core.h"
 
@@ -27,9 +25,6 @@
 using policy::PoisonPartRecordKind;
 using policy::PoisonParts;
 
-// The shortest interval between writes of the row.
-constexpr Duration kWriteInterval = std::chrono::milliseconds(500);
-
 std::string_view NameOf(PoisonPartRecordKind kind) {
   static constexpr std::array<
       std::string_view, static_cast<std::size_t>(PoisonPartRecordKind::kCount)>
@@ -52,9 +47,8 @@
                                platform::StoreClient& store, std::string table,
                                const std::string& vm)
     : context(context),
-      store(&store),
-      table(std::move(table)),
-      key(std::string(kKeyPrefix) + vm) {}
+      key(std::string(kKeyPrefix) + vm),
+      row(context, store, "part_keep", std::move(table), this->key) {}
 
 void PoisonPartSync::Publish(const policy::StoreClock& clock, bool may_write) {
   const TimePoint now = Now();
@@ -72,31 +66,19 @@
   this->LogChanges();
 
   // Step 2: the row.
-  if (!may_write || this->writing || now - this->written_at < kWriteInterval) {
-    return;
-  }
+  if (!may_write || !this->row.MayWrite(now)) return;
   std::vector<PoisonPartRecord> held = parts.RowRecords(now);
   std::vector<PoisonPartRecord> compared = WithoutAnyPart(held);
   if (compared == this->written) return;
   this->written = std::move(compared);
-  this->written_at = now;
-  this->writing = true;
-  PoisonPartRow row;
+  PoisonPartRow content;
   for (PoisonPartRecord& record : held) {
-    row.records.push_back({static_cast<std::uint8_t>(record.kind), record.part,
-                           std::move(record.subject), record.in_flight.count(),
-                           clock.At(now) - Milliseconds(now - record.at)});
+    content.records.push_back({static_cast<std::uint8_t>(record.kind),
+                               record.part, std::move(record.subject),
+                               record.in_flight.count(),
+                               clock.At(now) - Milliseconds(now - record.at)});
   }
-  Spawn(this->context, "part_keep", this->WriteRow(EncodeRow(row)),
-        [this] { this->writing = false; });
-}
-
-// Clears `written` when the write fails, so that the row is written again.
-http::Task<void> PoisonPartSync::WriteRow(std::string value) {
-  const bool done = co_await platform::UpsertRow(*this->store, this->table,
-                                                 this->key, std::move(value));
-  this->writing = false;
-  if (!done) this->written.clear();
+  this->row.Write(EncodeRow(content), now, [this] { this->written.clear(); });
 }
 
 void PoisonPartSync::OnMessage(std::span<const PoisonPartRecord> records) {
--- a/gateway/poison_part_sync.h
+++ b/gateway/poison_part_sync.h
@@ -9,7 +9,7 @@
 
 #include "coordination/time.h"
 #include "gateway/context.h"
-#include "http/task.h"
+#include "gateway/paced_row.h"
 #include "platform/store_client.h"
 #include "policy/poison_part_record.h"
 #include "policy/store_clock.h"
@@ -37,18 +37,14 @@
   void OnRow(const platform::StoreRow& row, const policy::StoreClock& clock);
 
  private:
-  http::Task<void> WriteRow(std::string value);
   void LogRecord(const policy::PoisonPartRecord& record,
                  std::string_view source);
   void LogChanges();
 
   Context context;
-  platform::StoreClient* store;
-  std::string table;
   std::string key;
+  PacedRow row;
   std::vector<policy::PoisonPartRecord> written;  // that the row holds
-  bool writing = false;                  // a write of the row is in flight
-  coordination::TimePoint written_at{};  // start of the last write
 };
 
 }  // namespace hornbeamspool::gateway
