Ask in one place whether a crash still counts against a part

Three copies of the lookup, and two of the latest answer that goes with records. No change of behaviour: poison_parts_test passes, poison_part_fleet_test's figures are the same.

--- a/policy/poison_parts.cc
+++ b/policy/poison_parts.cc
@@ -347,10 +347,8 @@
     return now - std::max(suspect.last_seen, suspect.answered_at) >= kTimeout;
   });
   std::erase_if(this->own, [&](const OwnRecord& entry) {
-    const auto suspect = this->suspects.find(entry.record.part);
-    if (suspect == this->suspects.end()) return true;
-    return entry.record.kind == Kind::kCrashed &&
-           !suspect->second.crashes.contains(entry.record.subject);
+    return this->Find(entry.record.part) == nullptr ||
+           this->IsCleared(entry.record);
   });
   const bool forgotten = std::any_of(
       this->named.begin(), this->named.end(),
@@ -408,6 +406,24 @@
   }
 }
 
+const PoisonParts::Suspect* PoisonParts::Find(std::uint64_t part) const {
+  const auto found = this->suspects.find(part);
+  return found == this->suspects.end() ? nullptr : &found->second;
+}
+
+bool PoisonParts::IsCleared(const PoisonPartRecord& record) const {
+  if (record.kind != Kind::kCrashed) return false;
+  const Suspect* suspect = this->Find(record.part);
+  return suspect == nullptr || !suspect->crashes.contains(record.subject);
+}
+
+// Lets VMs that saw no answer themselves name a part.
+void PoisonParts::AddLatestAnswer(
+    std::vector<PoisonPartRecord>& records) const {
+  if (records.empty()) return;
+  records.push_back({Kind::kAnswered, kAnyPart, {}, {}, this->answer_begun_at});
+}
+
 std::vector<PoisonPartRecord> PoisonParts::TakeRecords(TimePoint now) {
   std::vector<PoisonPartRecord> records;
   for (OwnRecord& entry : this->own) {
@@ -415,16 +431,9 @@
     if (entry.announcements >= kAnnouncements.size()) continue;
     if (now - record.at < kAnnouncements.at(entry.announcements)) continue;
     ++entry.announcements;
-    const auto suspect = this->suspects.find(record.part);
-    const bool is_cleared = record.kind == Kind::kCrashed &&
-                            (suspect == this->suspects.end() ||
-                             !suspect->second.crashes.contains(record.subject));
-    if (!is_cleared) records.push_back(record);
-  }
-  if (!records.empty()) {
-    records.push_back(
-        {Kind::kAnswered, kAnyPart, {}, {}, this->answer_begun_at});
+    if (!this->IsCleared(record)) records.push_back(record);
   }
+  this->AddLatestAnswer(records);
   return records;
 }
 
@@ -432,15 +441,12 @@
   std::vector<PoisonPartRecord> records;
   for (const OwnRecord& entry : this->own) {
     const PoisonPartRecord& record = entry.record;
-    const auto found = this->suspects.find(record.part);
-    if (found == this->suspects.end()) continue;
-    const Suspect& suspect = found->second;
-    if (record.kind == Kind::kCrashed) {
-      if (!suspect.crashes.contains(record.subject)) continue;
-      const bool suspicious = suspect.rounds >= kSuspiciousRounds;
-      if (!suspicious && now - record.at < kRowDelay) continue;
-    }
-    records.push_back(record);
+    const Suspect* suspect = this->Find(record.part);
+    if (suspect == nullptr || this->IsCleared(record)) continue;
+    const bool waits = record.kind == Kind::kCrashed &&
+                       suspect->rounds < kSuspiciousRounds &&
+                       now - record.at < kRowDelay;
+    if (!waits) records.push_back(record);
   }
   if (records.size() > kMaxRowRecords) {
     // A named part's records first, then the latest.
@@ -451,10 +457,7 @@
     records.erase(records.begin(),
                   records.end() - static_cast<std::ptrdiff_t>(kMaxRowRecords));
   }
-  if (!records.empty()) {
-    records.push_back(
-        {Kind::kAnswered, kAnyPart, {}, {}, this->answer_begun_at});
-  }
+  this->AddLatestAnswer(records);
   return records;
 }
 
--- a/policy/poison_parts.h
+++ b/policy/poison_parts.h
@@ -151,6 +151,10 @@
                               const std::set<std::string_view>& explained);
   void NameParts(TimePoint now);
   bool MayTry(std::uint64_t part, TimePoint now) const;
+  const Suspect* Find(std::uint64_t part) const;
+  // Whether the record is of a crash that does not count any more.
+  bool IsCleared(const PoisonPartRecord& record) const;
+  void AddLatestAnswer(std::vector<PoisonPartRecord>& records) const;
   void EvictSuspects();
 
   std::string vm;
