--- a/tests/process/crash_request_test.sh
+++ b/tests/process/crash_request_test.sh
@@ -9,13 +9,6 @@
 bin=$1
 dir=$(mktemp -d)
 pids=()
-# Stops the restart loops, then kills all processes.
-end_all() {
-  touch "$dir/enough"
-  { kill -9 "${pids[@]}" $(cat "$dir"/server*); wait; } 2>/dev/null
-  [ -n "${KEEP:-}" ] || rm -rf "$dir"
-}
-trap end_all EXIT
 source tests/process/checks.sh
 source tests/process/gateways.sh
 source tests/process/crashing_servers.sh
--- a/tests/process/crashing_servers.sh
+++ b/tests/process/crashing_servers.sh
@@ -1,8 +1,16 @@
 # Runs stand-in servers that restart under a new id whenever they have ended.
-# Loaded with `source`, after gateways.sh; requires $bin and $dir.
+# Loaded with `source`, after gateways.sh; requires $bin, $dir and the array pids.
 readonly down_s=2           # a crashed server restarts after this time
 readonly lapse_s=3.6        # its old row lapses after three heartbeats
 
+# Stops the restart loops, then kills all processes.
+end_all() {
+  touch "$dir/enough"
+  { kill -9 "${pids[@]}" $(cat "$dir"/server*); wait; } 2>/dev/null
+  [ -n "${KEEP:-}" ] || rm -rf "$dir"
+}
+trap end_all EXIT
+
 # The servers restart until the file $dir/enough exists.
 server() {  # NUMBER
   local start=0 id process port=$((19700 + $1))
