Log the crashes of prompt parts that a gateway saw itself

Cause: a record was logged when its time was that of its publishing, which is read again a moment later. Now the first announcement is logged, told by its age. crash_part_test asks for the lines; its new check failed before (0).

--- a/gateway/poison_part_sync.cc
+++ b/gateway/poison_part_sync.cc
@@ -61,7 +61,8 @@
   const std::vector<PoisonPartRecord> records = parts.TakeRecords(now);
   this->context.peers->SendToAll(records, now);
   for (const PoisonPartRecord& record : records) {
-    if (record.at == now) this->LogRecord(record, "own");
+    const bool repeated = now - record.at >= PoisonParts::kRepeatDelay;
+    if (!repeated) this->LogRecord(record, "own");
   }
   this->LogChanges();
 
--- a/policy/poison_parts.cc
+++ b/policy/poison_parts.cc
@@ -32,8 +32,7 @@
 
 // When a record is sent to the other VMs, since it was made.
 constexpr std::array<Duration, 3> kAnnouncements{
-    Duration(0), std::chrono::milliseconds(500),
-    std::chrono::milliseconds(1500)};
+    Duration(0), PoisonParts::kRepeatDelay, 3 * PoisonParts::kRepeatDelay};
 
 // How long a part without crashes is kept, so that an older crash that is
 // reported late does not count.
--- a/policy/poison_parts.h
+++ b/policy/poison_parts.h
@@ -35,6 +35,10 @@
   // it was last refused.
   static constexpr coordination::Duration kTimeout = std::chrono::minutes(2);
 
+  // A record is returned again by TakeRecords after this time.
+  static constexpr coordination::Duration kRepeatDelay =
+      std::chrono::milliseconds(500);
+
   // No part, or in records any part.
   static constexpr std::uint64_t kAnyPart = 0;
 
--- a/tests/process/crash_part_test.sh
+++ b/tests/process/crash_part_test.sh
@@ -105,6 +105,9 @@
 check 'sound requests are served after the store outage' true \
   "$(at_least "$(served_percent away "$(bound_ms away)")" 50)"
 
+check 'gateways log the crashes that they saw themselves' true \
+  "$(at_least "$(cat "$dir"/gateway*.log | grep -c 'event=part .*outcome=crashed .*source=own')" $free_crashes)"
+
 for name in part away; do
   echo "$name: $(crashes $name | wc -l) servers crashed, $(late_crashes $name $free_crashes) of them late;" \
     "$(served_percent $name "$(bound_ms $name)") percent of $(judged $name) sound requests served"
