Look for timed-out parts periodically, not on each failed send

Publishing runs on every send that fails, and went over all suspects and records each time: up to 4,096 and 1,024, on the path of a failure storm. The periodic check, every 500 ms, and the reading of rows do it now. A part is forgotten at most 500 ms later than it was. crash_part_test passes.

--- a/gateway/crash_watch.cc
+++ b/gateway/crash_watch.cc
@@ -115,6 +115,8 @@
     if (this->table_read && row.key == this->vm) continue;
     if (!row.removed) this->OnRow(row);
   }
+  // The rows of VMs that were lost may be old.
+  this->parts.Expire();
   this->table_read = true;
 }
 
--- a/gateway/crash_watch.h
+++ b/gateway/crash_watch.h
@@ -52,6 +52,9 @@
   void OnPartRecords(std::span<const policy::PoisonPartRecord> records) {
     this->parts.OnMessage(records);
   }
+  // Forgets what has timed out. Called periodically, since it looks at all that
+  // is known.
+  void Expire() { this->parts.Expire(); }
   // Sends the notices that are due, and writes this VM's row if it is outdated.
   void PublishNotices();
 
--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -441,6 +441,7 @@
     co_await timer.async_wait(http::kAwait);
     this->UpdateLoad(std::chrono::duration_cast<Duration>(
         std::chrono::steady_clock::now() - timer.expiry()));
+    this->crashes.Expire();
     this->crashes.PublishNotices();
     if (++rounds % kRateReportRounds == 0) ReportRates(this->context, Now());
     for (const std::string& id : this->core.ExpireUpstreams(Now())) {
--- a/gateway/poison_part_sync.cc
+++ b/gateway/poison_part_sync.cc
@@ -50,12 +50,17 @@
       key(std::string(kKeyPrefix) + vm),
       row(context, store, "part_keep", std::move(table), this->key) {}
 
-void PoisonPartSync::Publish(const policy::StoreClock& clock, bool may_write) {
-  const TimePoint now = Now();
+void PoisonPartSync::Expire() {
   PoisonParts& parts = this->context.core->Parts();
-  parts.Expire(now);
+  parts.Expire(Now());
   this->context.metrics->SetPoisonParts(parts.SuspectedCount(),
                                         parts.NamedCount());
+  this->LogChanges();
+}
+
+void PoisonPartSync::Publish(const policy::StoreClock& clock, bool may_write) {
+  const TimePoint now = Now();
+  PoisonParts& parts = this->context.core->Parts();
 
   // Step 1: datagrams.
   const std::vector<PoisonPartRecord> records = parts.TakeRecords(now);
@@ -119,8 +124,6 @@
   } else {
     parts.Apply(records, now);
   }
-  parts.Expire(now);
-  this->LogChanges();
 }
 
 void PoisonPartSync::LogRecord(const PoisonPartRecord& record,
--- a/gateway/poison_part_sync.h
+++ b/gateway/poison_part_sync.h
@@ -26,6 +26,8 @@
 
   static constexpr std::string_view kKeyPrefix = "parts/";
 
+  // Forgets what has timed out, and reports the gauges.
+  void Expire();
   // Sends the records that are due, and writes this VM's row if it is outdated
   // and `may_write`.
   void Publish(const policy::StoreClock& clock, bool may_write);
