Refuse requests that may crash upstreams in one place

Admission and each send asked the two kinds of suspects one after the other, with the same answers for requests that may have run. IsCrashing asks both, and RefuseCrashing makes the refusal. NamedPart returns an optional in place of the id that means any part in records; two checks of poison_parts_test compare with nullopt, as strict as before.

--- a/policy/gateway_core.cc
+++ b/policy/gateway_core.cc
@@ -130,13 +130,11 @@
     }
   }
 
-  // Step 3: requests suspected of crashing upstreams.
-  if (!this->suspects.MaySend(request.fingerprint, now)) {
-    return this->RefuseSuspect(request.fingerprint, now);
-  }
+  // Step 3: requests that may crash upstreams.
   if (request.demand) admitted.shared_parts = SharedParts(*request.demand);
-  if (!this->poison_parts.MaySend(admitted.shared_parts, now)) {
-    return this->RefusePoisonPart(admitted.shared_parts, now);
+  if (this->IsCrashing(request.fingerprint, admitted.shared_parts, now)) {
+    return this->RefuseCrashing(request.fingerprint, admitted.shared_parts,
+                                now);
   }
 
   // Step 4: load shedding. The links of other VMs may have room.
@@ -159,18 +157,26 @@
   return admitted;
 }
 
-// A suspect is refused until the suspicion expires. A request that is refused
-// only because a copy of it is in flight here may be retried soon.
-Refusal GatewayCore::RefuseSuspect(std::uint64_t fingerprint, TimePoint now) {
-  const bool suspect = this->suspects.IsSuspect(fingerprint, now);
-  if (suspect) this->suspects.OnRefused(fingerprint, now);
-  return {ErrorKind::kCrashSuspect,
-          suspect ? CrashSuspects::kSuspicionTimeout : kRetryUpstream};
+// Whether a request must not be sent now because it may crash upstreams.
+bool GatewayCore::IsCrashing(std::uint64_t fingerprint,
+                             std::span<const std::uint64_t> parts,
+                             TimePoint now) {
+  return !this->suspects.MaySend(fingerprint, now) ||
+         !this->poison_parts.MaySend(parts, now);
 }
 
-// A request with a named part is refused until the part is forgotten.
-Refusal GatewayCore::RefusePoisonPart(std::span<const std::uint64_t> parts,
-                                      TimePoint now) {
+// A request is refused until the suspicion expires, or its named part is
+// forgotten. One that is refused only because a copy of it is in flight here
+// may be retried soon.
+Refusal GatewayCore::RefuseCrashing(std::uint64_t fingerprint,
+                                    std::span<const std::uint64_t> parts,
+                                    TimePoint now) {
+  if (!this->suspects.MaySend(fingerprint, now)) {
+    const bool suspect = this->suspects.IsSuspect(fingerprint, now);
+    if (suspect) this->suspects.OnRefused(fingerprint, now);
+    return {ErrorKind::kCrashSuspect,
+            suspect ? CrashSuspects::kSuspicionTimeout : kRetryUpstream};
+  }
   this->poison_parts.OnRefused(parts, now);
   return {ErrorKind::kPoisonPart, PoisonParts::kTimeout,
           this->poison_parts.NamedPart(parts)};
@@ -226,17 +232,12 @@
 }
 
 NextStep GatewayCore::NextSend(AdmittedRequest& admitted, TimePoint now) {
-  if (!this->suspects.MaySend(admitted.request.fingerprint, now)) {
-    if (admitted.possible_runs > 0) {
-      return Refusal{ErrorKind::kUpstreamFailed, {}};
-    }
-    return this->RefuseSuspect(admitted.request.fingerprint, now);
-  }
-  if (!this->poison_parts.MaySend(admitted.shared_parts, now)) {
+  const std::uint64_t fingerprint = admitted.request.fingerprint;
+  if (this->IsCrashing(fingerprint, admitted.shared_parts, now)) {
     if (admitted.possible_runs > 0) {
       return Refusal{ErrorKind::kUpstreamFailed, {}};
     }
-    return this->RefusePoisonPart(admitted.shared_parts, now);
+    return this->RefuseCrashing(fingerprint, admitted.shared_parts, now);
   }
   const Duration time_left = admitted.deadline - now;
   if (time_left < kMinTimeLeft) {
@@ -300,7 +301,7 @@
   plan.max_connections = this->MaxConnections(*admitted.service);
   plan.record = this->selector.OnSent(*upstream, criteria.demand, now);
   this->rate_limits.OnSent(instance, now);
-  this->suspects.OnSent(admitted.request.fingerprint, instance);
+  this->suspects.OnSent(fingerprint, instance);
   this->poison_parts.OnSent(admitted.shared_parts, instance,
                             plan.record.sent_at);
   plan.rollout_revision = this->rollouts.OnSent(RolloutSend(admitted, plan));
@@ -513,10 +514,7 @@
   if (this->rate_limits.IsLimited(upstream.InstanceId())) return false;
   const std::uint64_t fingerprint = admitted.request.fingerprint;
   if (this->suspects.CrashCount(fingerprint, now) > 0) return false;
-  if (this->poison_parts.NamedPart(admitted.shared_parts) !=
-      PoisonParts::kAnyPart) {
-    return false;
-  }
+  if (this->poison_parts.NamedPart(admitted.shared_parts)) return false;
   return this->RetryBudgetOf(admitted.service->name)
       .TryWithdraw(this->fleet_size, now);
 }
--- a/policy/gateway_core.h
+++ b/policy/gateway_core.h
@@ -197,9 +197,12 @@
       coordination::TimePoint now);
   NextStep WaitOrRefuse(const AdmittedRequest& admitted,
                         const PermitFilter& filter) const;
-  Refusal RefuseSuspect(std::uint64_t fingerprint, coordination::TimePoint now);
-  Refusal RefusePoisonPart(std::span<const std::uint64_t> parts,
-                           coordination::TimePoint now);
+  bool IsCrashing(std::uint64_t fingerprint,
+                  std::span<const std::uint64_t> parts,
+                  coordination::TimePoint now);
+  Refusal RefuseCrashing(std::uint64_t fingerprint,
+                         std::span<const std::uint64_t> parts,
+                         coordination::TimePoint now);
   void RecordCrashEvidence(const AdmittedRequest& admitted,
                            const SendPlan& plan, SendOutcome outcome,
                            coordination::TimePoint now);
--- a/policy/poison_parts.cc
+++ b/policy/poison_parts.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
-#include <optional>
 
 #include "coordination/rendezvous.h"
 #include "policy/event.h"
@@ -355,13 +354,12 @@
   if (forgotten) this->NameParts(now);
 }
 
-std::uint64_t PoisonParts::NamedPart(
+std::optional<std::uint64_t> PoisonParts::NamedPart(
     std::span<const std::uint64_t> parts) const {
-  if (this->named.empty()) return kAnyPart;
   for (const std::uint64_t part : parts) {
     if (this->named.contains(part)) return part;
   }
-  return kAnyPart;
+  return std::nullopt;
 }
 
 bool PoisonParts::MaySend(std::span<const std::uint64_t> parts,
--- a/policy/poison_parts.h
+++ b/policy/poison_parts.h
@@ -15,6 +15,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <span>
 #include <string>
@@ -39,7 +40,7 @@
   static constexpr coordination::Duration kRepeatDelay =
       std::chrono::milliseconds(500);
 
-  // No part, or in records any part.
+  // In records: any part. A request's part with this id is not tracked.
   static constexpr std::uint64_t kAnyPart = 0;
 
   // The parts of one request that are tracked.
@@ -98,8 +99,9 @@
   // Forgets the parts whose timeout has passed.
   void Expire(coordination::TimePoint now);
 
-  // The first named part; kAnyPart when there is none.
-  std::uint64_t NamedPart(std::span<const std::uint64_t> parts) const;
+  // The first named part; empty when there is none.
+  std::optional<std::uint64_t> NamedPart(
+      std::span<const std::uint64_t> parts) const;
   // Whether a request with these parts may be sent now: it holds no named part,
   // or this VM may make a trial with it.
   bool MaySend(std::span<const std::uint64_t> parts,
--- a/tests/poison_parts_test.cc
+++ b/tests/poison_parts_test.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -80,7 +81,7 @@
   CHECK(poison.NamedCount() == 0);
   AnswerTo(poison, {kFirst, 100}, 600);
   CHECK(poison.NamedPart(Parts{kPoison}) == kPoison);
-  CHECK(poison.NamedPart(Parts{kFirst}) == PoisonParts::kAnyPart);
+  CHECK(poison.NamedPart(Parts{kFirst}) == std::nullopt);
 }
 
 TEST_CASE("an upstream's own error clears nothing and is no crash") {
@@ -112,7 +113,7 @@
     poison.Apply(records, At(300));
   }
   CHECK(poison.NamedPart(Parts{kPoison}) == kPoison);
-  CHECK(poison.NamedPart(Parts{kFirst}) == PoisonParts::kAnyPart);
+  CHECK(poison.NamedPart(Parts{kFirst}) == std::nullopt);
 }
 
 // A sound part that was only ever sent beside the poison one is named with it.
