--- a/policy/gateway_core.cc
+++ b/policy/gateway_core.cc
@@ -18,10 +18,6 @@
 constexpr Duration kRetryLink = std::chrono::milliseconds(300);
 constexpr Duration kRetryUpstream = std::chrono::milliseconds(700);
 
-// How long the rate limit of an upstream is kept that has left the registry. An
-// upstream that lost contact with the store registers again within seconds.
-constexpr Duration kRateLimitRetention = std::chrono::minutes(1);
-
 // With less time left until the deadline, a send would waste the upstream's
 // work.
 constexpr Duration kMinTimeLeft = std::chrono::milliseconds(20);
@@ -417,7 +413,7 @@
     for (const UpstreamEntry* entry : this->upstreams.All()) {
       live.insert(entry->InstanceId());
     }
-    this->rate_limits.Prune(live, now - kRateLimitRetention);
+    this->rate_limits.Prune(live, now);
   }
   if (this->upstreams.RemovalIsUncertain(now)) {
     this->suspects.ExtendIncompleteAnswers(now);
--- a/policy/rate_limits.cc
+++ b/policy/rate_limits.cc
@@ -15,6 +15,10 @@
 using coordination::Duration;
 using coordination::TimePoint;
 
+// How long the rate limit of an upstream is kept that has left the registry. An
+// upstream that lost contact with the store registers again within seconds.
+constexpr Duration kRetention = std::chrono::minutes(1);
+
 // Permits that a bucket accumulates while there is no demand: one, or those of
 // this time at a high rate.
 constexpr double kBurstSeconds = 0.1;
@@ -354,12 +358,12 @@
 }
 
 void RateLimits::Prune(const std::set<std::string, std::less<>>& live,
-                       TimePoint horizon) {
+                       TimePoint now) {
   std::erase_if(this->states, [&](const auto& entry) {
     const Announcement& latest = entry.second.latest;
     const bool limited = Limits(latest.rate);
-    const bool dropped =
-        latest.at < horizon && (!limited || !live.contains(entry.first));
+    const bool dropped = latest.at < now - kRetention &&
+                         (!limited || !live.contains(entry.first));
     if (dropped && limited) --this->limited_count;
     return dropped;
   });
--- a/policy/rate_limits.h
+++ b/policy/rate_limits.h
@@ -118,10 +118,10 @@
 
   // Counts a request that this VM sends to the instance.
   void OnSent(std::string_view instance, coordination::TimePoint now);
-  // Drops what was last announced before `horizon`: by instances that are not
-  // in `live`, and of ended limits.
+  // Drops what was last announced longer than kRetention ago: by instances that
+  // are not in `live`, and of ended limits.
   void Prune(const std::set<std::string, std::less<>>& live,
-             coordination::TimePoint horizon);
+             coordination::TimePoint now);
 
   struct Stats {
     std::string instance;
--- a/policy/router.cc
+++ b/policy/router.cc
@@ -17,9 +17,8 @@
 // The priority sent to engines is the first-token target in units of this.
 constexpr Duration kPriorityUnit = std::chrono::milliseconds(100);
 
-// How long the rate limit of an upstream is kept that is no longer listed, and
-// how often such limits are looked for.
-constexpr Duration kRateLimitRetention = std::chrono::minutes(1);
+// How often the rate limits of upstreams that are no longer listed are looked
+// for.
 constexpr Duration kPruneInterval = std::chrono::seconds(10);
 
 void AddEvent(Outbox& out, EventKind kind, std::string request,
@@ -722,7 +721,7 @@
   for (const auto& [name, upstream] : this->upstreams.All()) {
     live.insert(upstream.listed.InstanceId());
   }
-  this->permits.Limits().Prune(live, now - kRateLimitRetention);
+  this->permits.Limits().Prune(live, now);
 }
 
 bool Router::Stopped() const {
