Report the gauges of rate limits as RateLimits counts them

RateLimitGauges repeated RateLimits::Stats field by field, and both daemons copied one into the other. Metrics takes the latter. Names and values on the page of metrics are as before. rate_limit_test and rate_limit_router_test pass.

--- a/gateway/rate_log.cc
+++ b/gateway/rate_log.cc
@@ -38,19 +38,16 @@
 }
 
 void ReportRates(const Context& context, coordination::TimePoint now) {
-  std::vector<RateLimitGauges> gauges;
-  for (RateLimits::Stats& stats : context.core->Limits().AllStats(now)) {
-    if (stats.sent > 0) {
-      std::string fields = KeyValue("upstream", stats.instance);
-      fields += ' ' + KeyValue("per_second", Decimal(stats.per_second));
-      fields += ' ' + KeyValue("sent_per_second", Decimal(stats.sent));
-      fields += ' ' + KeyValue("share", Decimal(stats.issued));
-      context.log->Write(LogKind::kRateLimit, fields, now);
-    }
-    gauges.push_back({std::move(stats.instance), stats.per_second, stats.sent,
-                      stats.issued});
+  std::vector<RateLimits::Stats> limits = context.core->Limits().AllStats(now);
+  for (const RateLimits::Stats& limit : limits) {
+    if (limit.sent <= 0) continue;
+    std::string fields = KeyValue("upstream", limit.instance);
+    fields += ' ' + KeyValue("per_second", Decimal(limit.per_second));
+    fields += ' ' + KeyValue("sent_per_second", Decimal(limit.sent));
+    fields += ' ' + KeyValue("share", Decimal(limit.issued));
+    context.log->Write(LogKind::kRateLimit, fields, now);
   }
-  context.metrics->SetRateLimits(std::move(gauges));
+  context.metrics->SetRateLimits(std::move(limits));
 }
 
 }  // namespace hornbeamspool::gateway
--- a/hornbeamspool/metrics.cc
+++ b/hornbeamspool/metrics.cc
@@ -20,6 +20,7 @@
 namespace {
 
 namespace bh = boost::histogram;
+using policy::RateLimits;
 
 constexpr auto kCounters = static_cast<std::size_t>(Counter::kCount);
 constexpr auto kTimings = static_cast<std::size_t>(Timing::kCount);
@@ -83,14 +84,14 @@
 }
 
 prometheus::MetricFamily RateLimitFamily(
-    std::string name, double RateLimitGauges::*value,
-    const std::vector<RateLimitGauges>& gauges) {
+    std::string name, double RateLimits::Stats::*value,
+    const std::vector<RateLimits::Stats>& limits) {
   prometheus::MetricFamily family{
       std::move(name), "", prometheus::MetricType::Gauge, {}};
-  for (const RateLimitGauges& gauge : gauges) {
+  for (const RateLimits::Stats& limit : limits) {
     prometheus::ClientMetric metric;
-    metric.label.push_back({"upstream", gauge.upstream});
-    metric.gauge.value = gauge.*value;
+    metric.label.push_back({"upstream", limit.instance});
+    metric.gauge.value = limit.*value;
     family.metric.push_back(std::move(metric));
   }
   return family;
@@ -105,7 +106,7 @@
   std::atomic<std::size_t> parts_suspected = 0;
   std::atomic<std::size_t> parts_named = 0;
   std::mutex rate_limits_mutex;
-  std::vector<RateLimitGauges> rate_limits;
+  std::vector<RateLimits::Stats> rate_limits;
 };
 
 Metrics::Metrics() : storage(std::make_unique<Storage>()) {
@@ -134,9 +135,9 @@
   this->storage->parts_named = named;
 }
 
-void Metrics::SetRateLimits(std::vector<RateLimitGauges> gauges) {
+void Metrics::SetRateLimits(std::vector<RateLimits::Stats> limits) {
   const std::lock_guard lock(this->storage->rate_limits_mutex);
-  this->storage->rate_limits = std::move(gauges);
+  this->storage->rate_limits = std::move(limits);
 }
 
 std::string Metrics::Text() const {
@@ -176,13 +177,13 @@
                                  this->storage->parts_named));
   const std::lock_guard lock(this->storage->rate_limits_mutex);
   families.push_back(RateLimitFamily("hornbeamspool_upstream_limit_per_second",
-                                     &RateLimitGauges::limit,
+                                     &RateLimits::Stats::per_second,
                                      this->storage->rate_limits));
   families.push_back(RateLimitFamily("hornbeamspool_upstream_sent_per_second",
-                                     &RateLimitGauges::sent,
+                                     &RateLimits::Stats::sent,
                                      this->storage->rate_limits));
   families.push_back(RateLimitFamily("hornbeamspool_upstream_share_per_second",
-                                     &RateLimitGauges::share,
+                                     &RateLimits::Stats::issued,
                                      this->storage->rate_limits));
   return prometheus::TextSerializer().Serialize(families);
 }
--- a/hornbeamspool/metrics.h
+++ b/hornbeamspool/metrics.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "coordination/time.h"
+#include "policy/rate_limits.h"
 
 namespace hornbeamspool {
 
@@ -60,14 +61,6 @@
   kCount
 };
 
-// Gauges of an upstream that announces a rate limit.
-struct RateLimitGauges {
-  std::string upstream;
-  double limit = 0;  // announced for all VMs together, in requests a second
-  double sent = 0;   // by this VM, in requests a second
-  double share = 0;  // permits a second that this VM issues
-};
-
 // Thread-safe: any thread may write and read.
 class Metrics {
  public:
@@ -83,7 +76,7 @@
   // named.
   void SetPoisonParts(std::size_t suspected, std::size_t named);
   // Replaces the gauges of all limited upstreams.
-  void SetRateLimits(std::vector<RateLimitGauges> gauges);
+  void SetRateLimits(std::vector<policy::RateLimits::Stats> limits);
 
   // Prometheus text exposition format.
   std::string Text() const;
--- a/hornbeamspool/router_thread.cc
+++ b/hornbeamspool/router_thread.cc
@@ -172,13 +172,11 @@
 
 void RouterThread::PublishStatus() {
   NodeStatus next;
-  std::vector<RateLimitGauges> gauges;
-  for (policy::RateLimits::Stats& stats : this->router.RateStats(Now())) {
-    next.limits[stats.instance] = stats.per_second;
-    gauges.push_back({std::move(stats.instance), stats.per_second, stats.sent,
-                      stats.issued});
+  std::vector<policy::RateLimits::Stats> limits = this->router.RateStats(Now());
+  for (const policy::RateLimits::Stats& limit : limits) {
+    next.limits[limit.instance] = limit.per_second;
   }
-  this->metrics->SetRateLimits(std::move(gauges));
+  this->metrics->SetRateLimits(std::move(limits));
   this->metrics->SetPoisonParts(this->router.Parts().SuspectedCount(),
                                 this->router.Parts().NamedCount());
   next.fleet_size = this->fleet_size;
