--- a/gateway/paced_row.cc
+++ b/gateway/paced_row.cc
@@ -23,11 +23,12 @@
                      std::function<void()> on_failed) {
   this->writing = true;
   this->written_at = now;
-  Spawn(this->context, this->task, this->Run(std::move(value), on_failed),
-        [this, on_failed] {
-          this->writing = false;
-          on_failed();
-        });
+  const auto recover = [this, on_failed] {
+    this->writing = false;
+    on_failed();
+  };
+  Spawn(this->context, this->task,
+        this->Run(std::move(value), std::move(on_failed)), recover);
 }
 
 http::Task<void> PacedRow::Run(std::string value,
