Log what a rollout's decision is based on

The driver now logs, with each new phase, the answers, failures and mean times of both versions by route.

No decision is changed.

--- a/gateway/rollout_driver.cc
+++ b/gateway/rollout_driver.cc
@@ -58,6 +58,19 @@
   return rollout.begun && policy::IsFinal(rollout.progress.phase);
 }
 
+// Log fields of the answers of one version: ended sends, failures of them, and
+// the mean response time.
+std::string DescribeStats(std::string_view prefix,
+                          const policy::VersionStats& stats) {
+  const std::string name(prefix);
+  std::string pairs = KeyValue(name + "_answers", stats.answers);
+  pairs += ' ' + KeyValue(name + "_failures", stats.failures);
+  pairs +=
+      ' ' + KeyValue(name + "_ms",
+                     coordination::Milliseconds(stats.GeometricMeanTime()));
+  return pairs;
+}
+
 }  // namespace
 
 RolloutDriver::RolloutDriver(const Context& context,
@@ -286,9 +299,36 @@
   }
   next.driver = this->channel->Vm();
   next.driver_lease_until_ms = store_ms + kDriverLeaseMs;
+  const bool decided = !rollout->begun || next.phase != rollout->progress.phase;
+  if (decided) this->LogEvidence(service, next.phase, *reports);
   co_await this->WriteProgress(service, std::move(next));
 }
 
+// Logs what a decision is based on: one line for each route.
+void RolloutDriver::LogEvidence(const std::string& service, RolloutPhase phase,
+                                std::span<const RolloutReport> reports) {
+  std::map<std::string_view, policy::RouteStats> routes;
+  for (const RolloutReport& report : reports) {
+    for (const auto& [route, stats] : report.routes) {
+      routes[route].new_version.Add(stats.new_version);
+      routes[route].old_version.Add(stats.old_version);
+    }
+  }
+  const std::string decision =
+      KeyValue("service", service) + ' ' + KeyValue("outcome", "decided") +
+      ' ' + KeyValue("phase", NameOf(phase)) + ' ' +
+      KeyValue("reports", static_cast<std::int64_t>(reports.size()));
+  if (routes.empty())
+    this->context.log->Write(LogKind::kRollout, decision, Now());
+  for (const auto& [route, stats] : routes) {
+    this->context.log->Write(LogKind::kRollout,
+                             decision + ' ' + KeyValue("route", route) + ' ' +
+                                 DescribeStats("new", stats.new_version) + ' ' +
+                                 DescribeStats("old", stats.old_version),
+                             Now());
+  }
+}
+
 http::Task<void> RolloutDriver::WriteProgress(std::string service,
                                               RolloutProgress progress) {
   const RowVersions& known = this->row_versions[service];
--- a/gateway/rollout_driver.h
+++ b/gateway/rollout_driver.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -68,6 +69,8 @@
   void ApplyProgressRow(const platform::StoreRow& row);
   void MergeReportRow(const std::string& service,
                       const platform::StoreRow& row);
+  void LogEvidence(const std::string& service, policy::RolloutPhase phase,
+                   std::span<const policy::RolloutReport> reports);
   void LogUnreadableRow(const platform::StoreRow& row);
 
   Context context;
