Switch to a new version only on proof, and so late that the limit holds

Cause: at 65 in 100 of the time the driver switched all requests unless the new version had been shown to be worse. The verdict compared means, which hide a slow half of the answers. It is a class of its own: absence of evidence taken for evidence.

The canary's requests are counted for the whole fleet by what arrived, spread over time and routes, and kept to the settings' limit. VMs that don't hear of the store send nothing to a switched version.

--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -79,6 +79,7 @@
       static_cast<std::int64_t>(settings.link_mbps * kBytesPerMbit);
   options.memory_bytes =
       static_cast<std::int64_t>(settings.memory_mb * kBytesPerMb);
+  options.exposure = {settings.exposure_share, settings.exposure_extra};
   options.budgets.bridged_outage = settings.bridged_outage;
   return options;
 }
--- a/gateway/rollout_driver.cc
+++ b/gateway/rollout_driver.cc
@@ -27,12 +27,15 @@
 // One RolloutProgress for each service.
 constexpr std::string_view kProgressTable = "version_moves";
 // A part of rows for each service, with one RolloutReport for each VM.
-constexpr std::string_view kReportTable = "version_reports";
+constexpr std::string_view kReportTable = "rollout_reports";
 
 // Interval at which a VM reports and the driver decides. Bad answers stop a
 // rollout within two intervals and the time of the calls to the store.
 constexpr coordination::Duration kUpdateInterval =
     std::chrono::milliseconds(500);
+// The interval near a decision, when the new version gets all requests.
+constexpr coordination::Duration kShortUpdateInterval =
+    std::chrono::milliseconds(150);
 
 // Duration of the driver's lease, from each write of the progress. When it has
 // expired, a candidate may take over; after as long again, any VM.
@@ -65,9 +68,10 @@
   const std::string name(prefix);
   std::string pairs = KeyValue(name + "_answers", stats.answers);
   pairs += ' ' + KeyValue(name + "_failures", stats.failures);
+  pairs += ' ' + KeyValue(name + "_unfinished", stats.unfinished.Total());
   pairs +=
       ' ' + KeyValue(name + "_ms",
-                     coordination::Milliseconds(stats.GeometricMeanTime()));
+                     coordination::Milliseconds(stats.times.GeometricMean()));
   return pairs;
 }
 
@@ -178,16 +182,25 @@
   http::Timer timer(*this->context.io);
   while (true) {
     std::vector<std::string> services;
+    coordination::Duration interval = kUpdateInterval;
     for (const auto& [service, rollout] :
          this->context.core->Rollouts().All()) {
       const bool is_open =
           !HasEnded(rollout) || this->unwritten.contains(service);
-      if (rollout.order.revision != 0 && is_open) services.push_back(service);
+      if (rollout.order.revision == 0 || !is_open) continue;
+      services.push_back(service);
+      const std::int64_t store_ms =
+          this->context.core->Rollouts().StoreTime(Now());
+      const bool is_near = rollout.begun && !HasEnded(rollout) &&
+                           policy::IsDecisionNear(rollout.progress, store_ms);
+      if (is_near) interval = kShortUpdateInterval;
     }
+    // The interval is from begin to begin: the calls to the store are part of
+    // it.
+    timer.expires_after(interval);
     for (const std::string& service : services) {
       co_await this->Update(service);
     }
-    timer.expires_after(kUpdateInterval);
     co_await timer.async_wait(http::kAwait);
   }
 }
@@ -259,8 +272,12 @@
   if (rollout.begun) {
     return store_ms > progress.driver_lease_until_ms + kDriverLeaseMs;
   }
-  const auto waited = now - this->ordered_at.at(service);
-  return waited > std::chrono::milliseconds(kDriverLeaseMs);
+  return this->MsSinceOrder(service) > kDriverLeaseMs;
+}
+
+// Time since this VM has known the service's order.
+std::int64_t RolloutDriver::MsSinceOrder(const std::string& service) const {
+  return coordination::Milliseconds(Now() - this->ordered_at.at(service));
 }
 
 http::Task<std::optional<std::vector<RolloutReport>>>
@@ -290,12 +307,15 @@
   const auto* rollout = this->context.core->Rollouts().Find(service);
   if (!reports || rollout == nullptr) co_return;
   const std::int64_t store_ms = this->context.core->Rollouts().StoreTime(Now());
-  RolloutProgress next = rollout->begun
-                             ? rollout->progress
-                             : policy::BeginRollout(rollout->order, store_ms);
+  RolloutProgress next =
+      rollout->begun
+          ? rollout->progress
+          : policy::BeginRollout(rollout->order,
+                                 store_ms - this->MsSinceOrder(service));
   if (!policy::IsFinal(next.phase)) {
-    next.phase = policy::NextPhase(
-        next, *reports, this->channel->Directory().Size() + 1, store_ms);
+    next.phase =
+        policy::NextPhase(next, *reports, this->channel->Directory().Size() + 1,
+                          this->context.core->Rollouts().Limit(), store_ms);
   }
   next.driver = this->channel->Vm();
   next.driver_lease_until_ms = store_ms + kDriverLeaseMs;
@@ -307,17 +327,21 @@
 // Logs what a decision is based on: one line for each route.
 void RolloutDriver::LogEvidence(const std::string& service, RolloutPhase phase,
                                 std::span<const RolloutReport> reports) {
+  const policy::RolloutTotals totals = policy::SumReports(
+      reports, this->context.core->Rollouts().StoreTime(Now()));
   std::map<std::string_view, policy::RouteStats> routes;
   for (const RolloutReport& report : reports) {
-    for (const auto& [route, stats] : report.routes) {
-      routes[route].new_version.Add(stats.new_version);
-      routes[route].old_version.Add(stats.old_version);
+    for (const auto& [route, steps] : report.routes) {
+      for (const auto& [step, stats] : steps) routes[route].Add(stats);
     }
   }
   const std::string decision =
       KeyValue("service", service) + ' ' + KeyValue("outcome", "decided") +
       ' ' + KeyValue("phase", NameOf(phase)) + ' ' +
-      KeyValue("reports", static_cast<std::int64_t>(reports.size()));
+      KeyValue("reports", static_cast<std::int64_t>(reports.size())) + ' ' +
+      KeyValue("sends", totals.sends) + ' ' +
+      KeyValue("arrived", totals.arrived_sends) + ' ' +
+      KeyValue("new_sends", totals.new_version_sends);
   if (routes.empty())
     this->context.log->Write(LogKind::kRollout, decision, Now());
   for (const auto& [route, stats] : routes) {
--- a/gateway/rollout_driver.h
+++ b/gateway/rollout_driver.h
@@ -64,6 +64,7 @@
                                  policy::RolloutProgress progress);
   bool MayDrive(const std::string& service,
                 const policy::VersionRollouts::Rollout& rollout) const;
+  std::int64_t MsSinceOrder(const std::string& service) const;
   void ApplyProgress(const std::string& service,
                      const policy::RolloutProgress& progress);
   void ApplyProgressRow(const platform::StoreRow& row);
--- a/gateway/rollout_rows.h
+++ b/gateway/rollout_rows.h
@@ -25,9 +25,15 @@
           progress.driver_lease_until_ms, gateway::RowString{&progress.driver});
 }
 
+template <typename Archive>
+void serialize(Archive& archive, TimeHistogram& histogram) {
+  archive(histogram.counts);
+}
+
 template <typename Archive>
 void serialize(Archive& archive, VersionStats& stats) {
-  archive(stats.answers, stats.failures, stats.timed_answers, stats.log_ms_sum);
+  archive(stats.answers, stats.failures, stats.times, stats.paces,
+          stats.unfinished);
 }
 
 template <typename Archive>
@@ -39,8 +45,9 @@
 void serialize(Archive& archive, RolloutReport& report) {
   archive(report.order_revision, report.incarnation);
   SerializePhase(archive, report.phase);
-  archive(report.old_in_flight, gateway::RowMap<RouteStats>{&report.routes},
-          report.new_version_by_step);
+  archive(report.reported_ms, report.old_in_flight, report.sends,
+          report.arrived_sends, report.new_version_sends,
+          gateway::RowMap<std::map<std::int32_t, RouteStats>>{&report.routes});
 }
 
 }  // namespace hornbeamspool::policy
--- a/policy/gateway_core.cc
+++ b/policy/gateway_core.cc
@@ -79,7 +79,7 @@
     : options(std::move(options)),
       selector(this->options.availability_zone),
       budgets(start, this->options.budgets),
-      rollouts(start.incarnation),
+      rollouts(start.incarnation, this->options.exposure),
       poison_parts(this->options.vm),
       rate_limits(this->options.vm),
       link(this->options.link_bytes_per_second),
@@ -289,6 +289,7 @@
   SendPlan plan;
   plan.upstream = *upstream;
   plan.time_left = time_left;
+  plan.events_before = admitted.events_delivered;
   const std::int64_t priority =
       admitted.organisation && admitted.organisation->priority
           ? *admitted.organisation->priority
@@ -336,7 +337,7 @@
   // Retries don't go to a canary.
   admitted.use_new_version =
       may_be_canary && admitted.sends == 0 &&
-      this->rollouts.UsesNewVersion(service, admitted.request.id, now);
+      this->rollouts.UsesNewVersion(service, admitted.route->name, now);
   std::vector<const UpstreamEntry*> preferred;
   std::vector<const UpstreamEntry*> allowed;
   for (const UpstreamEntry* upstream : upstreams) {
@@ -363,6 +364,7 @@
   ended.send = RolloutSend(admitted, plan);
   ended.revision = plan.rollout_revision;
   ended.ended_at = now;
+  ended.events = admitted.events_delivered - plan.events_before;
   if (outcome == SendOutcome::kAnswered) {
     ended.outcome = VersionRollouts::Outcome::kAnswered;
   } else if (outcome == SendOutcome::kUpstreamError ||
@@ -373,6 +375,10 @@
   } else if (outcome == SendOutcome::kAbandoned) {
     ended.outcome = VersionRollouts::Outcome::kAbandoned;
   }
+  ended.arrived = outcome == SendOutcome::kAnswered ||
+                  outcome == SendOutcome::kUpstreamError ||
+                  outcome == SendOutcome::kErrorRelayed ||
+                  outcome == SendOutcome::kRejected;
   this->rollouts.OnEnded(ended);
 }
 
--- a/policy/gateway_core.h
+++ b/policy/gateway_core.h
@@ -71,6 +71,7 @@
   std::int64_t urgency = 0;            // 0 to 9; 0 is the most urgent
   std::size_t max_connections = 0;     // of this VM to this upstream
   std::uint64_t rollout_revision = 0;  // of the order that counts the send
+  std::int64_t events_before = 0;      // delivered by earlier sends
   bool answer_begun = false;
   SendRecord record;
 };
@@ -96,6 +97,7 @@
   std::string availability_zone;
   RetryLimits retries;
   BudgetManagerOptions budgets;
+  ExposureLimit exposure;
   std::int64_t link_bytes_per_second = 0;  // of this VM; 0: not known
   std::int64_t memory_bytes = std::int64_t{256} << 20U;  // of this process
 };
--- a/policy/version_rollout.cc
+++ b/policy/version_rollout.cc
@@ -14,130 +14,66 @@
 using coordination::Duration;
 using coordination::TimePoint;
 
-// The schedule of the canary phase, by the fraction of the time limit that has
-// passed. Over the time limit it gives the new version less than the tenth of
-// all requests that a bad version may get. The 30 % step shows a version that
-// fails under load.
-struct CanaryStep {
-  double until;     // fraction of the time limit
-  double fraction;  // of the requests
-};
-constexpr std::array<CanaryStep, 4> kCanarySteps{
-    {{0.05, 0.0}, {0.30, 0.03}, {0.50, 0.08}, {0.60, 0.30}}};
-// The verdict; the requests of the last step have ended by then.
-constexpr double kCanaryEnd = 0.65;
-constexpr double kFractionAfterLastStep = 0.08;
-
-// Limit of the new version's part of the requests that a VM has sent since the
-// order, whatever the schedule says, and the number of requests of the whole
-// fleet that it may get beyond that.
-constexpr double kMaxCanaryFraction = 0.08;
-constexpr std::int64_t kInitialCanarySends = 30;
-
-// A switched rollout completes at this fraction of its time limit, or this long
-// before its deadline if that is earlier, even if the old version still has
-// requests in flight. The margin covers the driver's interval of half a second
-// and one write to the store.
-constexpr double kLatestEnd = 0.95;
-constexpr std::int64_t kEndMarginMs = 1200;
+// The canary phase: by the fraction of the time limit that has passed, when the
+// new version gets its first requests, and when it may have got all that
+// ExposureLimit::extra allows it. Spread over time, they also show a version
+// that turns bad after a while.
+constexpr double kCanaryBegin = 0.05;
+constexpr double kCanaryExtraEnd = 0.6;
+// Then a load step, in which the new version gets this fraction of the
+// requests: some faults show only under load.
+constexpr double kLoadBegin = 0.75;
+constexpr double kLoadEnd = 0.86;
+constexpr double kLoadFraction = 0.2;
+// What the load step leaves of the limit: all requests for this time.
+constexpr double kSwitchReserveMs = 1050;
+// The earliest verdict for the new version.
+constexpr double kEarliestSwitch = kLoadEnd;
+
+// What the canary phase uses of both parts of the limit. The rest is for the
+// requests after the switch.
+constexpr double kCanaryFractionUse = 0.2;
+constexpr double kCanaryExtraUse = 0.6;
+
+// A switched rollout ends this long before its deadline, even if the old
+// version still has requests in flight: an interval of the driver, a write,
+// and the time until the operator has read it.
+constexpr std::int64_t kEndMarginMs = 650;
+
+// A rollout that has not switched by then is rolled back: until the end, VMs
+// must report answers to requests that were sent after the switch.
+constexpr std::int64_t kMinSwitchedMs = 600;
+
+// Intervals are short while this much time is left, and after the switch.
+constexpr std::int64_t kDecisionNearMs = 3000;
 
 // A VM that got no answer of the store for this long sends nothing to a canary:
 // the rollout may have been rolled back.
 constexpr Duration kStoreClockMaxAge = std::chrono::milliseconds(2500);
 
-// What makes a version significantly worse: a minimum of answers, a minimum
-// difference of the failure rates or ratio of the response times, and a minimum
-// difference in standard deviations.
-constexpr std::int64_t kMinAnswers = 8;
-constexpr double kMinRateDifference = 0.1;
-constexpr double kMinTimeRatio = 2;
-constexpr double kMinDeviations = 3;
-// Assumed standard deviation of the logarithm of response times.
-constexpr double kLogTimeDeviation = 1;
-
-// Resolution of the fraction that a request id is hashed to.
-constexpr std::uint64_t kHashSteps = 1'000'000;
+// A send that has been in flight for less than this is counted as arrived. One
+// that takes longer may hang in a network partition.
+constexpr Duration kAssumedArrived = std::chrono::milliseconds(1500);
 
-double Rate(const VersionStats& counts) {
-  return counts.answers == 0 ? 0
-                             : static_cast<double>(counts.failures) /
-                                   static_cast<double>(counts.answers);
-}
+// The first event of a stream takes longer, since the prompt is read before it:
+// about as long as this many further ones.
+constexpr std::int64_t kFirstEventUnits = 2;
 
-double Inverse(std::int64_t count) {
-  return 1 / static_cast<double>(std::max<std::int64_t>(1, count));
-}
-
-// What is required to conclude that a version fails more often.
-struct FailureThresholds {
-  std::int64_t min_answers;
-  double min_rate_difference;
-  double min_deviations;
-};
-constexpr FailureThresholds kThresholds{kMinAnswers, kMinRateDifference,
-                                        kMinDeviations};
-// Stricter, since each step is tested besides the totals: more tests find more
-// differences by chance.
-constexpr FailureThresholds kStepThresholds{50, kMinRateDifference, 4};
-
-// Compares two binomial proportions with the pooled variance.
-bool FailsMoreOften(const RouteStats& stats,
-                    const FailureThresholds& thresholds = kThresholds) {
-  const auto& [new_version, old_version] = stats;
-  if (new_version.answers < thresholds.min_answers) return false;
-  const double difference = Rate(new_version) - Rate(old_version);
-  if (difference < thresholds.min_rate_difference) return false;
-  const double pooled =
-      static_cast<double>(new_version.failures + old_version.failures) *
-      Inverse(new_version.answers + old_version.answers);
-  const double variance =
-      pooled * (1 - pooled) *
-      (Inverse(new_version.answers) + Inverse(old_version.answers));
-  return difference > thresholds.min_deviations * std::sqrt(variance);
-}
+// Resolution of a fraction that is hashed.
+constexpr std::uint64_t kHashSteps = 1'000'000;
 
-bool IsSlower(const RouteStats& stats) {
-  const auto& [new_version, old_version] = stats;
-  const std::int64_t answers =
-      std::min(new_version.timed_answers, old_version.timed_answers);
-  if (answers < kMinAnswers) return false;
-  const double difference =
-      new_version.log_ms_sum * Inverse(new_version.timed_answers) -
-      old_version.log_ms_sum * Inverse(old_version.timed_answers);
-  const double deviation =
-      kLogTimeDeviation * std::sqrt(Inverse(new_version.timed_answers) +
-                                    Inverse(old_version.timed_answers));
-  return difference > std::log(kMinTimeRatio) &&
-         difference > kMinDeviations * deviation;
+double TimeLimitMs(const RolloutProgress& progress) {
+  return static_cast<double>(
+      std::max<std::int64_t>(1, progress.deadline_ms - progress.began_ms));
 }
 
 double PassedFraction(const RolloutProgress& progress, std::int64_t store_ms) {
-  const auto time_limit = static_cast<double>(
-      std::max<std::int64_t>(1, progress.deadline_ms - progress.began_ms));
-  return static_cast<double>(store_ms - progress.began_ms) / time_limit;
+  return static_cast<double>(store_ms - progress.began_ms) /
+         TimeLimitMs(progress);
 }
 
 }  // namespace
 
-void VersionStats::Add(const VersionStats& other) {
-  this->answers += other.answers;
-  this->failures += other.failures;
-  this->timed_answers += other.timed_answers;
-  this->log_ms_sum += other.log_ms_sum;
-}
-
-void VersionStats::AddTime(Duration took) {
-  ++this->timed_answers;
-  const double ms = std::chrono::duration<double, std::milli>(took).count();
-  this->log_ms_sum += std::log(std::max(1.0, ms));
-}
-
-Duration VersionStats::GeometricMeanTime() const {
-  const std::chrono::duration<double, std::milli> ms(
-      std::exp(this->log_ms_sum * Inverse(this->timed_answers)));
-  return std::chrono::duration_cast<Duration>(ms);
-}
-
 RolloutProgress BeginRollout(const RolloutOrder& order, std::int64_t store_ms) {
   RolloutProgress progress;
   progress.order_revision = order.revision;
@@ -148,73 +84,33 @@
   return progress;
 }
 
-double NewVersionFraction(const RolloutProgress& progress,
-                          std::int64_t store_ms) {
-  if (progress.phase == RolloutPhase::kRolledBack) return 0;
-  if (progress.phase != RolloutPhase::kCanary) return 1;
-  const double passed = PassedFraction(progress, store_ms);
-  for (const CanaryStep& step : kCanarySteps) {
-    if (passed < step.until) return step.fraction;
-  }
-  return kFractionAfterLastStep;
-}
-
-std::int32_t StepAt(const RolloutProgress& progress, std::int64_t store_ms) {
-  const double passed = PassedFraction(progress, store_ms);
-  std::int32_t index = 0;
-  for (const CanaryStep& step : kCanarySteps) {
-    if (passed < step.until) return index;
-    ++index;
-  }
-  return passed < kCanaryEnd ? index : index + 1;
-}
-
-bool IsNewVersionWorse(std::span<const RolloutReport> reports) {
-  std::map<std::string_view, RouteStats> routes;
-  RouteStats all;
-  std::map<std::int32_t, VersionStats> steps;
-  for (const RolloutReport& report : reports) {
-    for (const auto& [step, step_stats] : report.new_version_by_step) {
-      steps[step].Add(step_stats);
-    }
-    for (const auto& [route, stats] : report.routes) {
-      routes[route].new_version.Add(stats.new_version);
-      routes[route].old_version.Add(stats.old_version);
-      all.new_version.Add(stats.new_version);
-      all.old_version.Add(stats.old_version);
-    }
-  }
-  // Response times are compared by route only: those of all routes together
-  // depend on the mix of routes.
-  if (FailsMoreOften(all)) return true;
-  for (const auto& [step, step_stats] : steps) {
-    const RouteStats step_and_old{step_stats, all.old_version};
-    if (FailsMoreOften(step_and_old, kStepThresholds)) return true;
-  }
-  return std::any_of(routes.begin(), routes.end(), [](const auto& route) {
-    return FailsMoreOften(route.second) || IsSlower(route.second);
-  });
-}
-
 RolloutPhase NextPhase(const RolloutProgress& progress,
                        std::span<const RolloutReport> reports, std::size_t vms,
-                       std::int64_t store_ms) {
+                       const ExposureLimit& limit, std::int64_t store_ms) {
   if (IsFinal(progress.phase)) return progress.phase;
   if (IsNewVersionWorse(reports)) return RolloutPhase::kRolledBack;
-  const double passed = PassedFraction(progress, store_ms);
+  const RolloutTotals totals = SumReports(reports, store_ms);
+  const std::int64_t left_ms = progress.deadline_ms - store_ms;
   if (progress.phase == RolloutPhase::kCanary) {
-    return passed < kCanaryEnd ? RolloutPhase::kCanary
-                               : RolloutPhase::kSwitched;
+    if (left_ms < kMinSwitchedMs) return RolloutPhase::kRolledBack;
+    const bool may_switch =
+        PassedFraction(progress, store_ms) >= kEarliestSwitch &&
+        2 * totals.fresh_reports >= vms &&
+        FitsExposureLimit(totals, limit, store_ms - progress.began_ms,
+                          left_ms) &&
+        IsNewVersionProven(reports);
+    return may_switch ? RolloutPhase::kSwitched : RolloutPhase::kCanary;
   }
-  std::size_t done = 0;
-  for (const RolloutReport& report : reports) {
-    const bool switched = report.phase == RolloutPhase::kSwitched;
-    if (switched && report.old_in_flight == 0) ++done;
-  }
-  const bool all_done = done >= vms;
-  const bool due =
-      passed >= kLatestEnd || store_ms >= progress.deadline_ms - kEndMarginMs;
-  return all_done || due ? RolloutPhase::kCompleted : RolloutPhase::kSwitched;
+  const bool due = left_ms <= kEndMarginMs;
+  const bool all_done = totals.switched_idle >= vms;
+  if (!due && !all_done) return RolloutPhase::kSwitched;
+  if (IsProvenAfterSwitch(reports)) return RolloutPhase::kCompleted;
+  return due ? RolloutPhase::kRolledBack : RolloutPhase::kSwitched;
+}
+
+bool IsDecisionNear(const RolloutProgress& progress, std::int64_t store_ms) {
+  return progress.phase == RolloutPhase::kSwitched ||
+         progress.deadline_ms - store_ms < kDecisionNearMs;
 }
 
 VersionRollouts::Rollout* VersionRollouts::FindRollout(
@@ -269,14 +165,11 @@
   const bool from_predecessor = report.order_revision == own.order_revision &&
                                 report.incarnation != own.incarnation;
   if (!from_predecessor) return;
-  for (const auto& [route, stats] : report.routes) {
-    own.routes[route].new_version.Add(stats.new_version);
-    own.routes[route].old_version.Add(stats.old_version);
-    rollout->new_version_sends += stats.new_version.answers;
-    rollout->sends += stats.new_version.answers + stats.old_version.answers;
-  }
-  for (const auto& [step, step_stats] : report.new_version_by_step) {
-    own.new_version_by_step[step].Add(step_stats);
+  own.sends += report.sends;
+  own.arrived_sends += report.arrived_sends;
+  own.new_version_sends += report.new_version_sends;
+  for (const auto& [route, steps] : report.routes) {
+    for (const auto& [step, stats] : steps) own.routes[route][step].Add(stats);
   }
 }
 
@@ -284,29 +177,67 @@
   return this->store_clock.UpdatedWithin(kStoreClockMaxAge, now);
 }
 
+std::int64_t VersionRollouts::CanaryQuota(const Rollout& rollout,
+                                          TimePoint now) const {
+  const double passed =
+      PassedFraction(rollout.progress, this->store_clock.At(now));
+  if (this->fleet_size == 0 || passed < kCanaryBegin) return 0;
+  const auto arrived = static_cast<double>(rollout.report.arrived_sends +
+                                           rollout.sends_in_flight);
+  const auto vms = static_cast<double>(this->fleet_size);
+  double quota = kCanaryExtraUse * this->limit.extra *
+                     std::min(1.0, passed / kCanaryExtraEnd) / vms +
+                 kCanaryFractionUse * this->limit.fraction * arrived;
+  if (rollout.arrived_before_load) {
+    quota += kLoadFraction *
+             (arrived - static_cast<double>(*rollout.arrived_before_load));
+  }
+  // This VM's part of the limit, less what its requests after the switch need.
+  const double sends_per_ms = static_cast<double>(rollout.report.sends) /
+                              (passed * TimeLimitMs(rollout.progress));
+  const double available = this->limit.fraction * arrived / passed +
+                           this->limit.extra / vms -
+                           sends_per_ms * kSwitchReserveMs;
+  quota = std::clamp(quota, 0.0, std::max(0.0, available));
+  // Each VM rounds at a point of its own, so that the parts of many VMs don't
+  // all round to none.
+  const std::uint64_t hash = coordination::StableHash(rollout.order.version) ^
+                             (this->incarnation * kHashSteps + 1);
+  const double rounding =
+      static_cast<double>(hash % kHashSteps) / static_cast<double>(kHashSteps);
+  return static_cast<std::int64_t>(quota + rounding);
+}
+
+// The canary requests are spread over the routes as all requests are, so that
+// there are answers to compare on each.
+bool VersionRollouts::MaySendCanary(const Rollout& rollout,
+                                    std::string_view route,
+                                    TimePoint now) const {
+  const std::int64_t quota = this->CanaryQuota(rollout, now);
+  if (rollout.report.new_version_sends >= quota) return false;
+  const auto found = rollout.by_route.find(route);
+  if (found == rollout.by_route.end()) return true;
+  const RouteSends& sends = found->second;
+  return sends.to_new_version * rollout.report.sends <= quota * sends.all;
+}
+
 bool VersionRollouts::UsesNewVersion(std::string_view service,
-                                     std::string_view request_id,
-                                     TimePoint now) {
+                                     std::string_view route,
+                                     TimePoint now) const {
   const Rollout* rollout = this->Find(service);
   if (rollout == nullptr || !rollout->begun) return false;
-  const RolloutProgress& progress = rollout->progress;
-  if (progress.phase != RolloutPhase::kCanary) {
-    return progress.phase != RolloutPhase::kRolledBack;
+  switch (rollout->progress.phase) {
+    case RolloutPhase::kCompleted:
+      return true;
+    case RolloutPhase::kSwitched:
+      // The rollout may have been rolled back meanwhile.
+      return this->IsStoreClockFresh(now);
+    case RolloutPhase::kCanary:
+      return this->IsStoreClockFresh(now) &&
+             this->MaySendCanary(*rollout, route, now);
+    default:
+      return false;
   }
-  if (!this->IsStoreClockFresh(now)) return false;
-  const double initial = this->fleet_size == 0
-                             ? 0
-                             : static_cast<double>(kInitialCanarySends) /
-                                   static_cast<double>(this->fleet_size);
-  const auto max_sends = static_cast<std::int64_t>(
-      kMaxCanaryFraction * static_cast<double>(rollout->sends) + initial);
-  if (rollout->new_version_sends >= max_sends) return false;
-  const std::uint64_t hash =
-      coordination::StableHash(request_id) ^ this->incarnation;
-  const double hash_fraction =
-      static_cast<double>(hash % kHashSteps) / static_cast<double>(kHashSteps);
-  return hash_fraction <
-         NewVersionFraction(progress, this->store_clock.At(now));
 }
 
 VersionRollouts::Eligibility VersionRollouts::EligibilityOf(
@@ -323,25 +254,54 @@
       rollout->begun && rollout->progress.phase == RolloutPhase::kRolledBack;
   if (is_new && rolled_back) return Eligibility::kForbidden;
   if (is_new && undecided && !use_new_version) return Eligibility::kForbidden;
-  if (undecided || rolled_back) {
+  const bool completed =
+      rollout->begun && rollout->progress.phase == RolloutPhase::kCompleted;
+  if (!completed) {
     return is_new == use_new_version ? Eligibility::kPreferred
                                      : Eligibility::kAllowed;
   }
   return is_new ? Eligibility::kPreferred : Eligibility::kAllowed;
 }
 
+std::int32_t VersionRollouts::StepOf(const Rollout& rollout,
+                                     TimePoint sent_at) const {
+  if (!rollout.begun) return 0;
+  const bool after_switch =
+      rollout.switched_at && sent_at >= *rollout.switched_at;
+  if (after_switch) return kSwitchedStep;
+  const double passed =
+      PassedFraction(rollout.progress, this->store_clock.At(sent_at));
+  return std::clamp(static_cast<std::int32_t>(passed * kSwitchedStep), 0,
+                    kSwitchedStep - 1);
+}
+
 std::uint64_t VersionRollouts::OnSent(const Send& send) {
   Rollout* rollout = this->FindRollout(send.service);
   if (rollout == nullptr) return 0;
-  ++rollout->sends;
-  InFlightSends& in_flight = rollout->in_flight[std::string(send.route)];
+  ++rollout->report.sends;
+  ++rollout->sends_in_flight;
+  RouteSends& sends = rollout->by_route[std::string(send.route)];
+  ++sends.all;
   if (send.version == rollout->order.version) {
-    ++rollout->new_version_sends;
-    in_flight.new_version.insert(send.sent_at);
+    ++rollout->report.new_version_sends;
+    ++sends.to_new_version;
+    sends.new_version.insert(send.sent_at);
   } else {
     ++rollout->report.old_in_flight;
-    in_flight.old_version.insert(send.sent_at);
+    sends.old_version.insert(send.sent_at);
+  }
+  const double passed =
+      PassedFraction(rollout->progress, this->store_clock.At(send.sent_at));
+  const bool load_begins = !rollout->arrived_before_load && rollout->begun &&
+                           passed >= kLoadBegin && passed < kLoadEnd;
+  if (load_begins) {
+    rollout->arrived_before_load =
+        rollout->report.arrived_sends + rollout->sends_in_flight;
   }
+  const bool first_after_switch =
+      !rollout->switched_at && rollout->begun &&
+      rollout->progress.phase == RolloutPhase::kSwitched;
+  if (first_after_switch) rollout->switched_at = send.sent_at;
   return rollout->order.revision;
 }
 
@@ -350,32 +310,33 @@
   Rollout* rollout = this->FindRollout(send.service);
   if (rollout == nullptr || ended.revision != rollout->order.revision) return;
   const bool is_new = send.version == rollout->order.version;
+  --rollout->sends_in_flight;
   if (!is_new) --rollout->report.old_in_flight;
-  InFlightSends& in_flight = rollout->in_flight[std::string(send.route)];
+  RouteSends& sends = rollout->by_route[std::string(send.route)];
   std::multiset<TimePoint>& times =
-      is_new ? in_flight.new_version : in_flight.old_version;
+      is_new ? sends.new_version : sends.old_version;
   if (const auto found = times.find(send.sent_at); found != times.end()) {
     times.erase(found);
   }
+  if (ended.arrived) ++rollout->report.arrived_sends;
   if (ended.outcome == Outcome::kNotRun) return;
-  RouteStats& stats = rollout->report.routes[std::string(send.route)];
+  RouteStats& stats =
+      rollout->report.routes[std::string(send.route)]
+                            [this->StepOf(*rollout, send.sent_at)];
   VersionStats& counts = is_new ? stats.new_version : stats.old_version;
   const Duration took = ended.ended_at - send.sent_at;
   if (ended.outcome == Outcome::kAbandoned) {
-    const bool overdue = stats.old_version.timed_answers > 0 &&
-                         took > stats.old_version.GeometricMeanTime();
-    if (overdue) counts.AddTime(took);
+    counts.unfinished.Add(took);
     return;
   }
   const bool failed = ended.outcome == Outcome::kFailed;
   ++counts.answers;
   if (failed) ++counts.failures;
-  if (!failed) counts.AddTime(took);
-  if (!is_new) return;
-  VersionStats& step = rollout->report.new_version_by_step[StepAt(
-      rollout->progress, this->store_clock.At(send.sent_at))];
-  ++step.answers;
-  if (failed) ++step.failures;
+  if (failed) return;
+  counts.times.Add(took);
+  const std::int64_t units =
+      ended.events == 0 ? 1 : ended.events + kFirstEventUnits;
+  counts.paces.Add(took / units);
 }
 
 RolloutReport VersionRollouts::ReportAt(std::string_view service,
@@ -383,19 +344,19 @@
   const Rollout* rollout = this->Find(service);
   if (rollout == nullptr) return {};
   RolloutReport report = rollout->report;
-  const auto add_overdue = [now](const std::multiset<TimePoint>& in_flight,
-                                 Duration mean, VersionStats& counts) {
-    for (const TimePoint sent_at : in_flight) {
-      if (now - sent_at <= mean) break;
-      counts.AddTime(now - sent_at);
-    }
-  };
-  for (const auto& [route, in_flight] : rollout->in_flight) {
-    RouteStats& stats = report.routes[route];
-    if (stats.old_version.timed_answers == 0) continue;
-    const Duration mean = stats.old_version.GeometricMeanTime();
-    add_overdue(in_flight.new_version, mean, stats.new_version);
-    add_overdue(in_flight.old_version, mean, stats.old_version);
+  report.reported_ms = this->store_clock.At(now);
+  for (const auto& [route, sends] : rollout->by_route) {
+    auto& steps = report.routes[route];
+    const auto add = [&](const std::multiset<TimePoint>& in_flight,
+                         VersionStats RouteStats::*version) {
+      for (const TimePoint sent_at : in_flight) {
+        RouteStats& stats = steps[this->StepOf(*rollout, sent_at)];
+        (stats.*version).unfinished.Add(now - sent_at);
+        if (now - sent_at < kAssumedArrived) ++report.arrived_sends;
+      }
+    };
+    add(sends.new_version, &RouteStats::new_version);
+    add(sends.old_version, &RouteStats::old_version);
   }
   return report;
 }
--- a/policy/version_rollout.h
+++ b/policy/version_rollout.h
@@ -1,10 +1,11 @@
 // Rollout of another version of a service's software: a canary phase with a
-// bounded fraction of the requests, a verdict on the answers that all VMs saw,
-// then a switch of all requests or a rollback. No I/O.
+// bounded number of requests, a verdict on the answers that all VMs saw, then a
+// switch of all requests or a rollback. No I/O.
 #pragma once
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <span>
 #include <string>
@@ -12,6 +13,8 @@
 #include <vector>
 
 #include "coordination/time.h"
+#include "policy/rollout_report.h"
+#include "policy/rollout_verdict.h"
 #include "policy/store_clock.h"
 
 namespace hornbeamspool::policy {
@@ -25,14 +28,6 @@
   std::uint64_t revision = 0;  // grows with each order of a service
 };
 
-enum class RolloutPhase : std::uint8_t {
-  kCanary,      // the new version gets a small fraction of the requests
-  kSwitched,    // it gets all new requests; the old one finishes its own
-  kCompleted,   // the old version may be stopped
-  kRolledBack,  // the new version gets no requests
-  kCount
-};
-
 // Whether the rollout ends with this phase.
 constexpr bool IsFinal(RolloutPhase phase) {
   return phase == RolloutPhase::kCompleted ||
@@ -58,67 +53,29 @@
   std::string driver;                      // the driver's VM
 };
 
-// The outcomes of requests that were sent to one version.
-struct VersionStats {
-  std::int64_t answers = 0;   // ended sends that an upstream may have run
-  std::int64_t failures = 0;  // of `answers`
-  // Response times: those of complete answers, and the time so far of sends
-  // that callers gave up or that are in flight for longer than usual.
-  std::int64_t timed_answers = 0;
-  double log_ms_sum = 0;  // sum of the logarithms of the times in ms
-
-  void Add(const VersionStats& other);
-  void AddTime(coordination::Duration took);
-  // The geometric mean of the response times.
-  coordination::Duration GeometricMeanTime() const;
-};
-
-struct RouteStats {
-  VersionStats new_version;
-  VersionStats old_version;  // all versions but the new one
-};
-
-// What one VM has observed of a rollout, including what its earlier processes
-// observed.
-struct RolloutReport {
-  std::uint64_t order_revision = 0;
-  std::uint64_t incarnation = 0;               // of the process that wrote it
-  RolloutPhase phase = RolloutPhase::kCanary;  // that the VM follows
-  std::int64_t old_in_flight = 0;              // requests at the old version
-  std::map<std::string, RouteStats> routes;
-  // Answers and failures of the new version on all routes, by the step in which
-  // the request was sent: see StepAt. The load on the version differs by step.
-  std::map<std::int32_t, VersionStats> new_version_by_step;
-};
-
-// The state of a rollout at its beginning.
+// The state of a rollout that was ordered at `store_ms`.
 RolloutProgress BeginRollout(const RolloutOrder& order, std::int64_t store_ms);
 
-// The fraction of a service's requests for the new version, 0 to 1.
-double NewVersionFraction(const RolloutProgress& progress,
-                          std::int64_t store_ms);
-
-// The index of the rollout's step at this time. The steps divide the time
-// limit; each has its own fraction of requests for the new version.
-std::int32_t StepAt(const RolloutProgress& progress, std::int64_t store_ms);
-
-// Whether the new version is significantly worse than the old one: it fails
-// more often, on all routes together, on one route or in one step, or it is
-// slower on one route.
-bool IsNewVersionWorse(std::span<const RolloutReport> reports);
-
 // The phase that follows from the reports. `vms` is the number of VMs that send
 // to the service's upstreams.
+//
+// The rollout switches once the new version is proven good, and so late that a
+// version that turns bad after that stays within the limit. Where that can't be
+// in time, it is rolled back.
 RolloutPhase NextPhase(const RolloutProgress& progress,
                        std::span<const RolloutReport> reports, std::size_t vms,
-                       std::int64_t store_ms);
+                       const ExposureLimit& limit, std::int64_t store_ms);
+
+// Whether the next decision is due soon, so that VMs report and the driver
+// decides at short intervals.
+bool IsDecisionNear(const RolloutProgress& progress, std::int64_t store_ms);
 
 // The rollouts of all services as one VM follows them: chooses the version for
 // each request and counts the outcomes.
 class VersionRollouts {
  public:
-  explicit VersionRollouts(std::uint64_t incarnation)
-      : incarnation(incarnation) {}
+  explicit VersionRollouts(std::uint64_t incarnation, ExposureLimit limit = {})
+      : incarnation(incarnation), limit(limit) {}
 
   // Begins to follow an order. Ignored unless it is newer than the known one.
   void SetOrder(RolloutOrder order);
@@ -145,10 +102,9 @@
     kForbidden,
     kCount
   };
-  // Whether the request goes to the new version. Ask once for each request: the
-  // answer changes with time and with the number of sends.
-  bool UsesNewVersion(std::string_view service, std::string_view request_id,
-                      coordination::TimePoint now);
+  // Whether a request that is sent now goes to the new version.
+  bool UsesNewVersion(std::string_view service, std::string_view route,
+                      coordination::TimePoint now) const;
   Eligibility EligibilityOf(std::string_view service, std::string_view version,
                             bool use_new_version) const;
 
@@ -172,19 +128,23 @@
     Send send;
     std::uint64_t revision = 0;  // as returned by OnSent
     Outcome outcome = Outcome::kNotRun;
+    std::int64_t events = 0;  // of a stream's answer
+    bool arrived = true;      // at an upstream, which has answered
     coordination::TimePoint ended_at{};
   };
   void OnEnded(const EndedSend& ended);
 
   // What this VM has observed of the rollout, including the time so far of
-  // sends in flight that have taken longer than the mean of the old version.
-  // Without them, a slow version would look fast while only its fast answers
-  // are in.
+  // sends in flight. Without them, a slow version would look fast while only
+  // its fast answers are in.
   RolloutReport ReportAt(std::string_view service,
                          coordination::TimePoint now) const;
 
-  // Times at which the sends in flight were sent.
-  struct InFlightSends {
+  // The sends of one route: their numbers, and the times at which those in
+  // flight were sent.
+  struct RouteSends {
+    std::int64_t all = 0;
+    std::int64_t to_new_version = 0;
     std::multiset<coordination::TimePoint> new_version;
     std::multiset<coordination::TimePoint> old_version;
   };
@@ -193,9 +153,12 @@
     RolloutProgress progress;
     bool begun = false;  // `progress` belongs to `order`
     RolloutReport report;
-    std::map<std::string, InFlightSends, std::less<>> in_flight;  // by route
-    std::int64_t sends = 0;              // since the order
-    std::int64_t new_version_sends = 0;  // of `sends`
+    std::map<std::string, RouteSends, std::less<>> by_route;
+    std::int64_t sends_in_flight = 0;
+    // Sends that had arrived or were in flight when the load step began.
+    std::optional<std::int64_t> arrived_before_load;
+    // When this VM sent its first request after the switch.
+    std::optional<coordination::TimePoint> switched_at;
   };
   // Null when the service has none.
   const Rollout* Find(std::string_view service) const;
@@ -209,14 +172,23 @@
   // Whether the store has answered lately enough for the known phases to be in
   // force.
   bool IsStoreClockFresh(coordination::TimePoint now) const;
+  const ExposureLimit& Limit() const { return this->limit; }
 
  private:
   Rollout* FindRollout(std::string_view service);
+  // Number of requests that the canary may have got from this VM by now.
+  std::int64_t CanaryQuota(const Rollout& rollout,
+                           coordination::TimePoint now) const;
+  bool MaySendCanary(const Rollout& rollout, std::string_view route,
+                     coordination::TimePoint now) const;
+  std::int32_t StepOf(const Rollout& rollout,
+                      coordination::TimePoint sent_at) const;
 
   std::map<std::string, Rollout, std::less<>> rollouts;  // by service
   StoreClock store_clock;
   std::int64_t fleet_size = 0;  // 0: not known yet
   std::uint64_t incarnation;    // of this process
+  ExposureLimit limit;
 };
 
 }  // namespace hornbeamspool::policy
--- a/settings/gateway_settings.cc
+++ b/settings/gateway_settings.cc
@@ -14,6 +14,7 @@
 constexpr double kMinMemoryMb = 32;
 constexpr double kMaxMemoryMb = 1e6;
 constexpr double kMaxRetryExtra = 1e6;
+constexpr double kMaxExposureExtra = 1e6;
 constexpr double kMinDescriptors = 256;
 constexpr double kMaxDescriptors = 1e6;
 
@@ -51,6 +52,10 @@
       gateway.retry_extra = r.NumberOr("extra", 0, kMaxRetryExtra, 0);
       gateway.retry_window = SecondsOr(r, "window_s", 10);
     });
+    root.Member("rollouts", [&](ObjectReader& r) {
+      gateway.exposure_share = r.NumberOr("share", 0, 1, 0.1);
+      gateway.exposure_extra = r.NumberOr("extra", 0, kMaxExposureExtra, 50);
+    });
     gateway.shutdown_timeout = SecondsOr(root, "stop_s", 8);
     gateway.bridged_outage = SecondsOr(root, "bridged_outage_s", 10);
     gateway.memory_mb = root.NumberOr("memory_mb", kMinMemoryMb, kMaxMemoryMb,
--- a/settings/gateway_settings.h
+++ b/settings/gateway_settings.h
@@ -31,6 +31,10 @@
   double retry_extra = 0;    // further retries of the whole fleet per window;
                              // may be a fraction
   coordination::Duration retry_window{};
+  // Limit on the requests that a bad version may get, see
+  // policy::ExposureLimit.
+  double exposure_share = 0.1;
+  double exposure_extra = 50;
   // Longest outage of the store during which budgets can still be spent.
   coordination::Duration bridged_outage{};
 };
--- a/tests/gateway_policy_test.cc
+++ b/tests/gateway_policy_test.cc
@@ -665,8 +665,9 @@
       core.OnSendEnded(admitted, plan, SendOutcome::kErrorRelayed, At(2)));
   const RolloutReport report = core.Rollouts().ReportAt("engines", At(3));
   REQUIRE(report.routes.size() == 1);
-  CHECK(report.routes.begin()->second.old_version.answers == 1);
-  CHECK(report.routes.begin()->second.old_version.failures == 1);
+  const RouteStats& stats = report.routes.begin()->second.at(0);
+  CHECK(stats.old_version.answers == 1);
+  CHECK(stats.old_version.failures == 1);
 }
 
 // Guards against more crashes than allowed: a server error cleared a suspect.
--- a/tests/process/gateway_test.sh
+++ b/tests/process/gateway_test.sh
@@ -168,7 +168,7 @@
 check 'a version that fails is rolled back' '*rolled_back*v3*' "$(rollout_status)"
 check 'a version that was rolled back receives no more requests' 'stamp-i-[12]' "$(served_by 1)"
 row servers/i-5 gone
-row op/rollout/s '{"service":"s","to":"v2","ramp_s":4}'
+row op/rollout/s '{"service":"s","to":"v2","ramp_s":12}'
 server_row i-4 19703 ready v2
 until_true status_says completed
 check 'a good version receives all requests after its rollout' 'stamp-i-4 stamp-i-4' "$(served_by 1) $(served_by 2)"
--- a/tests/row_codec_test.cc
+++ b/tests/row_codec_test.cc
@@ -31,8 +31,8 @@
   policy::RolloutReport report;
   report.order_revision = 9;
   report.phase = policy::RolloutPhase::kSwitched;
-  report.routes["route"].new_version.answers = 4;
-  report.new_version_by_step[2].failures = 1;
+  report.routes["route"][2].new_version.answers = 4;
+  report.routes["route"][2].new_version.times.counts[17] = 3;
   return report;
 }
 
@@ -47,8 +47,9 @@
       DecodeRow<policy::RolloutReport>(EncodeRow(SampleReport()));
   REQUIRE(report);
   CHECK(report->phase == policy::RolloutPhase::kSwitched);
-  CHECK(report->routes.at("route").new_version.answers == 4);
-  CHECK(report->new_version_by_step.at(2).failures == 1);
+  const policy::RouteStats& stats = report->routes.at("route").at(2);
+  CHECK(stats.new_version.answers == 4);
+  CHECK(stats.new_version.times.counts.at(17) == 3);
 }
 
 TEST_CASE("a share of an older build keeps one rate at any age") {
--- a/tests/settings_test.cc
+++ b/tests/settings_test.cc
@@ -71,6 +71,7 @@
     "listen": "10.0.0.1:1", "store": "10.0.0.2:2", "peers": "10.0.0.1:3",
     "readiness": {"address": "10.0.0.1:4", "path": "/ready"},
     "retries": {"share": 0.2, "extra": 17.6, "window_s": 2.5},
+    "rollouts": {"share": 0.05, "extra": 12.5},
     "stop_s": 7.5, "descriptors": 4100.5, "memory_mb": 160.25,
     "link_mbps": 12.5})")
           .empty());
