Send requests through a peer while a VM is cut off from all upstreams

Cause: a VM had its own links to upstreams and no other way. It knew 1.5 s after the cut, said that it was not ready, and went on getting callers, since the balancer uses all of a zone when fewer than half of it are ready.

Why this works: the store and the other VMs still reach such a VM, so a peer opens the connection and passes bytes on, one hop at most; budget, retries, permits and what may run once stay with the VM that has the caller (docs/design/platform.md). A refusal counts as a crash only after a connection to another upstream succeeded; sends that a cut broke off count for no version.

--- a/gateway/context.h
+++ b/gateway/context.h
@@ -20,6 +20,7 @@
 class BudgetSync;
 class CrashWatch;
 class PeerChannel;
+class PeerTunnels;
 class PermitBroker;
 class TokenBroker;
 
@@ -31,6 +32,7 @@
   BudgetSync* budget_sync = nullptr;
   TokenBroker* token_broker = nullptr;
   PeerChannel* peers = nullptr;
+  PeerTunnels* tunnels = nullptr;
   PermitBroker* permits = nullptr;
   CrashWatch* crashes = nullptr;
   EventLog* log = nullptr;
--- a/gateway/crash_watch.cc
+++ b/gateway/crash_watch.cc
@@ -64,8 +64,10 @@
 http::Task<void> CrashWatch::Probe(policy::UpstreamEntry upstream) {
   const http::FetchStatus status =
       co_await this->context.client->Probe(upstream.address, kProbeTimeout);
+  this->context.core->OnConnect(upstream, status == http::FetchStatus::kOk,
+                                Now());
   if (status != http::FetchStatus::kRefused) co_return;
-  this->context.core->OnUpstreamDown(upstream, Now());
+  this->context.core->OnUpstreamRefused(upstream, Now());
   this->PublishNotices();
 }
 
--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -14,6 +14,7 @@
 #include "gateway/crash_watch.h"
 #include "gateway/event_log.h"
 #include "gateway/peer_channel.h"
+#include "gateway/peer_tunnels.h"
 #include "gateway/permit_broker.h"
 #include "gateway/rate_log.h"
 #include "gateway/request_relay.h"
@@ -84,6 +85,13 @@
   return options;
 }
 
+// A tunnel takes two descriptors. Callers of this VM come first.
+std::size_t MaxTunnels(const settings::GatewaySettings& settings) {
+  constexpr std::int64_t kDescriptorDivisor = 8;
+  return static_cast<std::size_t>(
+      std::max<std::int64_t>(1, settings.descriptors / kDescriptorDivisor));
+}
+
 using ZoneSet = std::set<std::string, std::less<>>;
 
 // Applies changed rows of the operator's table to the set of evacuated zones.
@@ -141,6 +149,7 @@
   Context context;
   BudgetSync budget_sync;
   PeerChannel channel;
+  PeerTunnels tunnels;
   TokenBroker broker;
   PermitBroker permits;
   CrashWatch crashes;
@@ -166,9 +175,10 @@
       store_http(this->io),
       store(this->store_http, this->settings.store_address),
       core(CoreOptionsFor(this->settings), {this->incarnation, Now()}),
-      context{&this->io,     &this->core,    &this->client,  &this->budget_sync,
-              &this->broker, &this->channel, &this->permits, &this->crashes,
-              &this->log,    &this->metrics},
+      context{&this->io,          &this->core,    &this->client,
+              &this->budget_sync, &this->broker,  &this->channel,
+              &this->tunnels,     &this->permits, &this->crashes,
+              &this->log,         &this->metrics},
       budget_sync(this->context, this->store, this->settings.vm),
       channel(this->context, this->store, this->settings.vm,
               this->settings.peer_address,
@@ -188,6 +198,8 @@
                [this](std::span<const policy::PoisonPartRecord> records) {
                  this->crashes.OnPartRecords(records);
                }}),
+      tunnels(this->context, this->settings.peer_address,
+              MaxTunnels(this->settings)),
       broker(this->context, this->channel, this->incarnation),
       permits(this->context, this->channel, this->settings.vm,
               this->incarnation),
@@ -442,6 +454,7 @@
     co_await timer.async_wait(http::kAwait);
     this->UpdateLoad(std::chrono::duration_cast<Duration>(
         std::chrono::steady_clock::now() - timer.expiry()));
+    this->tunnels.Check(Now());
     this->crashes.Expire();
     this->crashes.PublishNotices();
     if (++rounds % kRateReportRounds == 0) ReportRates(this->context, Now());
@@ -455,6 +468,7 @@
 }
 
 std::string Gateway::State::Listen() {
+  std::string error;
   if (this->readiness_server.Listen(this->settings.readiness_address) == 0) {
     return "cannot listen on " + this->settings.readiness_address;
   }
@@ -465,7 +479,8 @@
       this->metrics_server.Listen(this->settings.metrics_address) == 0) {
     return "cannot listen on " + this->settings.metrics_address;
   }
-  return this->channel.Start();
+  error = this->tunnels.Start();
+  return error.empty() ? this->channel.Start() : error;
 }
 
 void Gateway::State::WaitForSignal() {
--- a/gateway/peer_channel.cc
+++ b/gateway/peer_channel.cc
@@ -227,6 +227,16 @@
   this->SendAuthenticated(peers, transport::EncodePrefillMessage(message));
 }
 
+std::string PeerChannel::Authenticate(std::string_view text) const {
+  return transport::AppendMac(this->key, text);
+}
+
+std::optional<std::string_view> PeerChannel::Verify(
+    std::string_view bytes) const {
+  if (this->key.empty()) return std::nullopt;
+  return transport::VerifyMac(this->key, bytes);
+}
+
 void PeerChannel::Dispatch(std::string_view payload) {
   if (const auto message = transport::DecodeBudgetMessage(payload)) {
     this->directory.OnAnswer(message->sender);
@@ -255,8 +265,8 @@
     if (error == boost::asio::error::operation_aborted) co_return;
     // The error of an earlier send, such as an ICMP port unreachable.
     if (error) continue;
-    const auto payload = transport::VerifyMac(this->key, {bytes.data(), count});
-    if (!payload || this->key.empty()) continue;
+    const auto payload = this->Verify({bytes.data(), count});
+    if (!payload) continue;
     this->Dispatch(*payload);
   }
 }
--- a/gateway/peer_channel.h
+++ b/gateway/peer_channel.h
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <random>
 #include <span>
 #include <string>
@@ -67,6 +68,11 @@
   void SendToRandomPeers(const transport::PrefillMessage& message,
                          coordination::TimePoint now);
 
+  // The text with a MAC that only the fleet's VMs can make.
+  std::string Authenticate(std::string_view text) const;
+  // Returns the text, a view into `bytes`; empty when the MAC does not match.
+  std::optional<std::string_view> Verify(std::string_view bytes) const;
+
   // Whether the table of gateways has been read.
   bool Ready() const { return this->table_loaded; }
 
--- /dev/null
+++ b/gateway/peer_tunnels.cc
@@ -0,0 +1,136 @@
+#include "gateway/peer_tunnels.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+#include "gateway/event_log.h"
+#include "gateway/peer_channel.h"
+#include "gateway/spawn.h"
+#include "hornbeamspool/clock.h"
+#include "policy/event.h"
+#include "policy/gateway_core.h"
+#include "transport/tunnel_message.h"
+
+namespace hornbeamspool::gateway {
+namespace {
+
+using http::FetchStatus;
+using http::TunnelStatus;
+
+// Peers that one send tries.
+constexpr std::size_t kMaxPeers = 3;
+
+// A TCP handshake takes 2 ms within a region.
+constexpr coordination::Duration kProbeTimeout = std::chrono::milliseconds(500);
+
+}  // namespace
+
+PeerTunnels::PeerTunnels(const Context& context, std::string address,
+                         std::size_t max_tunnels)
+    : context(context),
+      address(std::move(address)),
+      server(
+          *context.io, {.max_tunnels = max_tunnels},
+          [this](std::string_view request) { return this->Authorize(request); },
+          [this](std::string_view message) {
+            LogException(this->context, "tunnel", message);
+          }),
+      peers(context.peers->Vm()) {}
+
+std::string PeerTunnels::Start() {
+  if (this->server.Listen(this->address) == 0) {
+    return "cannot listen on " + this->address;
+  }
+  return {};
+}
+
+// Only peers get tunnels, and only to upstreams.
+std::variant<std::string, TunnelStatus> PeerTunnels::Authorize(
+    std::string_view request) const {
+  const auto payload = this->context.peers->Verify(request);
+  if (!payload) return TunnelStatus::kUnavailable;
+  auto message = transport::DecodeTunnelMessage(*payload);
+  policy::GatewayCore& core = *this->context.core;
+  const bool busy = core.Uplink().IsCutOff() || core.Link().IsCongested(Now());
+  if (!message || busy) return TunnelStatus::kUnavailable;
+  const std::vector<const policy::UpstreamEntry*> all = core.Upstreams().All();
+  const bool known = std::any_of(
+      all.begin(), all.end(), [&message](const policy::UpstreamEntry* entry) {
+        return entry->address == message->address;
+      });
+  if (!known) return TunnelStatus::kUnavailable;
+  return std::move(message->address);
+}
+
+std::shared_ptr<const http::Tunnel> PeerTunnels::Through(
+    const std::string& vm) const {
+  auto tunnel = std::make_shared<http::Tunnel>();
+  tunnel->address = this->context.peers->Directory().AddressOf(vm);
+  tunnel->make_request = [this](std::string_view target) {
+    return this->context.peers->Authenticate(transport::EncodeTunnelMessage(
+        {this->context.peers->Vm(), std::string(target)}));
+  };
+  return tunnel;
+}
+
+http::Task<http::OpenResult> PeerTunnels::Open(policy::UpstreamEntry upstream,
+                                               http::Request request,
+                                               http::FetchOptions options) {
+  policy::GatewayCore& core = *this->context.core;
+  if (!core.Uplink().IsCutOff()) {
+    options.on_connect = [this, upstream](FetchStatus status) {
+      this->OnConnect(upstream, status == FetchStatus::kOk);
+    };
+    http::OpenResult opened =
+        co_await this->context.client->Open(upstream.address, request, options);
+    const bool unsent = opened.status == FetchStatus::kUnreachable ||
+                        opened.status == FetchStatus::kRefused;
+    if (!unsent || !core.Uplink().IsCutOff()) co_return opened;
+  }
+  const std::vector<std::string> chosen = this->peers.Choose(
+      this->context.peers->Directory().All(), upstream.id, kMaxPeers, Now());
+  for (const std::string& vm : chosen) {
+    if (options.canceller && options.canceller->Cancelled()) break;
+    options.tunnel = this->Through(vm);
+    http::OpenResult opened =
+        co_await this->context.client->Open(upstream.address, request, options);
+    if (opened.status != FetchStatus::kNoTunnel) co_return opened;
+    this->peers.OnUnavailable(vm, Now());
+  }
+  co_return http::OpenResult{FetchStatus::kNoTunnel, nullptr};
+}
+
+void PeerTunnels::OnConnect(const policy::UpstreamEntry& upstream,
+                            bool reached) {
+  this->context.core->OnConnect(upstream, reached, Now());
+  if (!reached) this->Check(Now());
+}
+
+void PeerTunnels::Check(coordination::TimePoint now) {
+  policy::GatewayCore& core = *this->context.core;
+  const bool cut_off = core.Uplink().IsCutOff();
+  if (cut_off != std::exchange(this->was_cut_off, cut_off)) {
+    this->context.log->Write(
+        LogKind::kDependency,
+        policy::KeyValue("upstreams", cut_off ? "cut_off" : "regained"), now);
+  }
+  std::vector<std::string> ids;
+  for (const policy::UpstreamEntry* entry : core.Upstreams().All()) {
+    if (!entry->draining) ids.push_back(entry->id);
+  }
+  for (const std::string& id :
+       core.Uplink().TakeDueProbes(ids, core.InFlight() > 0, now)) {
+    const policy::UpstreamEntry* entry = core.Upstreams().Find(id);
+    if (entry == nullptr) continue;
+    Spawn(this->context, "uplink_probe", this->Probe(*entry));
+  }
+}
+
+http::Task<void> PeerTunnels::Probe(policy::UpstreamEntry upstream) {
+  const FetchStatus status =
+      co_await this->context.client->Probe(upstream.address, kProbeTimeout);
+  this->OnConnect(upstream, status == FetchStatus::kOk);
+}
+
+}  // namespace hornbeamspool::gateway
--- a/gateway/request_relay.cc
+++ b/gateway/request_relay.cc
@@ -12,6 +12,7 @@
 #include "gateway/crash_watch.h"
 #include "gateway/event_log.h"
 #include "gateway/peer_channel.h"
+#include "gateway/peer_tunnels.h"
 #include "gateway/permit_broker.h"
 #include "gateway/rate_log.h"
 #include "gateway/stream_relay.h"
@@ -303,17 +304,18 @@
   }
   options.max_connections = plan.max_connections;
   options.canceller = &this->canceller;
-  const http::Request sent =
+  http::Request sent =
       platform::BuildUpstreamRequest(this->exchange->GetRequest(), headers);
   this->context->core->Link().AddSent(
       kHeaderOverheadBytes + static_cast<std::int64_t>(sent.body.size()),
       Now());
-  const http::OpenResult opened = co_await this->context->client->Open(
-      plan.upstream.address, sent, options);
+  const http::OpenResult opened = co_await this->context->tunnels->Open(
+      plan.upstream, std::move(sent), options);
   if (opened.status == http::FetchStatus::kRefused) {
     co_return SendOutcome::kNotListening;
   }
-  if (opened.status == http::FetchStatus::kUnreachable) {
+  if (opened.status == http::FetchStatus::kUnreachable ||
+      opened.status == http::FetchStatus::kNoTunnel) {
     co_return this->canceller.Cancelled() ? SendOutcome::kAbandoned
                                           : SendOutcome::kUnreachable;
   }
--- a/http/client.cc
+++ b/http/client.cc
@@ -3,8 +3,11 @@
 #include <netinet/tcp.h>
 
 #include <algorithm>
+#include <array>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/core/basic_stream.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
@@ -178,7 +181,8 @@
   }
 
   std::shared_ptr<Client::ConnectionPool> pool;
-  std::string address;
+  std::string target;   // the address of the server
+  std::string address;  // under which the pool keeps the connection
   std::unique_ptr<Stream> stream;
   beast::flat_buffer buffer;
   bhttp::response_parser<bhttp::buffer_body> parser;
@@ -296,7 +300,8 @@
     state.framing_bytes += received;
     if (error == net::error::eof) {
       state.parser.put_eof(error);
-      if (!error && state.parser.is_done()) continue;
+      const bool complete = !error && state.parser.is_done();
+      if (complete && !state.options.tunnel) continue;
       co_return ReadResult{FetchStatus::kBroken, 0};
     }
     if (error) co_return ReadResult{state.FailureStatus(), 0};
@@ -345,6 +350,42 @@
   co_return result;
 }
 
+// Asks the host at the other end for a tunnel to `target`.
+Task<FetchStatus> OpenTunnel(Stream& stream, std::string_view target,
+                             const FetchOptions& options) {
+  const std::string request = options.tunnel->make_request(target);
+  std::string message{static_cast<char>(request.size() / 256),
+                      static_cast<char>(request.size() % 256)};
+  message += request;
+  std::array<char, 1> reply{};
+  error_code error;
+  if (options.canceller) {
+    options.canceller->SetCloseHandler([&stream] { stream.cancel(); });
+  }
+  // The host takes as long for its connection as this call for one.
+  stream.expires_after(
+      std::min(2 * options.connect_timeout, options.deadline - Now()));
+  co_await net::async_write(stream, net::buffer(message),
+                            net::redirect_error(kAwait, error));
+  if (!error) {
+    co_await net::async_read(stream, net::buffer(reply),
+                             net::redirect_error(kAwait, error));
+  }
+  if (options.canceller) options.canceller->SetCloseHandler(nullptr);
+  stream.expires_never();
+  if (error) co_return FetchStatus::kNoTunnel;
+  switch (static_cast<TunnelStatus>(reply[0])) {
+    case TunnelStatus::kConnected:
+      co_return FetchStatus::kOk;
+    case TunnelStatus::kRefused:
+      co_return FetchStatus::kRefused;
+    case TunnelStatus::kUnreachable:
+      co_return FetchStatus::kUnreachable;
+    default:
+      co_return FetchStatus::kNoTunnel;
+  }
+}
+
 // Opens a new connection for the call, within the limit of connections.
 Task<FetchStatus> OpenConnection(ResponseStream::State& state) {
   Client::ConnectionPool& pool = *state.pool;
@@ -352,11 +393,26 @@
     co_return FetchStatus::kConnectionLimit;
   }
   ++pool.open[state.address];
-  ConnectResult result =
-      co_await Connect(*pool.io, state.address, state.options);
-  const FetchStatus status = result.Status();
+  const FetchOptions& options = state.options;
+  ConnectResult result = co_await Connect(
+      *pool.io, options.tunnel ? options.tunnel->address : state.target,
+      options);
+  FetchStatus status = result.Status();
+  const bool cancelled = options.canceller && options.canceller->Cancelled();
+  if (options.tunnel) {
+    if (status == FetchStatus::kOk) {
+      status = co_await OpenTunnel(*result.stream, state.target, options);
+    } else {
+      status = FetchStatus::kNoTunnel;
+    }
+  } else if (options.on_connect && !cancelled) {
+    options.on_connect(status);
+  }
   state.stream = std::move(result.stream);
-  if (status != FetchStatus::kOk) pool.OnClosed(state.address);
+  if (status != FetchStatus::kOk) {
+    state.stream.reset();
+    pool.OnClosed(state.address);
+  }
   co_return status;
 }
 
@@ -395,10 +451,14 @@
   while (true) {
     auto state = std::make_unique<ResponseStream::State>();
     state->pool = this->pool;
-    state->address = std::string(address);
+    state->target = std::string(address);
+    state->address = state->target;
+    if (options.tunnel) state->address += " by " + options.tunnel->address;
     state->options = options;
     state->parser.body_limit(options.max_body_bytes);
-    if (pooled) state->stream = this->pool->Acquire(address, options, Now());
+    if (pooled) {
+      state->stream = this->pool->Acquire(state->address, options, Now());
+    }
     pooled = state->stream != nullptr;
     if (!pooled) {
       const FetchStatus status = co_await OpenConnection(*state);
--- a/http/client.h
+++ b/http/client.h
@@ -12,6 +12,7 @@
 #include "coordination/time.h"
 #include "http/message.h"
 #include "http/task.h"
+#include "http/tunnel.h"
 
 namespace hornbeamspool::http {
 
@@ -21,6 +22,7 @@
   kUnreachable,  // no connection could be opened in time
   kRefused,      // the address refused the connection: nothing listens there
   kConnectionLimit,  // the address already has `max_connections` connections
+  kNoTunnel,         // the tunnel's host is unreachable, or opens none
   // The request was sent, at least in part:
   kBroken,   // the connection failed, or the response is malformed or too large
   kTimeout,  // the response did not arrive in time
@@ -75,6 +77,12 @@
   std::size_t max_connections = SIZE_MAX;
   // May be null. Must outlive the call and its ResponseStream.
   Canceller* canceller = nullptr;
+  // Opens connections through another host; null: directly. A response that
+  // ends with its connection is broken then, since the host may have ended.
+  std::shared_ptr<const Tunnel> tunnel;
+  // Called with kOk, kRefused or kUnreachable when a direct connection was
+  // opened or has failed. May be null.
+  std::function<void(FetchStatus)> on_connect;
 };
 
 struct FetchResult {
--- a/policy/gateway_core.cc
+++ b/policy/gateway_core.cc
@@ -28,6 +28,10 @@
 
 constexpr std::int64_t kMaxUrgency = 9;  // the least urgent
 
+// A refused connection that no success to another upstream has followed by then
+// is no evidence.
+constexpr Duration kMaxRefusalAge = std::chrono::seconds(2);
+
 // Fraction of the process's memory for buffered answers, as a divisor.
 constexpr std::int64_t kAnswerBufferDivisor = 8;
 
@@ -369,8 +373,9 @@
     ended.outcome = VersionRollouts::Outcome::kAnswered;
   } else if (outcome == SendOutcome::kUpstreamError ||
              outcome == SendOutcome::kErrorRelayed ||
-             outcome == SendOutcome::kBroken ||
-             outcome == SendOutcome::kSilent) {
+             ((outcome == SendOutcome::kBroken ||
+               outcome == SendOutcome::kSilent) &&
+              !this->uplink.IsCutOff())) {
     ended.outcome = VersionRollouts::Outcome::kFailed;
   } else if (outcome == SendOutcome::kAbandoned) {
     ended.outcome = VersionRollouts::Outcome::kAbandoned;
@@ -413,6 +418,28 @@
   this->poison_parts.OnCrash(entry.InstanceId(), now);
 }
 
+void GatewayCore::OnConnect(const UpstreamEntry& entry, bool reached,
+                            TimePoint now) {
+  this->uplink.OnConnect(entry.id, reached, now);
+  const auto pending = std::exchange(this->refusals, {});
+  for (const auto& [refused, at] : pending) {
+    if (now - at > kMaxRefusalAge || this->uplink.IsCutOff()) continue;
+    if (this->uplink.ReachedAnother(refused.id, at)) {
+      this->OnUpstreamDown(refused, now);
+    } else {
+      this->refusals.emplace_back(refused, at);
+    }
+  }
+}
+
+void GatewayCore::OnUpstreamRefused(const UpstreamEntry& entry, TimePoint now) {
+  if (!this->uplink.InUse()) {
+    this->OnUpstreamDown(entry, now);
+    return;
+  }
+  if (!this->uplink.IsCutOff()) this->refusals.emplace_back(entry, now);
+}
+
 std::vector<std::string> GatewayCore::ExpireUpstreams(TimePoint now) {
   if (!this->rate_limits.Empty()) {
     std::set<std::string, std::less<>> live;
@@ -462,6 +489,8 @@
       this->suspects.OnIncompleteAnswer(fingerprint, instance, now);
       return;
     case SendOutcome::kNotListening:
+      this->OnUpstreamRefused(plan.upstream, now);
+      return;
     case SendOutcome::kMisdirected:
       this->OnUpstreamDown(plan.upstream, now);
       return;
--- a/policy/gateway_core.h
+++ b/policy/gateway_core.h
@@ -9,6 +9,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -24,6 +25,7 @@
 #include "policy/rate_limits.h"
 #include "policy/reachability_meter.h"
 #include "policy/route_table.h"
+#include "policy/uplink_monitor.h"
 #include "policy/upstream_directory.h"
 #include "policy/upstream_selector.h"
 #include "policy/version_rollout.h"
@@ -168,6 +170,14 @@
   // under its id, its address refuses connections, or its grace period has
   // passed.
   void OnUpstreamDown(const UpstreamEntry& entry, coordination::TimePoint now);
+  // The result of an attempt to connect to an upstream directly.
+  void OnConnect(const UpstreamEntry& entry, bool reached,
+                 coordination::TimePoint now);
+  // An upstream's address has refused a connection: it has ended, unless this
+  // VM's own network refuses all connections. Recorded once a connection to
+  // another upstream succeeds.
+  void OnUpstreamRefused(const UpstreamEntry& entry,
+                         coordination::TimePoint now);
   // Removes upstreams whose grace period after a store outage has passed.
   // Returns their ids.
   std::vector<std::string> ExpireUpstreams(coordination::TimePoint now);
@@ -185,6 +195,7 @@
   // Memory for answers that are buffered until they are complete.
   BufferQuota& AnswerBuffers() { return this->answer_buffers; }
   ReachabilityMeter& Reachability() { return this->reachability; }
+  UplinkMonitor& Uplink() { return this->uplink; }
   // Admitted requests that have not finished.
   std::size_t InFlight() const { return this->in_flight; }
 
@@ -226,6 +237,9 @@
   LinkMeter link;
   BufferQuota answer_buffers;
   ReachabilityMeter reachability;
+  UplinkMonitor uplink;
+  // Refused connections that no success to another upstream has followed yet.
+  std::vector<std::pair<UpstreamEntry, coordination::TimePoint>> refusals;
   std::map<std::string, WindowedRetryBudget, std::less<>>
       retry_budgets;  // by service
   std::size_t in_flight = 0;
--- /dev/null
+++ b/transport/tunnel_message.cc
@@ -0,0 +1,28 @@
+#include "transport/tunnel_message.h"
+
+#include "transport/datagram.h"
+#include "transport/short_string.h"
+
+namespace hornbeamspool::transport {
+namespace {
+
+// "TUN1"; the last byte is the version of the encoding.
+constexpr std::uint32_t kMagic = 0x54554e31;
+
+}  // namespace
+
+template <typename Archive>
+void serialize(Archive& archive, TunnelMessage& message) {
+  archive(ShortString{&message.sender}, ShortString{&message.address});
+}
+
+std::string EncodeTunnelMessage(const TunnelMessage& message) {
+  TunnelMessage copy = message;
+  return EncodeDatagram(kMagic, copy);
+}
+
+std::optional<TunnelMessage> DecodeTunnelMessage(std::string_view bytes) {
+  return DecodeDatagram<TunnelMessage>(kMagic, bytes);
+}
+
+}  // namespace hornbeamspool::transport
