Keep the fleet's requests at a brittle upstream within its slots

The header was read nowhere.

While an instance of a service says so, each VM keeps to its part of the slots of each instance; the parts add up to the slots, so that nothing waits and nothing is rejected for want of room. The rest is refused here at once. Instances that come back without a word count as brittle while another one says so, so that one that has fallen meets no herd.

--- a/gateway/request_relay.cc
+++ b/gateway/request_relay.cc
@@ -132,6 +132,7 @@
       http::ResponseStream& stream);
   http::Task<void> SendRefusal(const Refusal& refusal);
   void RecordRate(const SendPlan& plan, const policy::AnnouncedRate& rate);
+  void RecordBrittle(const SendPlan& plan, bool brittle);
   void RecordTimings();
   void LogSend(const SendPlan& plan, SendOutcome outcome);
 
@@ -338,7 +339,10 @@
     opened.stream->Close();
     co_return SendOutcome::kBroken;
   }
-  if (!facts.misdirected) this->RecordRate(plan, facts.rate);
+  if (!facts.misdirected) {
+    this->RecordRate(plan, facts.rate);
+    this->RecordBrittle(plan, facts.brittle);
+  }
   if (facts.load) {
     this->context->core->Selector().OnLoadReport(plan.upstream.id, *facts.load,
                                                  Now());
@@ -456,6 +460,18 @@
   this->context->permits->Announce(instance, change, now);
 }
 
+void RequestRelay::RecordBrittle(const SendPlan& plan, bool brittle) {
+  const coordination::TimePoint now = Now();
+  const bool news = this->context->core->Brittle().OnAnswer(
+      plan.upstream, brittle, plan.record.sent_at, now);
+  if (!news) return;
+  this->context->log->Write(
+      LogKind::kUpstream,
+      KeyValue("service", plan.upstream.service) + ' ' +
+          KeyValue("state", brittle ? "brittle" : "not_brittle"),
+      now);
+}
+
 void RequestRelay::RecordTimings() {
   Metrics& metrics = *this->context->metrics;
   metrics.Observe(Timing::kWholeAnswer, Now() - this->arrived);
--- a/policy/gateway_core.cc
+++ b/policy/gateway_core.cc
@@ -86,6 +86,7 @@
       rollouts(start.incarnation, this->options.exposure),
       poison_parts(this->options.vm),
       rate_limits(this->options.vm),
+      brittle_upstreams(this->options.vm),
       link(this->options.link_bytes_per_second),
       answer_buffers(this->options.memory_bytes / kAnswerBufferDivisor) {}
 
@@ -337,6 +338,11 @@
   const std::string& service = admitted.service->name;
   std::vector<const UpstreamEntry*> upstreams =
       this->upstreams.Usable(service, now);
+  std::erase_if(upstreams, [this, now](const UpstreamEntry* upstream) {
+    const std::int64_t in_flight =
+        this->selector.StatsOf(upstream->id).in_flight;
+    return !this->brittle_upstreams.MaySend(*upstream, in_flight, now);
+  });
   if (this->rollouts.Find(service) == nullptr) return upstreams;
   // Retries don't go to a canary.
   admitted.use_new_version =
--- a/policy/gateway_core.h
+++ b/policy/gateway_core.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "coordination/time.h"
+#include "policy/brittle_upstreams.h"
 #include "policy/budget_manager.h"
 #include "policy/buffer_quota.h"
 #include "policy/crash_suspects.h"
@@ -118,6 +119,7 @@
   void SetPeers(std::vector<std::string> vms) {
     this->SetFleetSize(vms.size() + 1);
     this->poison_parts.SetPeers(vms);
+    this->brittle_upstreams.SetPeers(vms);
     this->rate_limits.SetMembers(std::move(vms));
   }
 
@@ -196,6 +198,7 @@
   BufferQuota& AnswerBuffers() { return this->answer_buffers; }
   ReachabilityMeter& Reachability() { return this->reachability; }
   UplinkMonitor& Uplink() { return this->uplink; }
+  BrittleUpstreams& Brittle() { return this->brittle_upstreams; }
   // Admitted requests that have not finished.
   std::size_t InFlight() const { return this->in_flight; }
 
@@ -234,6 +237,7 @@
   CrashSuspects suspects;
   PoisonParts poison_parts;
   RateLimits rate_limits;
+  BrittleUpstreams brittle_upstreams;
   LinkMeter link;
   BufferQuota answer_buffers;
   ReachabilityMeter reachability;
