Bound the reports of a rollout for the whole fleet, and spread them over parts

By reading: with a report each 150 ms near a decision, the VMs of a large fleet would write 1,300 (195 VMs) to 2,600 times a second to one part of the store, which carries out 200; reports would be refused when they are needed most. All VMs together now write 300 times a second at most, to four parts, which the driver reads.

--- a/gateway/rollout_driver.cc
+++ b/gateway/rollout_driver.cc
@@ -3,8 +3,10 @@
 #include <algorithm>
 #include <array>
 #include <chrono>
+#include <iterator>
 #include <utility>
 
+#include "coordination/rendezvous.h"
 #include "gateway/event_log.h"
 #include "gateway/peer_channel.h"
 #include "gateway/rollout_rows.h"
@@ -26,7 +28,8 @@
 
 // One RolloutProgress for each service.
 constexpr std::string_view kProgressTable = "version_moves";
-// A part of rows for each service, with one RolloutReport for each VM.
+// A few parts of rows for each service, with one RolloutReport for each VM: the
+// store carries out the writes to one part one after another.
 constexpr std::string_view kReportTable = "rollout_reports";
 
 // Interval at which a VM reports and the driver decides. Bad answers stop a
@@ -37,6 +40,17 @@
 constexpr coordination::Duration kShortUpdateInterval =
     std::chrono::milliseconds(150);
 
+// Parts of the report table for each service, and the writes a second that all
+// VMs together may make to them: a tenth of what the stores of large fleets
+// carry out.
+constexpr std::uint64_t kReportParts = 4;
+constexpr std::int64_t kMaxReportsPerSecond = 300;
+
+// The part of the report table with this number.
+std::string ReportPart(const std::string& service, std::uint64_t number) {
+  return service + '/' + std::to_string(number);
+}
+
 // Duration of the driver's lease, from each write of the progress. When it has
 // expired, a candidate may take over; after as long again, any VM.
 constexpr std::int64_t kDriverLeaseMs = 2000;
@@ -206,7 +220,13 @@
 }
 
 http::Task<void> RolloutDriver::Update(std::string service) {
-  co_await this->WriteReport(service);
+  if (Now() >= this->next_report[service]) {
+    const auto vms =
+        static_cast<std::int64_t>(this->channel->Directory().Size()) + 1;
+    this->next_report[service] =
+        Now() + std::chrono::milliseconds(1000 * vms / kMaxReportsPerSecond);
+    co_await this->WriteReport(service);
+  }
   const auto* rollout = this->context.core->Rollouts().Find(service);
   if (rollout == nullptr || !this->MayDrive(service, *rollout)) co_return;
   co_await this->Drive(service);
@@ -219,8 +239,9 @@
   if (rollout == nullptr) co_return;
   StoreRow row;
   row.table = kReportTable;
-  row.partition = service;
   row.key = this->channel->Vm();
+  row.partition =
+      ReportPart(service, coordination::StableHash(row.key) % kReportParts);
   row.value =
       EncodeRow(this->context.core->Rollouts().ReportAt(service, Now()));
   row.version = this->row_versions[service].report;
@@ -282,14 +303,18 @@
 
 http::Task<std::optional<std::vector<RolloutReport>>>
 RolloutDriver::ReadReports(std::string service) {
-  const platform::KeyRange all{{}, {}, service};
-  const platform::StoreResponse answer =
-      co_await this->store->Read(std::string(kReportTable), all);
-  if (answer.status != StoreStatus::kOk) co_return std::nullopt;
-  this->context.core->Rollouts().SetStoreClock(answer.store_ms, Now());
+  std::vector<StoreRow> rows;
+  for (std::uint64_t part = 0; part < kReportParts; ++part) {
+    const platform::KeyRange all{{}, {}, ReportPart(service, part)};
+    platform::StoreResponse answer =
+        co_await this->store->Read(std::string(kReportTable), all);
+    if (answer.status != StoreStatus::kOk) co_return std::nullopt;
+    this->context.core->Rollouts().SetStoreClock(answer.store_ms, Now());
+    std::move(answer.rows.begin(), answer.rows.end(), std::back_inserter(rows));
+  }
   const auto* rollout = this->context.core->Rollouts().Find(service);
   std::vector<RolloutReport> reports;
-  for (const StoreRow& row : answer.rows) {
+  for (const StoreRow& row : rows) {
     auto report = DecodeRow<RolloutReport>(row.value);
     if (!report) {
       this->LogUnreadableRow(row);
@@ -342,8 +367,9 @@
       KeyValue("sends", totals.sends) + ' ' +
       KeyValue("arrived", totals.arrived_sends) + ' ' +
       KeyValue("new_sends", totals.new_version_sends);
-  if (routes.empty())
+  if (routes.empty()) {
     this->context.log->Write(LogKind::kRollout, decision, Now());
+  }
   for (const auto& [route, stats] : routes) {
     this->context.log->Write(LogKind::kRollout,
                              decision + ' ' + KeyValue("route", route) + ' ' +
--- a/gateway/rollout_driver.h
+++ b/gateway/rollout_driver.h
@@ -78,8 +78,9 @@
   platform::StoreClient* store;
   PeerChannel* channel;
   platform::TableFollower progress_table;
-  std::map<std::string, RowVersions> row_versions;            // by service
-  std::map<std::string, coordination::TimePoint> ordered_at;  // by service
+  std::map<std::string, RowVersions> row_versions;             // by service
+  std::map<std::string, coordination::TimePoint> ordered_at;   // by service
+  std::map<std::string, coordination::TimePoint> next_report;  // by service
   std::set<std::string> unwritten;  // services whose outcome may be missing
   std::optional<coordination::TimePoint> restored_at;
   bool started = false;        // an order has been seen
--- a/tests/brittle_fleet_test.cc
+++ b/tests/brittle_fleet_test.cc
@@ -135,10 +135,14 @@
 // Guards against upstreams that fall over, one after the other, because each VM
 // sends as much as the whole fleet may.
 TEST_CASE("brittle upstreams do not fall over under twice their load") {
-  for (const auto& [vms, count] : {std::pair<std::size_t, std::size_t>{7, 4},
-                                   {78, 40},
-                                   {195, 100},
-                                   {390, 200}}) {
+  struct Fleet {
+    std::size_t vms;
+    std::size_t upstreams;
+  };
+  for (const Fleet& fleet :
+       {Fleet{7, 4}, Fleet{78, 40}, Fleet{195, 100}, Fleet{390, 200}}) {
+    const std::size_t vms = fleet.vms;
+    const std::size_t count = fleet.upstreams;
     CAPTURE(vms);
     const double allowed = 2 + 0.1 * static_cast<double>(count);
     const Outcome outcome = Run(vms, count, true);
--- a/tests/uplink_test.cc
+++ b/tests/uplink_test.cc
@@ -20,6 +20,7 @@
 
 std::vector<std::string> Names(const std::string& prefix, int count) {
   std::vector<std::string> names;
+  names.reserve(static_cast<std::size_t>(count));
   for (int i = 0; i < count; ++i) names.push_back(prefix + std::to_string(i));
   return names;
 }
--- a/transport/tunnel_message.cc
+++ b/transport/tunnel_message.cc
@@ -12,13 +12,18 @@
 }  // namespace
 
 template <typename Archive>
-void serialize(Archive& archive, TunnelMessage& message) {
+void save(Archive& archive, const TunnelMessage& message) {
+  TunnelMessage copy = message;
+  archive(ShortString{&copy.sender}, ShortString{&copy.address});
+}
+
+template <typename Archive>
+void load(Archive& archive, TunnelMessage& message) {
   archive(ShortString{&message.sender}, ShortString{&message.address});
 }
 
 std::string EncodeTunnelMessage(const TunnelMessage& message) {
-  TunnelMessage copy = message;
-  return EncodeDatagram(kMagic, copy);
+  return EncodeDatagram(kMagic, message);
 }
 
 std::optional<TunnelMessage> DecodeTunnelMessage(std::string_view bytes) {
