Probe other upstreams at once when one refuses a connection

Cause: since requests go through peers in a cut, a refused connection proves that an instance ended only after a connection to another upstream succeeded. A VM with few new connections had none for up to half a second, or for longer if one had succeeded shortly before the refusal; refusals of more than 2 s ago were dropped. So crashes were known late, and requests with the part went on crashing servers.

--- a/gateway/crash_watch.cc
+++ b/gateway/crash_watch.cc
@@ -6,6 +6,7 @@
 #include "gateway/crash_rows.h"
 #include "gateway/event_log.h"
 #include "gateway/peer_channel.h"
+#include "gateway/peer_tunnels.h"
 #include "gateway/spawn.h"
 #include "hornbeamspool/clock.h"
 #include "hornbeamspool/metrics.h"
@@ -55,6 +56,9 @@
 void CrashWatch::OnSendFailed(const policy::UpstreamEntry& upstream,
                               policy::SendOutcome outcome) {
   this->PublishNotices();
+  if (outcome == policy::SendOutcome::kNotListening) {
+    this->context.tunnels->Check(Now());
+  }
   if (outcome != policy::SendOutcome::kBroken) return;
   policy::CrashSuspects& suspects = this->context.core->Suspects();
   if (!suspects.ShouldProbe(upstream.InstanceId(), Now())) return;
@@ -68,6 +72,7 @@
                                 Now());
   if (status != http::FetchStatus::kRefused) co_return;
   this->context.core->OnUpstreamRefused(upstream, Now());
+  this->context.tunnels->Check(Now());
   this->PublishNotices();
 }
 
--- a/gateway/peer_tunnels.cc
+++ b/gateway/peer_tunnels.cc
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <utility>
 
+#include "gateway/crash_watch.h"
 #include "gateway/event_log.h"
 #include "gateway/peer_channel.h"
 #include "gateway/spawn.h"
@@ -103,8 +104,12 @@
 
 void PeerTunnels::OnConnect(const policy::UpstreamEntry& upstream,
                             bool reached) {
-  this->context.core->OnConnect(upstream, reached, Now());
+  policy::GatewayCore& core = *this->context.core;
+  const bool unconfirmed = core.HasUnconfirmedRefusals();
+  core.OnConnect(upstream, reached, Now());
   if (!reached) this->Check(Now());
+  const bool confirmed = unconfirmed && !core.HasUnconfirmedRefusals();
+  if (confirmed) this->context.crashes->PublishNotices();
 }
 
 void PeerTunnels::Check(coordination::TimePoint now) {
@@ -119,8 +124,12 @@
   for (const policy::UpstreamEntry* entry : core.Upstreams().All()) {
     if (!entry->draining) ids.push_back(entry->id);
   }
-  for (const std::string& id :
-       core.Uplink().TakeDueProbes(ids, core.InFlight() > 0, now)) {
+  std::vector<std::string> due =
+      core.Uplink().TakeDueProbes(ids, core.InFlight() > 0, now);
+  if (due.empty() && core.HasUnconfirmedRefusals()) {
+    due = core.Uplink().TakeConfirmingProbes(ids, now);
+  }
+  for (const std::string& id : due) {
     const policy::UpstreamEntry* entry = core.Upstreams().Find(id);
     if (entry == nullptr) continue;
     Spawn(this->context, "uplink_probe", this->Probe(*entry));
--- a/policy/gateway_core.h
+++ b/policy/gateway_core.h
@@ -180,6 +180,8 @@
   // another upstream succeeds.
   void OnUpstreamRefused(const UpstreamEntry& entry,
                          coordination::TimePoint now);
+  // Whether a refused connection awaits a success to another upstream.
+  bool HasUnconfirmedRefusals() const { return !this->refusals.empty(); }
   // Removes upstreams whose grace period after a store outage has passed.
   // Returns their ids.
   std::vector<std::string> ExpireUpstreams(coordination::TimePoint now);
--- a/policy/uplink_monitor.cc
+++ b/policy/uplink_monitor.cc
@@ -25,6 +25,11 @@
 constexpr Duration kProbeInterval = std::chrono::milliseconds(500);
 constexpr std::size_t kSuspicionProbes = 4;
 constexpr std::size_t kRecoveryProbes = 2;
+// After a refusal: probes of others, until one is accepted.
+constexpr Duration kConfirmInterval = std::chrono::milliseconds(50);
+constexpr std::size_t kConfirmingProbes = 2;
+// An upstream with a result as recent as this is not probed again.
+constexpr Duration kRecent = std::chrono::milliseconds(200);
 // A busy VM without a result for this long probes one upstream.
 constexpr Duration kMaxSilence = std::chrono::seconds(1);
 
@@ -82,8 +87,24 @@
              now - this->probed_at >= kMaxSilence) {
     wanted = 1;
   }
+  std::vector<std::string> probes = this->NextProbes(upstreams, wanted, now);
+  if (!probes.empty()) this->probed_at = now;
+  return probes;
+}
+
+std::vector<std::string> UplinkMonitor::TakeConfirmingProbes(
+    std::span<const std::string> upstreams, TimePoint now) {
+  const bool due =
+      !this->cut_off && now - this->confirmed_at >= kConfirmInterval;
+  if (!due) return {};
+  this->confirmed_at = now;
+  return this->NextProbes(upstreams, kConfirmingProbes, now);
+}
+
+std::vector<std::string> UplinkMonitor::NextProbes(
+    std::span<const std::string> upstreams, std::size_t count, TimePoint now) {
   std::vector<std::string> probes;
-  for (std::size_t i = 0; i < upstreams.size() && probes.size() < wanted; ++i) {
+  for (std::size_t i = 0; i < upstreams.size() && probes.size() < count; ++i) {
     const std::string& upstream =
         upstreams[this->next_probe++ % upstreams.size()];
     const auto known = this->results.find(upstream);
@@ -91,7 +112,6 @@
         known != this->results.end() && now - known->second.at < kProbeInterval;
     if (!is_recent) probes.push_back(upstream);
   }
-  if (!probes.empty()) this->probed_at = now;
   return probes;
 }
 
--- a/policy/uplink_monitor.h
+++ b/policy/uplink_monitor.h
@@ -38,6 +38,11 @@
                                          bool busy,
                                          coordination::TimePoint now);
 
+  // The upstreams to probe now because another one has refused a connection:
+  // whether that proves that it has ended depends on whether others accept one.
+  std::vector<std::string> TakeConfirmingProbes(
+      std::span<const std::string> upstreams, coordination::TimePoint now);
+
  private:
   struct Result {
     bool reached = false;
@@ -49,11 +54,16 @@
   };
 
   Counts CountRecent(coordination::TimePoint now);
+  // The next `count` upstreams in turn without a result of the last moments.
+  std::vector<std::string> NextProbes(std::span<const std::string> upstreams,
+                                      std::size_t count,
+                                      coordination::TimePoint now);
 
   std::map<std::string, Result, std::less<>> results;  // the latest by upstream
   std::size_t upstreams = 0;                           // known ones
   std::size_t next_probe = 0;  // index, modulo their number
   coordination::TimePoint probed_at{};
+  coordination::TimePoint confirmed_at{};  // the last confirming probes
   bool in_use = false;
   bool cut_off = false;
 };
--- a/tests/uplink_test.cc
+++ b/tests/uplink_test.cc
@@ -77,6 +77,27 @@
   CHECK_FALSE(other.IsCutOff());
 }
 
+// Guards against crashes that are known late: a VM with few new connections had
+// no success to another upstream for seconds after a refusal.
+TEST_CASE("a refusal has others probed at once, until one accepts") {
+  const std::vector<std::string> upstreams = Names("u", 10);
+  UplinkMonitor monitor;
+  monitor.OnConnect("u0", true, At(0));
+  monitor.OnConnect("u1", false, At(100));
+  CHECK_FALSE(monitor.ReachedAnother("u1", At(100)));
+  const auto probes = monitor.TakeConfirmingProbes(upstreams, At(100));
+  REQUIRE(probes.size() == 2);
+  for (const std::string& id : probes) {
+    CHECK(id != "u1");
+    monitor.OnConnect(id, false, At(101));
+  }
+  CHECK(monitor.TakeConfirmingProbes(upstreams, At(120)).empty());
+  const auto further = monitor.TakeConfirmingProbes(upstreams, At(160));
+  REQUIRE(further.size() == 2);
+  monitor.OnConnect(further.front(), true, At(161));
+  CHECK(monitor.ReachedAnother("u1", At(100)));
+}
+
 TEST_CASE("with few upstreams, all must fail") {
   UplinkMonitor monitor;
   (void)monitor.TakeDueProbes(Names("u", 2), true, At(0));
