--- a/policy/uplink_monitor.cc
+++ b/policy/uplink_monitor.cc
@@ -109,7 +109,7 @@
         upstreams[this->next_probe++ % upstreams.size()];
     const auto known = this->results.find(upstream);
     const bool is_recent =
-        known != this->results.end() && now - known->second.at < kProbeInterval;
+        known != this->results.end() && now - known->second.at < kRecent;
     if (!is_recent) probes.push_back(upstream);
   }
   return probes;
