Look for brittle upstreams only while one has said that it is

Each request asked every upstream of its service how many sends are in flight there, a look-up for each, also when no upstream is brittle, which is nearly always. It now asks only then, as it does for rate limits (AnyLimited). Behaviour is the same: without an announcement every upstream may be sent to. Also an include without use, and a comment that named the load step where the whole canary phase is meant.

--- a/policy/brittle_upstreams.h
+++ b/policy/brittle_upstreams.h
@@ -26,6 +26,9 @@
   bool OnAnswer(const UpstreamEntry& upstream, bool brittle,
                 coordination::TimePoint sent_at, coordination::TimePoint now);
 
+  // Whether any upstream has announced it lately.
+  bool Any() const { return !this->announced.empty(); }
+
   // Whether this VM, with `in_flight` requests there, may send one more. All
   // instances of a service are brittle while one of them says so: one that has
   // fallen over comes back without a word.
--- a/policy/gateway_core.cc
+++ b/policy/gateway_core.cc
@@ -338,11 +338,13 @@
   const std::string& service = admitted.service->name;
   std::vector<const UpstreamEntry*> upstreams =
       this->upstreams.Usable(service, now);
-  std::erase_if(upstreams, [this, now](const UpstreamEntry* upstream) {
-    const std::int64_t in_flight =
-        this->selector.StatsOf(upstream->id).in_flight;
-    return !this->brittle_upstreams.MaySend(*upstream, in_flight, now);
-  });
+  if (this->brittle_upstreams.Any()) {
+    std::erase_if(upstreams, [this, now](const UpstreamEntry* upstream) {
+      const std::int64_t in_flight =
+          this->selector.StatsOf(upstream->id).in_flight;
+      return !this->brittle_upstreams.MaySend(*upstream, in_flight, now);
+    });
+  }
   if (this->rollouts.Find(service) == nullptr) return upstreams;
   // Retries don't go to a canary.
   admitted.use_new_version =
--- a/policy/version_rollout.cc
+++ b/policy/version_rollout.cc
@@ -1,7 +1,6 @@
 #include "policy/version_rollout.h"
 
 #include <algorithm>
-#include <array>
 #include <chrono>
 #include <cmath>
 #include <utility>
@@ -25,7 +24,7 @@
 constexpr double kLoadBegin = 0.75;
 constexpr double kLoadEnd = 0.86;
 constexpr double kLoadFraction = 0.2;
-// What the load step leaves of the limit: all requests for this time.
+// What the canary phase leaves of the limit: all requests for this time.
 constexpr double kSwitchReserveMs = 1050;
 // The earliest verdict for the new version.
 constexpr double kEarliestSwitch = kLoadEnd;
