--- a/review/common.hpp
+++ b/review/common.hpp
@@ -9,6 +9,7 @@
 #include <poll.h>
 #include <signal.h>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -303,22 +304,45 @@
     std::thread([this] { this->Accept(); }).detach();
   }
 
+  // Ends the server as the exit of its process does: nothing listens any more,
+  // and all connections are closed. The object must not be destroyed.
+  void Stop() {
+    std::lock_guard lock(this->mutex);
+    this->stopped = true;
+    ::shutdown(this->fd, SHUT_RDWR);
+    for (const int each : this->open) ::shutdown(each, SHUT_RDWR);
+  }
+
   const int port;
 
  private:
   void Accept() {
     while (true) {
       const int accepted = ::accept4(this->fd, nullptr, nullptr, SOCK_CLOEXEC);
-      if (accepted < 0) continue;
+      {
+        std::lock_guard lock(this->mutex);
+        if (accepted < 0 && this->stopped) {
+          ::close(this->fd);
+          return;
+        }
+        if (accepted < 0) continue;
+        this->open.insert(accepted);
+      }
       std::thread([this, accepted] {
         Connection connection(accepted);
         this->handler(connection);
+        std::lock_guard lock(this->mutex);
+        this->open.erase(accepted);
+        connection.Close();
       }).detach();
     }
   }
 
   int fd;
   Handler handler;
+  std::mutex mutex;
+  std::set<int> open;
+  bool stopped = false;
 };
 
 struct Answer {
@@ -426,6 +450,11 @@
     this->rows[{table, "", key}] = {Base64(value), ++this->version, false};
     this->changed.notify_all();
   }
+  void Remove(const std::string& table, const std::string& key) {
+    std::lock_guard lock(this->mutex);
+    this->rows[{table, "", key}] = {"", ++this->version, true};
+    this->changed.notify_all();
+  }
   void Copy() {
     std::lock_guard lock(this->mutex);
     this->copied_rows = this->rows;
@@ -600,8 +629,10 @@
 
 // --- processes ---------------------------------------------------------------
 
-// Starts a program. It is killed when this process ends.
-inline pid_t Spawn(const std::vector<std::string>& command, int output) {
+// Starts a program with at most `descriptors` files and sockets, as the platform
+// does. It is killed when this process ends.
+inline pid_t Spawn(const std::vector<std::string>& command, int output,
+                   rlim_t descriptors) {
   const pid_t parent = ::getpid();
   const pid_t pid = ::fork();
   if (pid != 0) return pid;
@@ -609,6 +640,8 @@
   if (::getppid() != parent) ::_exit(127);
   ::dup2(output, 1);
   ::dup2(output, 2);
+  const rlimit limit{descriptors, descriptors};
+  ::setrlimit(RLIMIT_NOFILE, &limit);
   std::vector<char*> arguments;
   for (const std::string& word : command) {
     arguments.push_back(const_cast<char*>(word.c_str()));
@@ -618,6 +651,9 @@
   ::_exit(127);
 }
 
+// limits.max_fds of a machine.
+constexpr rlim_t kDescriptors = 4100;
+
 // One gateway, started as the deploy file says, with a settings file as the
 // template makes it.
 class Gateway {
@@ -660,7 +696,8 @@
       file = ::open(this->LogFile().c_str(),
                     O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
     }
-    this->pid = Spawn({this->program, "--gateway=" + this->SettingsFile()}, file);
+    this->pid = Spawn({this->program, "--gateway=" + this->SettingsFile()}, file,
+                      kDescriptors);
     if (output < 0) ::close(file);
     Record::Line("gateway " + std::to_string(this->number) + " started, pid " +
                  std::to_string(this->pid));
