--- a/review/5/case.cpp
+++ b/review/5/case.cpp
@@ -1,4 +1,6 @@
 // One server of six breaks off one in forty of its lookups.
+#include <cmath>
+
 #include "../deployment.hpp"
 
 using namespace review;
@@ -6,6 +8,9 @@
 namespace {
 
 constexpr int kBrokenOffEvery = 40;  // of the faulty server's lookups: 2.5 in 100
+// The fault lasts kFaultSeconds, again and again.
+constexpr double kFaultSeconds = 5;
+constexpr double kFaultPeriodSeconds = 7;
 
 std::atomic<int> broken_off{0};
 
@@ -13,7 +18,8 @@
               const Request& request) {
   static std::atomic<int> lookups{0};
   const bool lookup = request.target.rfind("/lookup/", 0) == 0;
-  if (!lookup || ++lookups % kBrokenOffEvery != 0) return false;
+  const bool faulty = std::fmod(Seconds(), kFaultPeriodSeconds) < kFaultSeconds;
+  if (!faulty || !lookup || ++lookups % kBrokenOffEvery != 0) return false;
   ++broken_off;
   const std::string attempt = request.Header("attempt-id");
   Record::Line(server + " breaks off its answer to " + attempt);
