--- a/standin/fault_injector.cc
+++ b/standin/fault_injector.cc
@@ -44,10 +44,14 @@
     set_number(key, milliseconds);
     duration = std::chrono::milliseconds(milliseconds);
   };
-  if (const auto* limit = object.if_contains("limit")) {
-    this->faults.limit =
-        limit->is_string() ? std::string(limit->get_string()) : "";
-  }
+  const auto set_text = [&](std::string_view key, std::string& text) {
+    const auto* value = object.if_contains(key);
+    if (value == nullptr) return;
+    text = value->is_string() ? std::string(value->get_string()) : "";
+  };
+  set_text("limit", this->faults.limit);
+  set_text("pause", this->faults.pause);
+  set_flag("leaving", this->faults.leaving);
   set_flag("down", this->faults.down);
   set_flag("frozen", this->faults.frozen);
   set_flag("fail", this->faults.fail);
@@ -80,13 +84,35 @@
   co_return true;
 }
 
-void FaultInjector::CountArrival() {
-  this->arrivals += std::to_string(UnixMs()) + '\n';
+void FaultInjector::CountArrival(const http::Request& request) {
+  std::string_view answer = "plain";
+  if (this->faults.leaving) answer = "leaving";
+  if (!this->faults.pause.empty()) answer = "paused";
+  this->arrivals += std::to_string(UnixMs()) + ' ' + request.target + ' ';
+  this->arrivals += answer;
+  this->arrivals += '\n';
 }
 
-void FaultInjector::AddLimit(http::Response& response) const {
-  if (this->faults.limit.empty()) return;
-  response.headers.push_back({"Server-Limit", this->faults.limit});
+void FaultInjector::AddAnnouncements(http::Response& response) const {
+  if (!this->faults.limit.empty()) {
+    response.headers.push_back({"Server-Limit", this->faults.limit});
+  }
+  if (this->faults.leaving) {
+    response.headers.push_back({"Server-Leaving", "1"});
+  }
+}
+
+http::Task<bool> FaultInjector::HandlePause(http::Exchange& exchange) {
+  if (this->faults.pause.empty()) co_return false;
+  http::Response rejection = http::JsonResponse(503, "{}");
+  const std::string_view attempt =
+      exchange.GetRequest().HeaderValue("Attempt-Id");
+  rejection.headers.push_back({"Attempt-Id", std::string(attempt)});
+  rejection.headers.push_back({"Not-Executed", "1"});
+  rejection.headers.push_back({"Retry-After", this->faults.pause});
+  this->AddAnnouncements(rejection);
+  co_await exchange.Send(std::move(rejection));
+  co_return true;
 }
 
 http::Task<bool> FaultInjector::BeforeRequest(http::Exchange& exchange) {
--- a/standin/fault_injector.h
+++ b/standin/fault_injector.h
@@ -16,7 +16,7 @@
 // The active faults. In JSON:
 // {"down": true, "frozen": true, "slow_ms": 200, "lose_answers": 3,
 //  "lag_ms": 5000, "gap_every": 7, "fail": true,
-//  "endless": true, "limit": "3.5"}
+//  "endless": true, "limit": "3.5", "leaving": true, "pause": "2.5"}
 struct Faults {
   bool down = false;              // connections are closed without an answer
   bool frozen = false;            // requests wait until this is false
@@ -27,6 +27,9 @@
   bool fail = false;              // answers have status 500
   bool endless = false;           // bodies end only when the caller closes
   std::string limit;  // rate limit that answers name, verbatim; empty: none
+  bool leaving = false;  // answers say that the upstream is leaving
+  // Requests are rejected with this Retry-After, verbatim; empty: they are not.
+  std::string pause;
 };
 
 std::int64_t UnixMs();
@@ -45,11 +48,15 @@
   // Answers a request for /faults. Returns false for any other path.
   http::Task<bool> HandleControl(http::Exchange& exchange);
   // Answers a request for /arrivals with a line for each counted request: the
-  // Unix time of its arrival in milliseconds. Returns false for any other path.
+  // Unix time of its arrival in milliseconds, its target, and "paused",
+  // "leaving" or "plain" by what its answer says. Returns false for any other
+  // path.
   http::Task<bool> HandleArrivals(http::Exchange& exchange);
-  void CountArrival();
-  // Adds the rate limit to an answer's head.
-  void AddLimit(http::Response& response) const;
+  void CountArrival(const http::Request& request);
+  // Adds what the upstream announces in each of its answers.
+  void AddAnnouncements(http::Response& response) const;
+  // Rejects a request while a pause is set. Returns false when none is.
+  http::Task<bool> HandlePause(http::Exchange& exchange);
   // Delays a request before it is executed. Returns false if its connection was
   // closed instead.
   http::Task<bool> BeforeRequest(http::Exchange& exchange);
--- a/standin/server_standin.cc
+++ b/standin/server_standin.cc
@@ -47,12 +47,13 @@
     co_return;
   }
   if (co_await this->fault_injector.HandleArrivals(exchange)) co_return;
-  this->fault_injector.CountArrival();
+  this->fault_injector.CountArrival(request);
   if (!co_await this->fault_injector.BeforeRequest(exchange)) co_return;
+  if (co_await this->fault_injector.HandlePause(exchange)) co_return;
   const std::string attempt(request.HeaderValue("Attempt-Id"));
   http::Response answer;
   answer.headers.push_back({"Attempt-Id", attempt});
-  this->fault_injector.AddLimit(answer);
+  this->fault_injector.AddAnnouncements(answer);
   const std::string_view expected = request.HeaderValue("Expect-Instance");
   if (!expected.empty() && expected != this->id) {
     answer.status = 421;
--- a/standin/server_standin.h
+++ b/standin/server_standin.h
@@ -16,8 +16,8 @@
 
 // Answers each request with the headers that the platform's servers set, and
 // streams events on /stream/. GET /runs returns how often each attempt ran, and
-// GET /arrivals a line for each request with the Unix time of its arrival in
-// milliseconds. A body with the crash marker ends the process.
+// GET /arrivals what FaultInjector::HandleArrivals does. A body with the crash
+// marker ends the process.
 class ServerStandin {
  public:
   // `id` identifies this instance of the server.
--- a/standin/service_standin.cc
+++ b/standin/service_standin.cc
@@ -30,17 +30,18 @@
     co_return;
   }
   if (co_await this->fault_injector.HandleArrivals(exchange)) co_return;
-  this->fault_injector.CountArrival();
+  this->fault_injector.CountArrival(request);
   if (!co_await this->fault_injector.BeforeRequest(exchange)) co_return;
   // Faults that lose or change answers don't apply to load reports.
   if (request.Path() == "/api/report") {
     http::Response report = http::JsonResponse(200, R"({"waiting":0})");
-    this->fault_injector.AddLimit(report);
+    this->fault_injector.AddAnnouncements(report);
     co_await exchange.Send(std::move(report));
     co_return;
   }
+  if (co_await this->fault_injector.HandlePause(exchange)) co_return;
   http::Response answer = this->Execute(request);
-  this->fault_injector.AddLimit(answer);
+  this->fault_injector.AddAnnouncements(answer);
   co_await this->fault_injector.Respond(exchange, std::move(answer));
 }
 
--- a/tests/process/arrivals.sh
+++ b/tests/process/arrivals.sh
@@ -1,5 +1,5 @@
-# Judges the arrivals that stand-ins counted against a rate limit. Loaded with
-# `source`.
+# Judges the arrivals that stand-ins counted against what they announced. Loaded
+# with `source`.
 
 ms() { date +%s%3N; }
 # The most arrivals at a server in any 4 s between two times.
@@ -24,3 +24,36 @@
   done
   echo kept
 }
+
+# How many requests of one gateway reached a server later than 2 s after the
+# first answer to this gateway that said that the server leaves, the sum over all
+# gateways. The second part of a request's path names its gateway.
+late() {  # PORT
+  curl -s -m 10 "http://127.0.0.1:$1/arrivals" | awk '
+    { split($2, path, "/"); gateway = path[3] }
+    $3 == "leaving" && !(gateway in told) { told[gateway] = $1 }
+    gateway in told && $1 > told[gateway] + 2050 { ++late }
+    END { print late + 0 }'
+}
+
+# The most requests of one gateway that reached a server in one pause, from 0.5 s
+# after the rejection that asked this gateway for it.
+most_in_pause() {  # PORT PAUSE_MS
+  curl -s -m 10 "http://127.0.0.1:$1/arrivals" | awk -v pause="$2" '
+    { split($2, path, "/"); gateway = path[3]; n = ++count[gateway]
+      at[gateway, n] = $1
+      if ($3 == "paused") asked[gateway, n] = 1 }
+    END {
+      for (gateway in count) for (i = 1; i <= count[gateway]; ++i) {
+        if (!((gateway, i) in asked)) continue
+        arrived = 0
+        for (j = i + 1; j <= count[gateway]; ++j) {
+          after = at[gateway, j] - at[gateway, i]
+          if (after > pause) break
+          if (after > 500) ++arrived
+        }
+        if (arrived > most) most = arrived
+      }
+      print most + 0
+    }'
+}
--- a/tests/process/gateways.sh
+++ b/tests/process/gateways.sh
@@ -47,8 +47,8 @@
 }
 
 # Registers a server in the store.
-server_row() {  # ID PORT STATE [VERSION]
-  row "servers/$1" "{\"service\":\"s\",\"address\":\"127.0.0.1:$2\",\"zone\":\"z1\",\"version\":\"${4:-v1}\",\"slot_count\":8,\"state\":\"$3\",\"seq\":1}"
+server_row() {  # ID PORT STATE [VERSION [START_TIME_MS]]
+  row "servers/$1" "{\"service\":\"s\",\"address\":\"127.0.0.1:$2\",\"zone\":\"z1\",\"version\":\"${4:-v1}\",\"slot_count\":8,\"state\":\"$3\",\"seq\":1,\"born\":${5:-0}}"
 }
 
 # Fails if a port is in use: a process of another or an earlier test run would
