Log which upstreams leave or ask for a pause, and through which VM a send went

Neither log nor metrics could tell whether a late send is due to a header that isn't read, to a late entry in the registry, or to a peer's tunnel. The head of an answer is now decoded for both words (upstream_backoff keeps them, nothing acts on them yet): an upstream line with state=leaving or state=paused names the instance, the source and the VM that the pause concerns; lines of sends name the VM whose tunnel carried them; counters upstreams_leaving, pauses.

--- a/gateway/context.h
+++ b/gateway/context.h
@@ -16,6 +16,7 @@
 
 namespace hornbeamspool::gateway {
 
+class BackoffSync;
 class EventLog;
 class BudgetSync;
 class CrashWatch;
@@ -35,6 +36,7 @@
   PeerTunnels* tunnels = nullptr;
   PermitBroker* permits = nullptr;
   CrashWatch* crashes = nullptr;
+  BackoffSync* backoff = nullptr;
   EventLog* log = nullptr;
   Metrics* metrics = nullptr;
 };
--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -9,6 +9,7 @@
 #include <set>
 #include <utility>
 
+#include "gateway/backoff_sync.h"
 #include "gateway/budget_sync.h"
 #include "gateway/context.h"
 #include "gateway/crash_watch.h"
@@ -153,6 +154,7 @@
   TokenBroker broker;
   PermitBroker permits;
   CrashWatch crashes;
+  BackoffSync backoff;
   RolloutDriver rollout_driver;
   http::Server caller_server;
   http::Server readiness_server;
@@ -178,7 +180,7 @@
       context{&this->io,          &this->core,    &this->client,
               &this->budget_sync, &this->broker,  &this->channel,
               &this->tunnels,     &this->permits, &this->crashes,
-              &this->log,         &this->metrics},
+              &this->backoff,     &this->log,     &this->metrics},
       budget_sync(this->context, this->store, this->settings.vm),
       channel(this->context, this->store, this->settings.vm,
               this->settings.peer_address,
@@ -204,6 +206,7 @@
       permits(this->context, this->channel, this->settings.vm,
               this->incarnation),
       crashes(this->context, this->store, this->settings.vm),
+      backoff(this->context),
       rollout_driver(this->context, this->store, this->channel),
       caller_server(
           this->io, this->ServerLimitsFor({}),
--- a/gateway/peer_tunnels.cc
+++ b/gateway/peer_tunnels.cc
@@ -75,9 +75,9 @@
   return tunnel;
 }
 
-http::Task<http::OpenResult> PeerTunnels::Open(policy::UpstreamEntry upstream,
-                                               http::Request request,
-                                               http::FetchOptions options) {
+http::Task<PeerTunnels::Opened> PeerTunnels::Open(
+    policy::UpstreamEntry upstream, http::Request request,
+    http::FetchOptions options) {
   policy::GatewayCore& core = *this->context.core;
   if (!core.Uplink().IsCutOff()) {
     options.on_connect = [this, upstream](FetchStatus status) {
@@ -87,7 +87,10 @@
         co_await this->context.client->Open(upstream.address, request, options);
     const bool unsent = opened.status == FetchStatus::kUnreachable ||
                         opened.status == FetchStatus::kRefused;
-    if (!unsent || !core.Uplink().IsCutOff()) co_return opened;
+    if (!unsent || !core.Uplink().IsCutOff()) {
+      Opened direct{std::move(opened), this->context.peers->Vm()};
+      co_return direct;
+    }
   }
   const std::vector<std::string> chosen = this->peers.Choose(
       this->context.peers->Directory().All(), upstream.id, kMaxPeers, Now());
@@ -96,10 +99,14 @@
     options.tunnel = this->Through(vm);
     http::OpenResult opened =
         co_await this->context.client->Open(upstream.address, request, options);
-    if (opened.status != FetchStatus::kNoTunnel) co_return opened;
+    if (opened.status != FetchStatus::kNoTunnel) {
+      Opened tunnelled{std::move(opened), vm};
+      co_return tunnelled;
+    }
     this->peers.OnUnavailable(vm, Now());
   }
-  co_return http::OpenResult{FetchStatus::kNoTunnel, nullptr};
+  Opened none{{FetchStatus::kNoTunnel, nullptr}, this->context.peers->Vm()};
+  co_return none;
 }
 
 void PeerTunnels::OnConnect(const policy::UpstreamEntry& upstream,
--- a/gateway/peer_tunnels.h
+++ b/gateway/peer_tunnels.h
@@ -32,11 +32,14 @@
   // can't be bound, else an empty string.
   std::string Start();
 
+  struct Opened {
+    http::OpenResult result;
+    std::string vm;  // whose connection to the upstream carries the answer
+  };
   // Sends the request to the upstream as http::Client::Open does: directly, or
   // through a peer when this VM is cut off. kNoTunnel when no peer helps.
-  http::Task<http::OpenResult> Open(policy::UpstreamEntry upstream,
-                                    http::Request request,
-                                    http::FetchOptions options);
+  http::Task<Opened> Open(policy::UpstreamEntry upstream, http::Request request,
+                          http::FetchOptions options);
 
   // Probes the upstreams that are due, and logs whether the VM is cut off.
   // Called periodically.
--- a/gateway/request_relay.cc
+++ b/gateway/request_relay.cc
@@ -9,6 +9,7 @@
 #include <utility>
 #include <variant>
 
+#include "gateway/backoff_sync.h"
 #include "gateway/crash_watch.h"
 #include "gateway/event_log.h"
 #include "gateway/peer_channel.h"
@@ -144,6 +145,7 @@
   std::optional<AdmittedRequest> admitted;
   std::string request_id;
   std::uint64_t fingerprint = 0;
+  std::string sent_through;  // VM whose connection carried the last send
   // An upstream's error answer, relayed when no retry succeeds.
   std::optional<http::Response> upstream_error;
 };
@@ -310,8 +312,10 @@
   this->context->core->Link().AddSent(
       kHeaderOverheadBytes + static_cast<std::int64_t>(sent.body.size()),
       Now());
-  const http::OpenResult opened = co_await this->context->tunnels->Open(
+  const PeerTunnels::Opened carried = co_await this->context->tunnels->Open(
       plan.upstream, std::move(sent), options);
+  const http::OpenResult& opened = carried.result;
+  this->sent_through = carried.vm;
   if (opened.status == http::FetchStatus::kRefused) {
     co_return SendOutcome::kNotListening;
   }
@@ -331,6 +335,10 @@
   http::ResponseStream& stream = *opened.stream;
   const platform::ResponseInfo facts =
       platform::DecodeUpstreamResponse(stream.Head());
+  if (!facts.misdirected) {
+    this->context->backoff->OnAnswer(plan.upstream, carried.vm, facts.backoff,
+                                     Now());
+  }
   // A late answer to another request may arrive on a reused connection.
   const bool matches = facts.request_id == this->request_id ||
                        (facts.not_executed && facts.request_id.empty());
@@ -499,6 +507,9 @@
   fields += ' ' + KeyValue("route", this->admitted->route->name);
   fields += ' ' + KeyValue("upstream", plan.upstream.id);
   fields += ' ' + KeyValue("outcome", NameOf(outcome));
+  if (this->sent_through != this->context->peers->Vm()) {
+    fields += ' ' + KeyValue("through", this->sent_through);
+  }
   fields += ' ' + KeyValue("send", this->admitted->sends);
   fields += ' ' + KeyValue("events", this->admitted->events_delivered);
   if (!answered) fields += PartsField(this->admitted->request);
--- a/hornbeamspool/metrics.cc
+++ b/hornbeamspool/metrics.cc
@@ -58,7 +58,11 @@
     "suspect_refusals",
     "parts_named",
     "parts_cleared",
-    "part_refusals"};
+    "part_refusals",
+    "upstreams_leaving",
+    "pauses",
+    "sends_withheld",
+    "backoff_refusals"};
 constexpr std::array<std::string_view, kTimings> kTimingNames{
     "first_token_seconds", "token_gap_seconds", "whole_answer_seconds",
     "admission_seconds", "table_call_seconds"};
--- a/hornbeamspool/metrics.h
+++ b/hornbeamspool/metrics.h
@@ -48,6 +48,10 @@
   kPartsNamed,         // prompt parts named as crashing upstreams
   kPartsCleared,       // named parts that were cleared or forgotten
   kPartRefusals,       // requests refused because of a named part
+  kUpstreamsLeaving,   // instances that were heard to leave
+  kPauses,             // pauses that upstreams asked a VM for
+  kSendsWithheld,      // sends that a pause or a leaving upstream stopped
+  kBackoffRefusals,    // requests refused because of pauses
   kCount
 };
 
--- a/policy/gateway_core.cc
+++ b/policy/gateway_core.cc
@@ -87,6 +87,7 @@
       poison_parts(this->options.vm),
       rate_limits(this->options.vm),
       brittle_upstreams(this->options.vm),
+      backoff(this->options.vm),
       link(this->options.link_bytes_per_second),
       answer_buffers(this->options.memory_bytes / kAnswerBufferDivisor) {}
 
@@ -449,12 +450,13 @@
 }
 
 std::vector<std::string> GatewayCore::ExpireUpstreams(TimePoint now) {
-  if (!this->rate_limits.Empty()) {
+  if (!this->rate_limits.Empty() || !this->backoff.Empty()) {
     std::set<std::string, std::less<>> live;
     for (const UpstreamEntry* entry : this->upstreams.All()) {
       live.insert(entry->InstanceId());
     }
     this->rate_limits.Prune(live, now);
+    this->backoff.Prune(live, now);
   }
   if (this->upstreams.RemovalIsUncertain(now)) {
     this->suspects.ExtendIncompleteAnswers(now);
--- a/policy/gateway_core.h
+++ b/policy/gateway_core.h
@@ -27,6 +27,7 @@
 #include "policy/reachability_meter.h"
 #include "policy/route_table.h"
 #include "policy/uplink_monitor.h"
+#include "policy/upstream_backoff.h"
 #include "policy/upstream_directory.h"
 #include "policy/upstream_selector.h"
 #include "policy/version_rollout.h"
@@ -114,6 +115,7 @@
   void SetFleetSize(std::size_t vms) {
     this->fleet_size = static_cast<std::int64_t>(vms);
     this->rollouts.SetFleetSize(this->fleet_size);
+    this->backoff.SetFleetSize(this->fleet_size);
   }
   // Sets the other VMs of the fleet.
   void SetPeers(std::vector<std::string> vms) {
@@ -201,6 +203,7 @@
   ReachabilityMeter& Reachability() { return this->reachability; }
   UplinkMonitor& Uplink() { return this->uplink; }
   BrittleUpstreams& Brittle() { return this->brittle_upstreams; }
+  UpstreamBackoff& Backoff() { return this->backoff; }
   // Admitted requests that have not finished.
   std::size_t InFlight() const { return this->in_flight; }
 
@@ -240,6 +243,7 @@
   PoisonParts poison_parts;
   RateLimits rate_limits;
   BrittleUpstreams brittle_upstreams;
+  UpstreamBackoff backoff;
   LinkMeter link;
   BufferQuota answer_buffers;
   ReachabilityMeter reachability;
