Send nothing to an upstream that has said that it leaves

Callers saw requests at upstreams long after these had said Server-Leaving (DRAIN): they run into the upstream's end.

Cause: the header was not read. The registry's entry was the only word on an upstream, and it is late or stays as it was while the store is away, after a restore, or where the upstream never writes it. Evidence: each gateway's log has the word from the first answer on, and arrivals go on as before. Ruled out: a late entry alone (the store was there for the first 5 s of the test, its entry said ready all the while).

The word of an instance now stands beside the registry, by instance: neither a later answer, nor an entry, an outage or a restore takes it back, and the next instance at the address doesn't inherit it. One question, GatewayCore::MaySend, decides at the choice of an upstream, at a resend on a fresh connection and once more just before the request is written (FetchOptions::confirm_send), as a send may wait for its connection. Idle connections to the upstream are closed. Its end counts as no crash.

Unit tests: the word by instance, a send that is withheld, the end that is no crash, values of the header. The test's judge now tells a restarted gateway from the one before, since the bound begins anew with it, and counts what it sends before it knows.

--- a/gateway/backoff_sync.cc
+++ b/gateway/backoff_sync.cc
@@ -4,6 +4,7 @@
 
 #include "gateway/event_log.h"
 #include "hornbeamspool/metrics.h"
+#include "http/client.h"
 #include "policy/announced_backoff.h"
 #include "policy/event.h"
 #include "policy/gateway_core.h"
@@ -27,6 +28,7 @@
       announced.leaving &&
       backoff.OnLeaving(instance, upstream.start_time_ms != 0, now);
   if (leaves) {
+    this->context.client->CloseIdle(upstream.address);
     this->context.metrics->Add(Counter::kUpstreamsLeaving);
     this->context.log->Write(LogKind::kUpstream,
                              fields + KeyValue("state", "leaving"), now);
--- a/gateway/peer_tunnels.cc
+++ b/gateway/peer_tunnels.cc
@@ -83,6 +83,9 @@
     options.on_connect = [this, upstream](FetchStatus status) {
       this->OnConnect(upstream, status == FetchStatus::kOk);
     };
+    options.confirm_send = [this, upstream] {
+      return this->MaySend(this->context.peers->Vm(), upstream);
+    };
     http::OpenResult opened =
         co_await this->context.client->Open(upstream.address, request, options);
     const bool unsent = opened.status == FetchStatus::kUnreachable ||
@@ -97,6 +100,9 @@
   for (const std::string& vm : chosen) {
     if (options.canceller && options.canceller->Cancelled()) break;
     options.tunnel = this->Through(vm);
+    options.confirm_send = [this, vm, upstream] {
+      return this->MaySend(vm, upstream);
+    };
     http::OpenResult opened =
         co_await this->context.client->Open(upstream.address, request, options);
     if (opened.status != FetchStatus::kNoTunnel) {
@@ -109,6 +115,11 @@
   co_return none;
 }
 
+bool PeerTunnels::MaySend(std::string_view vm,
+                          const policy::UpstreamEntry& upstream) const {
+  return this->context.core->MaySend(vm, upstream, Now());
+}
+
 void PeerTunnels::OnConnect(const policy::UpstreamEntry& upstream,
                             bool reached) {
   policy::GatewayCore& core = *this->context.core;
@@ -129,7 +140,9 @@
   }
   std::vector<std::string> ids;
   for (const policy::UpstreamEntry* entry : core.Upstreams().All()) {
-    if (!entry->draining) ids.push_back(entry->id);
+    const bool shuts_down =
+        entry->draining || core.Backoff().IsLeaving(entry->InstanceId(), now);
+    if (!shuts_down) ids.push_back(entry->id);
   }
   std::vector<std::string> due =
       core.Uplink().TakeDueProbes(ids, core.InFlight() > 0, now);
--- a/gateway/peer_tunnels.h
+++ b/gateway/peer_tunnels.h
@@ -49,6 +49,8 @@
   std::variant<std::string, http::TunnelStatus> Authorize(
       std::string_view request) const;
   std::shared_ptr<const http::Tunnel> Through(const std::string& vm) const;
+  bool MaySend(std::string_view vm,
+               const policy::UpstreamEntry& upstream) const;
   void OnConnect(const policy::UpstreamEntry& upstream, bool reached);
   http::Task<void> Probe(policy::UpstreamEntry upstream);
 
--- a/gateway/request_relay.cc
+++ b/gateway/request_relay.cc
@@ -88,7 +88,7 @@
                               static_cast<std::size_t>(SendOutcome::kCount)>
       kNames{"answered",    "upstream_error", "error_relayed", "rejected",
              "misdirected", "unreachable",    "not_listening", "no_room",
-             "broken",      "silent",         "abandoned"};
+             "withheld",    "broken",         "silent",        "abandoned"};
   return kNames.at(static_cast<std::size_t>(outcome));
 }
 
@@ -327,6 +327,10 @@
   if (opened.status == http::FetchStatus::kConnectionLimit) {
     co_return SendOutcome::kNoRoom;
   }
+  if (opened.status == http::FetchStatus::kWithheld) {
+    this->context->metrics->Add(Counter::kSendsWithheld);
+    co_return SendOutcome::kWithheld;
+  }
   if (opened.status == http::FetchStatus::kTimeout) {
     co_return SendOutcome::kSilent;
   }
--- a/hornbeamctl/explain.cc
+++ b/hornbeamctl/explain.cc
@@ -15,7 +15,7 @@
   std::string_view text;
 };
 
-constexpr std::array<Cause, 23> kCauses{{
+constexpr std::array<Cause, 24> kCauses{{
     {"budget_exhausted",
      "the organisation's prepaid tokens can't cover the request's maximum "
      "cost"},
@@ -52,6 +52,9 @@
     {"not_listening", "the upstream's address refused the connection"},
     {"no_room",
      "this VM already uses its whole share of the upstream's connections"},
+    {"withheld",
+     "the upstream leaves, or has asked this VM for a pause; see the lines on "
+     "it above"},
     {"broken",
      "the upstream's response was cut off, malformed or meant for another "
      "request"},
--- a/http/client.cc
+++ b/http/client.cc
@@ -94,6 +94,13 @@
 
 namespace {
 
+// Separates the server's address from the tunnel host's in the pool's keys.
+constexpr std::string_view kThrough = " by ";
+
+std::string_view TargetOf(std::string_view pool_address) {
+  return pool_address.substr(0, pool_address.find(kThrough));
+}
+
 // True when an idle connection is still open and no bytes have arrived on it.
 // Unexpected bytes would be taken for the response to the next request.
 bool IsReusable(Stream& stream) {
@@ -153,6 +160,15 @@
     streams.push_back({std::move(stream), now, now + idle_timeout});
   }
 
+  // Closes the idle connections whose server is at `target`.
+  void CloseIdle(std::string_view target) {
+    for (auto& [address, streams] : this->idle) {
+      if (TargetOf(address) != target) continue;
+      for (std::size_t i = 0; i < streams.size(); ++i) this->OnClosed(address);
+      streams.clear();
+    }
+  }
+
   std::size_t OpenCount(std::string_view address) const {
     const auto found = this->open.find(address);
     return found == this->open.end() ? 0 : found->second;
@@ -453,7 +469,9 @@
     state->pool = this->pool;
     state->target = std::string(address);
     state->address = state->target;
-    if (options.tunnel) state->address += " by " + options.tunnel->address;
+    if (options.tunnel) {
+      state->address += std::string(kThrough) + options.tunnel->address;
+    }
     state->options = options;
     state->parser.body_limit(options.max_body_bytes);
     if (pooled) {
@@ -467,6 +485,10 @@
         co_return OpenResult{sent ? FetchStatus::kBroken : status, nullptr};
       }
     }
+    if (options.confirm_send && !options.confirm_send()) {
+      co_return OpenResult{sent ? FetchStatus::kBroken : FetchStatus::kWithheld,
+                           nullptr};
+    }
     state->EnableCancellation();
     const FetchStatus status = co_await SendAndReadHead(*state, message);
     if (status == FetchStatus::kOk) {
@@ -483,6 +505,10 @@
   }
 }
 
+void Client::CloseIdle(std::string_view address) {
+  this->pool->CloseIdle(address);
+}
+
 Task<FetchStatus> Client::Probe(std::string address,
                                 coordination::Duration timeout) {
   FetchOptions options;
--- a/http/client.h
+++ b/http/client.h
@@ -23,6 +23,7 @@
   kRefused,      // the address refused the connection: nothing listens there
   kConnectionLimit,  // the address already has `max_connections` connections
   kNoTunnel,         // the tunnel's host is unreachable, or opens none
+  kWithheld,         // the caller of the client declined to send
   // The request was sent, at least in part:
   kBroken,   // the connection failed, or the response is malformed or too large
   kTimeout,  // the response did not arrive in time
@@ -72,6 +73,9 @@
   // this to ask whether it may send the request again on a new connection. The
   // server may have begun to process the request already. Null: never resend.
   std::function<bool()> may_resend = [] { return true; };
+  // Asked just before the request is written to a connection, each time. False
+  // ends the call with kWithheld. Null: always send.
+  std::function<bool()> confirm_send;
   // Open connections of the client to one address, idle ones included. Above
   // this number no new one is opened.
   std::size_t max_connections = SIZE_MAX;
@@ -141,6 +145,9 @@
   // else kRefused or kUnreachable.
   Task<FetchStatus> Probe(std::string address, coordination::Duration timeout);
 
+  // Closes the idle connections to `address`, those through other hosts too.
+  void CloseIdle(std::string_view address);
+
   // Sends `request` as Open() does and reads the whole response.
   Task<FetchResult> Fetch(std::string_view address, const Request& request,
                           const FetchOptions& options);
--- a/policy/gateway_core.cc
+++ b/policy/gateway_core.cc
@@ -339,6 +339,11 @@
   const std::string& service = admitted.service->name;
   std::vector<const UpstreamEntry*> upstreams =
       this->upstreams.Usable(service, now);
+  if (!this->backoff.Empty()) {
+    std::erase_if(upstreams, [this, now](const UpstreamEntry* upstream) {
+      return !this->MaySend(this->options.vm, *upstream, now);
+    });
+  }
   if (this->brittle_upstreams.Any()) {
     std::erase_if(upstreams, [this, now](const UpstreamEntry* upstream) {
       const std::int64_t in_flight =
@@ -421,8 +426,10 @@
 
 void GatewayCore::OnUpstreamDown(const UpstreamEntry& entry, TimePoint now) {
   const UpstreamEntry* known = this->upstreams.Find(entry.id);
-  const bool draining = entry.draining || (known != nullptr && known->draining);
-  if (draining) return;
+  const bool shuts_down = entry.draining ||
+                          (known != nullptr && known->draining) ||
+                          this->backoff.IsLeaving(entry.InstanceId(), now);
+  if (shuts_down) return;
   this->suspects.OnCrash(entry.InstanceId(), now);
   this->poison_parts.OnCrash(entry.InstanceId(), now);
 }
@@ -523,14 +530,15 @@
   this->selector.OnEnded(plan.record, outcome, now);
   this->ReportToRollout(admitted, plan, outcome, now);
   this->RecordCrashEvidence(admitted, plan, outcome, now);
-  const bool tests_reachability =
-      outcome != SendOutcome::kAbandoned && outcome != SendOutcome::kNoRoom;
+  const bool unsent =
+      outcome == SendOutcome::kNoRoom || outcome == SendOutcome::kWithheld;
+  const bool tests_reachability = outcome != SendOutcome::kAbandoned && !unsent;
   const bool reached = outcome != SendOutcome::kUnreachable &&
                        outcome != SendOutcome::kNotListening;
   if (tests_reachability) this->reachability.Add(reached, now);
   const bool not_run = outcome == SendOutcome::kRejected ||
-                       outcome == SendOutcome::kMisdirected ||
-                       outcome == SendOutcome::kNoRoom || !reached;
+                       outcome == SendOutcome::kMisdirected || unsent ||
+                       !reached;
   if (!not_run) {
     ++admitted.possible_runs;
     admitted.prompt_billable = true;
@@ -540,7 +548,7 @@
   if (final) return false;
   admitted.failed_upstreams.push_back(plan.upstream.id);
   // Nothing was sent: it counts neither as an attempt nor as a retry.
-  if (outcome == SendOutcome::kNoRoom) {
+  if (unsent) {
     --admitted.sends;
     return true;
   }
@@ -552,6 +560,7 @@
 bool GatewayCore::TakeResend(const AdmittedRequest& admitted,
                              const UpstreamEntry& upstream, TimePoint now) {
   if (!admitted.route->MayRepeat()) return false;
+  if (!this->MaySend(this->options.vm, upstream, now)) return false;
   if (this->rate_limits.IsLimited(upstream.InstanceId())) return false;
   const std::uint64_t fingerprint = admitted.request.fingerprint;
   if (this->suspects.CrashCount(fingerprint, now) > 0) return false;
--- a/policy/gateway_core.h
+++ b/policy/gateway_core.h
@@ -160,6 +160,12 @@
   // NextSend then decides whether and where.
   bool OnSendEnded(AdmittedRequest& admitted, const SendPlan& plan,
                    SendOutcome outcome, coordination::TimePoint now);
+  // Whether a request may be written to a connection of the VM `vm` to the
+  // upstream now. The answer may differ from the time of NextSend.
+  bool MaySend(std::string_view /*vm*/, const UpstreamEntry& upstream,
+               coordination::TimePoint now) const {
+    return !this->backoff.IsLeaving(upstream.InstanceId(), now);
+  }
   // Whether the request may be resent to the same upstream after a pooled
   // connection broke. The upstream may have received it already, so a resend is
   // taken from the retry budget, and none goes to a rate-limited upstream.
--- a/policy/upstream_selector.cc
+++ b/policy/upstream_selector.cc
@@ -332,7 +332,9 @@
   --state.in_flight;
   state.kv_tokens -= record.kv_tokens;
   if (!record.started) state.prefill_tokens -= record.prefill_tokens;
-  if (outcome == SendOutcome::kAbandoned) return;
+  const bool says_nothing =
+      outcome == SendOutcome::kAbandoned || outcome == SendOutcome::kWithheld;
+  if (says_nothing) return;
   const bool unreachable = outcome == SendOutcome::kUnreachable ||
                            outcome == SendOutcome::kNotListening ||
                            outcome == SendOutcome::kMisdirected;
--- a/policy/upstream_selector.h
+++ b/policy/upstream_selector.h
@@ -35,6 +35,7 @@
   kUnreachable,    // not sent: no connection
   kNotListening,   // not sent: connection refused
   kNoRoom,         // not sent: connection limit to the upstream reached
+  kWithheld,       // not sent: the upstream leaves, or has asked for a pause
   kBroken,         // sent; the answer broke off or is for another request
   kSilent,         // sent; timed out
   kAbandoned,      // the caller disconnected
--- a/tests/gateway_policy_test.cc
+++ b/tests/gateway_policy_test.cc
@@ -188,6 +188,55 @@
   CHECK_FALSE(core.OnSendEnded(admitted, second, SendOutcome::kBroken, At(4)));
 }
 
+// Guards against late requests to an upstream that has said that it leaves: the
+// registry goes on listing it.
+TEST_CASE("an upstream that leaves gets no request, whatever its entry says") {
+  GatewayCore core = MakeCore();
+  Prepare(core, {"s1", "s2"});
+  const UpstreamEntry leaving = MakeUpstream("s1");
+  core.Backoff().OnLeaving(leaving.InstanceId(), true, At(0));
+  core.Upstreams().Put(leaving);
+  core.Upstreams().Merge({leaving}, At(1));
+  core.Upstreams().Replace({leaving, MakeUpstream("s2")}, At(1));
+  for (int i = 2; i < 50; ++i) {
+    AdmittedRequest admitted =
+        std::get<AdmittedRequest>(core.Admit(MakeRequest("/x"), At(i)));
+    const auto plan = std::get<SendPlan>(core.NextSend(admitted, At(i)));
+    CHECK(plan.upstream.id == "s2");
+    core.OnSendEnded(admitted, plan, SendOutcome::kAnswered, At(i));
+    core.Finish(admitted);
+  }
+  AdmittedRequest late =
+      std::get<AdmittedRequest>(core.Admit(MakeRequest("/x"), At(60)));
+  CHECK_FALSE(core.TakeResend(late, leaving, At(60)));
+}
+
+TEST_CASE("a send that is withheld costs neither an attempt nor a retry") {
+  GatewayCore core = MakeCore();
+  Prepare(core, {"s1", "s2"});
+  AdmittedRequest admitted =
+      std::get<AdmittedRequest>(core.Admit(MakeRequest("/orders/1"), At(0)));
+  const auto first = std::get<SendPlan>(core.NextSend(admitted, At(1)));
+  REQUIRE(core.OnSendEnded(admitted, first, SendOutcome::kWithheld, At(2)));
+  CHECK(admitted.sends == 0);
+  const auto second = std::get<SendPlan>(core.NextSend(admitted, At(3)));
+  CHECK(second.upstream.id != first.upstream.id);
+}
+
+// Guards against crash suspects that never were: an upstream that leaves
+// refuses connections in the end.
+TEST_CASE("the end of an upstream that leaves is no crash") {
+  GatewayCore core = MakeCore();
+  Prepare(core, {"s1", "s2"});
+  const UpstreamEntry leaving = MakeUpstream("s1");
+  AdmittedRequest admitted =
+      std::get<AdmittedRequest>(core.Admit(MakeRequest("/x"), At(0)));
+  core.Suspects().OnSent(admitted.request.fingerprint, leaving.InstanceId());
+  core.Backoff().OnLeaving(leaving.InstanceId(), true, At(1));
+  core.OnUpstreamDown(leaving, At(2));
+  CHECK(core.Suspects().CrashCount(admitted.request.fingerprint, At(3)) == 0);
+}
+
 // Guards against exceeding the fleet's retry budget: resends on a fresh
 // connection were not counted.
 TEST_CASE("a resend on a fresh connection counts as a retry") {
--- a/tests/http_client_test.cc
+++ b/tests/http_client_test.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <chrono>
@@ -97,6 +98,41 @@
   CHECK(Get(io, client, server.Address()).status == FetchStatus::kOk);
 }
 
+// Guards against requests to an upstream that may get none, after the choice of
+// it: the connection took its time.
+TEST_CASE("a request that may no longer be sent is withheld") {
+  const ScriptedServer server([](tcp::acceptor& acceptor) {
+    tcp::socket socket = acceptor.accept();
+    std::string request;
+    boost::system::error_code error;
+    net::read(socket, net::dynamic_buffer(request), error);
+    CHECK(request.empty());
+  });
+  net::io_context io{1};
+  Client client(io);
+  FetchOptions options;
+  options.confirm_send = [] { return false; };
+  const FetchStatus status = Get(io, client, server.Address(), options).status;
+  CHECK(status == FetchStatus::kWithheld);
+  CHECK_FALSE(MayHaveArrived(status));
+}
+
+TEST_CASE("idle connections to a server can be closed") {
+  const ScriptedServer server([](tcp::acceptor& acceptor) {
+    tcp::socket socket = acceptor.accept();
+    ReadRequest(socket);
+    net::write(socket, net::buffer(std::string(kResponse)));
+    char byte = 0;
+    boost::system::error_code error;
+    net::read(socket, net::buffer(&byte, 1), error);
+    CHECK(error == net::error::eof);
+  });
+  net::io_context io{1};
+  Client client(io);
+  CHECK(Get(io, client, server.Address()).status == FetchStatus::kOk);
+  client.CloseIdle(server.Address());
+}
+
 // A response that sends `repeated` without end after `first`.
 struct EndlessResponse {
   std::string name;
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -130,6 +130,51 @@
   CHECK(response.HeaderValue("Server-Stamp") == "s");
 }
 
+// Guards against a pause without end, and against one that is missed: the value
+// of Retry-After is another party's.
+TEST_CASE("a rejection's Retry-After is a pause with a limit") {
+  using std::chrono::milliseconds;
+  using std::chrono::seconds;
+  const auto pause_of = [](std::string value, std::uint16_t status = 503) {
+    http::Response head;
+    head.status = status;
+    head.headers = {{"Date", "Sun, 06 Nov 1994 08:49:37 GMT"},
+                    {"retry-after", std::move(value)}};
+    return DecodeAnnouncedBackoff(head);
+  };
+  CHECK(pause_of("4").pause == seconds(4));
+  CHECK(pause_of(" 2.5 ").pause == milliseconds(2500));
+  CHECK(pause_of("1000000000").pause == policy::kMaxPause);
+  CHECK(pause_of("Sun, 06 Nov 1994 08:49:47 GMT").pause == seconds(10));
+  CHECK(pause_of("Sun, 06 Nov 1994 08:49:07 GMT").pause == seconds(0));
+  CHECK_FALSE(pause_of("0").Any());
+  CHECK_FALSE(pause_of("4", 429).Any());
+  CHECK_FALSE(pause_of("4", 200).Any());
+  for (const char* value : {"-1", "soon", "nan", "inf", "4s", "", "1e3"}) {
+    CHECK(pause_of(value).pause == seconds(0));
+    CHECK(pause_of(value).malformed);
+  }
+  http::Response twice;
+  twice.status = 503;
+  twice.headers = {{"Retry-After", "1"}, {"Retry-After", "3"}};
+  CHECK(DecodeAnnouncedBackoff(twice).pause == seconds(3));
+}
+
+TEST_CASE("an answer of any status may say that the upstream leaves") {
+  const auto announced = [](std::uint16_t status, std::string value) {
+    http::Response head;
+    head.status = status;
+    head.headers = {{"server-leaving", std::move(value)}};
+    return DecodeAnnouncedBackoff(head);
+  };
+  for (const int status : {200, 404, 421, 429, 500, 503}) {
+    CHECK(announced(static_cast<std::uint16_t>(status), "1").leaving);
+  }
+  CHECK_FALSE(announced(200, "0").Any());
+  CHECK_FALSE(announced(200, "x").leaving);
+  CHECK(announced(200, "x").malformed);
+}
+
 TEST_CASE("Retry-After is in seconds with two decimals") {
   http::Response response;
   SetRetryAfter(response, std::chrono::milliseconds(750));
--- a/tests/process/leaving_upstream_test.sh
+++ b/tests/process/leaving_upstream_test.sh
@@ -24,10 +24,11 @@
 
 ports_are_free 19700 1970{1..3} 1971{1..3} || exit 1
 
-# Callers of one gateway, one request after another, until the test ends.
+# Callers of one gateway, one request after another, until the test ends. They
+# name the gateway by its number, followed by an r once it has restarted.
 callers() {  # GATEWAY ROUTE
   while [ ! -e "$dir/enough" ]; do
-    echo "$(status "$1" "/$2/g$1" 2>/dev/null)" >>"$dir/statuses-$1-$2"
+    echo "$(status "$1" "/$2/g$1$(cat "$dir/restarted$1" 2>/dev/null)" 2>/dev/null)" >>"$dir/statuses-$1-$2"
     sleep 0.03
   done
 }
@@ -68,10 +69,13 @@
 
 kill -9 "$gateway2"
 until_true gone "$gateway2"
+echo r >"$dir/restarted2"
+sleep 0.2
 gateway 2
 until_true ready 2
 sleep 4
 check 'none does from a gateway that has restarted' 0 "$(late 19701)"
+check 'it sends no more than three before it knows' '[0-3]' "$(curl -s http://127.0.0.1:19701/arrivals | grep -c '/g2r')"
 
 kill -9 "$server1"
 until_true gone "$server1"
