Heed the pause that an upstream asks for in a rejection

Cause: Retry-After was not read, and a rejection made an upstream look idle: the selector saw a send that ended at once without failure. Each first attempt there cost a retry until the service's retry budget was spent. Evidence: the first no_upstream refusal with sends=1 comes 1.5 s after the first pause, and each VM goes on with over 50 rejected sends a second. Ruled out: an upstream that is slow to end the pause (the stand-in rejects by itself all the while).

A pause belongs to the VM that was asked and to the instance; it counts from the arrival of the head, a longer one stands, five minutes at most. VMs end their pauses up to a quarter (a second at most) later, each at its own time, and then send no more than their part of the upstream's slots (four at most) until it has answered; a further rejection begins the next pause. While all upstreams of a service leave or pause, callers are refused at admission with the time that is left (upstream_backoff): no budget, attempt or retry is spent on them.

--- a/gateway/backoff_sync.cc
+++ b/gateway/backoff_sync.cc
@@ -17,10 +17,15 @@
 void BackoffSync::OnAnswer(const policy::UpstreamEntry& upstream,
                            std::string_view vm,
                            const policy::AnnouncedBackoff& announced,
+                           coordination::TimePoint sent_at,
                            coordination::TimePoint now) {
-  if (!announced.Any()) return;
   policy::UpstreamBackoff& backoff = this->context.core->Backoff();
+  if (!announced.Any() && backoff.Empty()) return;
   const std::string instance = upstream.InstanceId();
+  if (announced.pause == coordination::Duration(0)) {
+    backoff.OnAnswer(instance, sent_at);
+  }
+  if (!announced.Any()) return;
   const std::string fields = KeyValue("upstream", upstream.id) + ' ' +
                              KeyValue("instance", instance) + ' ' +
                              KeyValue("source", "answer") + ' ';
--- a/gateway/backoff_sync.h
+++ b/gateway/backoff_sync.h
@@ -20,11 +20,11 @@
   BackoffSync(const BackoffSync&) = delete;
   BackoffSync& operator=(const BackoffSync&) = delete;
 
-  // Takes what an answer of the upstream says; `vm` is the VM whose connection
-  // carried it.
+  // Takes what the answer to a request that was sent at `sent_at` says; `vm` is
+  // the VM whose connection carried it.
   void OnAnswer(const policy::UpstreamEntry& upstream, std::string_view vm,
                 const policy::AnnouncedBackoff& announced,
-                coordination::TimePoint now);
+                coordination::TimePoint sent_at, coordination::TimePoint now);
 
  private:
   Context context;
--- a/gateway/request_relay.cc
+++ b/gateway/request_relay.cc
@@ -341,7 +341,7 @@
       platform::DecodeUpstreamResponse(stream.Head());
   if (!facts.misdirected) {
     this->context->backoff->OnAnswer(plan.upstream, carried.vm, facts.backoff,
-                                     Now());
+                                     plan.record.sent_at, Now());
   }
   // A late answer to another request may arrive on a reused connection.
   const bool matches = facts.request_id == this->request_id ||
@@ -445,6 +445,9 @@
   if (refusal.kind == ErrorKind::kUpstreamRateLimited) {
     this->context->metrics->Add(Counter::kRateLimitRefusals);
   }
+  if (refusal.kind == ErrorKind::kUpstreamBackoff) {
+    this->context->metrics->Add(Counter::kBackoffRefusals);
+  }
   if (refusal.kind == ErrorKind::kCrashSuspect) {
     this->context->metrics->Add(Counter::kSuspectRefusals);
   }
--- a/hornbeamctl/explain.cc
+++ b/hornbeamctl/explain.cc
@@ -15,7 +15,7 @@
   std::string_view text;
 };
 
-constexpr std::array<Cause, 24> kCauses{{
+constexpr std::array<Cause, 25> kCauses{{
     {"budget_exhausted",
      "the organisation's prepaid tokens can't cover the request's maximum "
      "cost"},
@@ -29,6 +29,8 @@
     {"no_upstream", "no upstream could accept the request"},
     {"upstream_rate_limited",
      "all upstreams were at the rate limits that they announce"},
+    {"upstream_backoff",
+     "all upstreams leave or had asked this VM for a pause"},
     {"crash_suspect",
      "three upstreams crashed while this request was in flight"},
     {"poison_part",
--- a/policy/error_kind.cc
+++ b/policy/error_kind.cc
@@ -48,6 +48,8 @@
     {"conflict", 409, kNot, 1, "the state changed in the meantime"},
     {"not_available", 501, kNot, 0, "this verb is not available yet"},
     {"internal", 500, kMay, 1, "internal error"},
+    {"upstream_backoff", 503, kNot, 2,
+     "all upstreams leave or have asked for a pause"},
 }};
 
 constexpr std::array<std::string_view,
--- a/policy/error_kind.h
+++ b/policy/error_kind.h
@@ -40,6 +40,7 @@
   kConflict,
   kNotAvailable,
   kInternal,
+  kUpstreamBackoff,
   kCount
 };
 
--- a/policy/gateway_core.cc
+++ b/policy/gateway_core.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "coordination/rendezvous.h"
+#include "policy/announced_backoff.h"
 
 namespace hornbeamspool::policy {
 namespace {
@@ -151,6 +152,9 @@
     return Refusal{ErrorKind::kNoUpstream,
                    AddJitter(kRetryUpstream, request.id)};
   }
+  if (auto refusal = this->BackoffRefusal(*admitted.service, request.id, now)) {
+    return *refusal;
+  }
   admitted.deadline =
       now + std::min(request.caller_timeout, admitted.route->timeout);
   admitted.request = std::move(request);
@@ -233,6 +237,29 @@
                  AddJitter(outcome.retry_after, admitted.request.id)};
 }
 
+std::optional<Refusal> GatewayCore::BackoffRefusal(const Service& service,
+                                                   std::string_view request_id,
+                                                   TimePoint now) const {
+  if (this->backoff.Empty()) return std::nullopt;
+  const std::vector<const UpstreamEntry*> usable =
+      this->upstreams.Usable(service.name, now);
+  if (usable.empty()) return std::nullopt;
+  // Without the end of a pause, a new upstream may come at any time.
+  Duration retry_after = kMaxPause;
+  bool pauses = false;
+  for (const UpstreamEntry* upstream : usable) {
+    if (this->MaySend(this->options.vm, *upstream, now)) return std::nullopt;
+    const std::string instance = upstream->InstanceId();
+    if (this->backoff.IsLeaving(instance, now)) continue;
+    pauses = true;
+    const TimePoint until =
+        this->backoff.PausedUntil(this->options.vm, instance, now);
+    retry_after = std::min(retry_after, std::max(kRetryUpstream, until - now));
+  }
+  return Refusal{ErrorKind::kUpstreamBackoff,
+                 AddJitter(pauses ? retry_after : kRetryUpstream, request_id)};
+}
+
 NextStep GatewayCore::NextSend(AdmittedRequest& admitted, TimePoint now) {
   const std::uint64_t fingerprint = admitted.request.fingerprint;
   if (this->IsCrashing(fingerprint, admitted.shared_parts, now)) {
@@ -268,10 +295,12 @@
     return this->WaitOrRefuse(admitted, filter);
   }
   if (upstream == nullptr) {
-    const ErrorKind kind = admitted.possible_runs > 0
-                               ? ErrorKind::kUpstreamFailed
-                               : ErrorKind::kNoUpstream;
-    return Refusal{kind, AddJitter(kRetryUpstream, admitted.request.id)};
+    const Duration retry_after = AddJitter(kRetryUpstream, admitted.request.id);
+    if (admitted.possible_runs > 0) {
+      return Refusal{ErrorKind::kUpstreamFailed, retry_after};
+    }
+    return this->BackoffRefusal(*admitted.service, admitted.request.id, now)
+        .value_or(Refusal{ErrorKind::kNoUpstream, retry_after});
   }
   const std::string instance = upstream->InstanceId();
   const bool has_permit = admitted.permits.granted == instance;
@@ -304,6 +333,7 @@
   plan.max_connections = this->MaxConnections(*admitted.service);
   plan.record = this->selector.OnSent(*upstream, criteria.demand, now);
   this->rate_limits.OnSent(instance, now);
+  this->backoff.OnSent(instance, upstream->slots, now);
   this->suspects.OnSent(fingerprint, instance);
   this->poison_parts.OnSent(admitted.shared_parts, instance,
                             plan.record.sent_at);
@@ -528,6 +558,7 @@
 bool GatewayCore::OnSendEnded(AdmittedRequest& admitted, const SendPlan& plan,
                               SendOutcome outcome, TimePoint now) {
   this->selector.OnEnded(plan.record, outcome, now);
+  this->backoff.OnEnded(plan.upstream.InstanceId(), plan.record.sent_at);
   this->ReportToRollout(admitted, plan, outcome, now);
   this->RecordCrashEvidence(admitted, plan, outcome, now);
   const bool unsent =
--- a/policy/gateway_core.h
+++ b/policy/gateway_core.h
@@ -162,9 +162,9 @@
                    SendOutcome outcome, coordination::TimePoint now);
   // Whether a request may be written to a connection of the VM `vm` to the
   // upstream now. The answer may differ from the time of NextSend.
-  bool MaySend(std::string_view /*vm*/, const UpstreamEntry& upstream,
+  bool MaySend(std::string_view vm, const UpstreamEntry& upstream,
                coordination::TimePoint now) const {
-    return !this->backoff.IsLeaving(upstream.InstanceId(), now);
+    return this->backoff.MaySend(vm, upstream.InstanceId(), now);
   }
   // Whether the request may be resent to the same upstream after a pooled
   // connection broke. The upstream may have received it already, so a resend is
@@ -224,6 +224,11 @@
       coordination::TimePoint now);
   NextStep WaitOrRefuse(const AdmittedRequest& admitted,
                         const PermitFilter& filter) const;
+  // The refusal when every usable upstream of the service leaves or has asked
+  // for a pause; empty when one may get a request, or there is none.
+  std::optional<Refusal> BackoffRefusal(const Service& service,
+                                        std::string_view request_id,
+                                        coordination::TimePoint now) const;
   bool IsCrashing(std::uint64_t fingerprint,
                   std::span<const std::uint64_t> parts,
                   coordination::TimePoint now);
--- a/tests/gateway_policy_test.cc
+++ b/tests/gateway_policy_test.cc
@@ -211,6 +211,53 @@
   CHECK_FALSE(core.TakeResend(late, leaving, At(60)));
 }
 
+// Guards against callers that wait, and budgets that are spent, for upstreams
+// that take nothing for a known time.
+TEST_CASE("requests are refused at once while all upstreams pause or leave") {
+  GatewayCore core = MakeCore();
+  Prepare(core, {"s1", "s2"});
+  core.Backoff().OnLeaving("s1", true, At(0));
+  core.Backoff().OnPause("", "s2", seconds(4), At(0));
+  const auto admission = core.Admit(MakeRequest("/x"), At(1'000));
+  REQUIRE(RefusedKind(admission) == ErrorKind::kUpstreamBackoff);
+  CHECK(std::get<Refusal>(admission).retry_after >= seconds(3));
+  CHECK(std::get<Refusal>(admission).retry_after <= seconds(6));
+  CHECK(core.InFlight() == 0);
+  core.Upstreams().Put(MakeUpstream("s3"));
+  CHECK(RefusedKind(core.Admit(MakeRequest("/x"), At(1'000))) ==
+        ErrorKind::kCount);
+}
+
+// Guards against a pause that looks like health: an upstream that rejects at
+// once seemed idle and got most first attempts.
+TEST_CASE("a pause sends the request to another upstream, and later ones too") {
+  GatewayCore core = MakeCore();
+  Prepare(core, {"s1", "s2"});
+  for (int i = 0; i < 20; ++i) {  // adds to the retry budget
+    (void)core.Admit(MakeRequest("/x"), At(0));
+  }
+  AdmittedRequest admitted =
+      std::get<AdmittedRequest>(core.Admit(MakeRequest("/orders/1"), At(0)));
+  const auto first = std::get<SendPlan>(core.NextSend(admitted, At(1)));
+  core.Backoff().OnPause("", first.upstream.id, seconds(4), At(2));
+  REQUIRE(core.OnSendEnded(admitted, first, SendOutcome::kRejected, At(2)));
+  const auto second = std::get<SendPlan>(core.NextSend(admitted, At(3)));
+  CHECK(second.upstream.id != first.upstream.id);
+  int first_again = 0;
+  for (int i = 0; i < 400; ++i) {
+    AdmittedRequest next = std::get<AdmittedRequest>(
+        core.Admit(MakeRequest("/x"), At(10 + 20 * i)));
+    const auto plan = std::get<SendPlan>(core.NextSend(next, At(10 + 20 * i)));
+    const bool paused = plan.upstream.id == first.upstream.id;
+    CHECK_FALSE((paused && 10 + 20 * i < 4'002));
+    if (paused) ++first_again;
+    core.Backoff().OnAnswer(plan.upstream.id, plan.record.sent_at);
+    core.OnSendEnded(next, plan, SendOutcome::kAnswered, At(11 + 20 * i));
+    core.Finish(next);
+  }
+  CHECK(first_again > 0);
+}
+
 TEST_CASE("a send that is withheld costs neither an attempt nor a retry") {
   GatewayCore core = MakeCore();
   Prepare(core, {"s1", "s2"});
