A request that tries the end of a pause does not withhold itself

That request was counted at its choice and then, just before it was written, took itself for one too many: the upstream would have got nothing for good. What is asked before a write is now only whether the upstream leaves or pauses; the limit on trials belongs to the choice.

A pause keeps its end as the upstream asked for it, beside the end with jitter, so that it can be told to other VMs without growing, and a rejection counts as news only if it moves the end by more than 200 ms.

Test: a VM of 390 uses the upstream again after the pause; the check failed before (MaySend after NextSend).

--- a/policy/gateway_core.cc
+++ b/policy/gateway_core.cc
@@ -248,8 +248,10 @@
   Duration retry_after = kMaxPause;
   bool pauses = false;
   for (const UpstreamEntry* upstream : usable) {
-    if (this->MaySend(this->options.vm, *upstream, now)) return std::nullopt;
     const std::string instance = upstream->InstanceId();
+    if (this->backoff.MayChoose(this->options.vm, instance, now)) {
+      return std::nullopt;
+    }
     if (this->backoff.IsLeaving(instance, now)) continue;
     pauses = true;
     const TimePoint until =
@@ -371,7 +373,8 @@
       this->upstreams.Usable(service, now);
   if (!this->backoff.Empty()) {
     std::erase_if(upstreams, [this, now](const UpstreamEntry* upstream) {
-      return !this->MaySend(this->options.vm, *upstream, now);
+      return !this->backoff.MayChoose(this->options.vm, upstream->InstanceId(),
+                                      now);
     });
   }
   if (this->brittle_upstreams.Any()) {
--- a/policy/gateway_core.h
+++ b/policy/gateway_core.h
@@ -160,11 +160,11 @@
   // NextSend then decides whether and where.
   bool OnSendEnded(AdmittedRequest& admitted, const SendPlan& plan,
                    SendOutcome outcome, coordination::TimePoint now);
-  // Whether a request may be written to a connection of the VM `vm` to the
-  // upstream now. The answer may differ from the time of NextSend.
+  // Whether a request that was planned may be written to a connection of the VM
+  // `vm` to the upstream now: more may be known than at the time of NextSend.
   bool MaySend(std::string_view vm, const UpstreamEntry& upstream,
                coordination::TimePoint now) const {
-    return this->backoff.MaySend(vm, upstream.InstanceId(), now);
+    return !this->backoff.IsWithheld(vm, upstream.InstanceId(), now);
   }
   // Whether the request may be resent to the same upstream after a pooled
   // connection broke. The upstream may have received it already, so a resend is
--- a/policy/upstream_backoff.cc
+++ b/policy/upstream_backoff.cc
@@ -55,14 +55,15 @@
                               Duration pause, TimePoint now) {
   PauseKey key{vm, instance};
   const auto found = this->pauses.find(key);
-  const bool news = found == this->pauses.end() || now >= found->second.until;
   if (this->pauses.size() >= kMaxInstances && found == this->pauses.end()) {
     return false;
   }
   const Duration bounded = std::min(pause, kMaxPause);
-  const TimePoint until = now + bounded + JitterOf(vm, instance, bounded);
+  const TimePoint end = now + bounded;
+  const TimePoint until = end + JitterOf(vm, instance, bounded);
   Pause& state = this->pauses[std::move(key)];
-  state = Pause{std::max(state.until, until)};
+  const bool news = end > state.end + kMinExtension;
+  state = Pause{std::max(state.end, end), std::max(state.until, until)};
   return news;
 }
 
@@ -76,8 +77,14 @@
   return paused ? found->second.until : TimePoint{};
 }
 
-bool UpstreamBackoff::MaySend(std::string_view vm, std::string_view instance,
-                              TimePoint now) const {
+bool UpstreamBackoff::IsWithheld(std::string_view vm, std::string_view instance,
+                                 TimePoint now) const {
+  return this->IsLeaving(instance, now) ||
+         this->PausedUntil(vm, instance, now) != TimePoint{};
+}
+
+bool UpstreamBackoff::MayChoose(std::string_view vm, std::string_view instance,
+                                TimePoint now) const {
   if (this->IsLeaving(instance, now)) return false;
   if (this->pauses.empty()) return true;
   const auto found =
@@ -130,8 +137,8 @@
     notices.push_back({instance, {}, state.identified, {}});
   }
   for (const auto& [key, state] : this->pauses) {
-    if (now >= state.until) continue;
-    notices.push_back({key.second, key.first, true, state.until - now});
+    if (now >= state.end) continue;
+    notices.push_back({key.second, key.first, true, state.end - now});
   }
   return notices;
 }
--- a/policy/upstream_backoff.h
+++ b/policy/upstream_backoff.h
@@ -33,7 +33,8 @@
   bool OnLeaving(std::string_view instance, bool identified,
                  coordination::TimePoint now);
   // The instance has asked `vm` for a pause, which began at `now`. A shorter
-  // pause doesn't end a longer one. Returns whether none was in force.
+  // pause doesn't end a longer one. Returns whether the end has moved by more
+  // than kMinExtension.
   bool OnPause(std::string_view vm, std::string_view instance,
                coordination::Duration pause, coordination::TimePoint now);
 
@@ -45,9 +46,14 @@
   coordination::TimePoint PausedUntil(std::string_view vm,
                                       std::string_view instance,
                                       coordination::TimePoint now) const;
-  // Whether `vm` may send a request to the instance.
-  bool MaySend(std::string_view vm, std::string_view instance,
-               coordination::TimePoint now) const;
+  // Whether `vm` must send nothing to the instance: it leaves, or the pause is
+  // in force.
+  bool IsWithheld(std::string_view vm, std::string_view instance,
+                  coordination::TimePoint now) const;
+  // Whether the instance may be chosen for one more request of `vm`: it is not
+  // withheld, and not too many requests try the end of a pause.
+  bool MayChoose(std::string_view vm, std::string_view instance,
+                 coordination::TimePoint now) const;
 
   // Sets the number of requests that this VM may have in flight at an upstream
   // of so many slots right after a pause.
@@ -76,6 +82,9 @@
  private:
   // How long the word of an instance is kept that is not in the registry.
   static constexpr coordination::Duration kRetention = std::chrono::minutes(1);
+  // Rejections that were in flight together ask for about the same pause.
+  static constexpr coordination::Duration kMinExtension =
+      std::chrono::milliseconds(200);
   // Bounds what peers may add.
   static constexpr std::size_t kMaxInstances = 4096;
 
@@ -85,7 +94,8 @@
   };
 
   struct Pause {
-    coordination::TimePoint until{};
+    coordination::TimePoint end{};    // as the upstream asked
+    coordination::TimePoint until{};  // with jitter
     // Of requests that this VM has sent since the end of the pause.
     std::int64_t in_flight = 0;
     std::int64_t answers = 0;
--- a/tests/gateway_policy_test.cc
+++ b/tests/gateway_policy_test.cc
@@ -239,6 +239,7 @@
   AdmittedRequest admitted =
       std::get<AdmittedRequest>(core.Admit(MakeRequest("/orders/1"), At(0)));
   const auto first = std::get<SendPlan>(core.NextSend(admitted, At(1)));
+  core.SetFleetSize(390);
   core.Backoff().OnPause("", first.upstream.id, seconds(4), At(2));
   REQUIRE(core.OnSendEnded(admitted, first, SendOutcome::kRejected, At(2)));
   const auto second = std::get<SendPlan>(core.NextSend(admitted, At(3)));
@@ -249,6 +250,7 @@
         core.Admit(MakeRequest("/x"), At(10 + 20 * i)));
     const auto plan = std::get<SendPlan>(core.NextSend(next, At(10 + 20 * i)));
     const bool paused = plan.upstream.id == first.upstream.id;
+    CHECK(core.MaySend("", plan.upstream, At(10 + 20 * i)));
     CHECK_FALSE((paused && 10 + 20 * i < 4'002));
     if (paused) ++first_again;
     core.Backoff().OnAnswer(plan.upstream.id, plan.record.sent_at);
--- a/tests/upstream_backoff_test.cc
+++ b/tests/upstream_backoff_test.cc
@@ -28,10 +28,10 @@
   UpstreamBackoff backoff("vm");
   CHECK(backoff.OnLeaving("s@1", true, At(0)));
   CHECK_FALSE(backoff.OnLeaving("s@1", true, At(1)));
-  CHECK_FALSE(backoff.MaySend("vm", "s@1", At(10'000'000)));
-  CHECK(backoff.MaySend("vm", "s@2", At(1)));
+  CHECK_FALSE(backoff.MayChoose("vm", "s@1", At(10'000'000)));
+  CHECK(backoff.MayChoose("vm", "s@2", At(1)));
   backoff.Prune({"s@1"}, At(10'000'000));
-  CHECK_FALSE(backoff.MaySend("vm", "s@1", At(10'000'000)));
+  CHECK_FALSE(backoff.MayChoose("vm", "s@1", At(10'000'000)));
   backoff.Prune({}, At(10'000'000));
   CHECK(backoff.Empty());
 }
@@ -40,8 +40,8 @@
   UpstreamBackoff backoff("vm");
   CHECK(backoff.OnLeaving("s", false, At(0)));
   const TimePoint end = At(0) + UpstreamBackoff::kUnidentifiedTimeout;
-  CHECK_FALSE(backoff.MaySend("vm", "s", end - milliseconds(1)));
-  CHECK(backoff.MaySend("vm", "s", end));
+  CHECK_FALSE(backoff.MayChoose("vm", "s", end - milliseconds(1)));
+  CHECK(backoff.MayChoose("vm", "s", end));
 }
 
 // Guards against requests in a pause: a shorter one that is asked for later
@@ -50,16 +50,16 @@
   UpstreamBackoff backoff("vm");
   CHECK(backoff.OnPause("vm", "s", seconds(4), At(0)));
   CHECK_FALSE(backoff.OnPause("vm", "s", seconds(1), At(100)));
-  CHECK_FALSE(backoff.MaySend("vm", "s", At(3'999)));
-  CHECK(backoff.MaySend("vm", "s", At(5'001)));
-  CHECK(backoff.MaySend("other", "s", At(1)));
+  CHECK_FALSE(backoff.MayChoose("vm", "s", At(3'999)));
+  CHECK(backoff.MayChoose("vm", "s", At(5'001)));
+  CHECK(backoff.MayChoose("other", "s", At(1)));
   CHECK(backoff.PausedUntil("vm", "s", At(1)) >= At(4'000));
 }
 
 TEST_CASE("a pause has a limit") {
   UpstreamBackoff backoff("vm");
   backoff.OnPause("vm", "s", std::chrono::hours(24'000), At(0));
-  CHECK(backoff.MaySend("vm", "s", At(0) + kMaxPause + seconds(1)));
+  CHECK(backoff.MayChoose("vm", "s", At(0) + kMaxPause + seconds(1)));
 }
 
 // Guards against all VMs sending as much as before at once, when their pauses
@@ -83,17 +83,20 @@
   backoff.SetFleetSize(4);
   backoff.OnPause("vm", "s", seconds(4), At(0));
   int sent = 0;
-  while (backoff.MaySend("vm", "s", At(6'000)) && sent < 100) {
+  while (backoff.MayChoose("vm", "s", At(6'000)) && sent < 100) {
     backoff.OnSent("s", kSlots, At(6'000));
     ++sent;
   }
   CHECK(sent == 2);  // its part of the slots
+  // Guards against a pause that never ends: those sent must not withhold
+  // themselves.
+  CHECK_FALSE(backoff.IsWithheld("vm", "s", At(6'000)));
   backoff.OnAnswer("s", At(6'000));
-  CHECK(backoff.MaySend("vm", "s", At(6'100)));
+  CHECK(backoff.MayChoose("vm", "s", At(6'100)));
   backoff.OnSent("s", kSlots, At(6'100));
-  CHECK_FALSE(backoff.MaySend("vm", "s", At(6'100)));
+  CHECK_FALSE(backoff.MayChoose("vm", "s", At(6'100)));
   backoff.OnEnded("s", At(6'000));
-  CHECK(backoff.MaySend("vm", "s", At(6'200)));
+  CHECK(backoff.MayChoose("vm", "s", At(6'200)));
   for (int i = 0; i < 20; ++i) backoff.OnAnswer("s", At(6'200));
   CHECK(backoff.Empty());
 }
@@ -104,8 +107,8 @@
   backoff.OnSent("s", kSlots, At(6'000));
   CHECK(backoff.OnPause("vm", "s", seconds(2), At(6'010)));
   backoff.OnEnded("s", At(6'000));  // of before
-  CHECK_FALSE(backoff.MaySend("vm", "s", At(8'000)));
-  CHECK(backoff.MaySend("vm", "s", At(9'000)));
+  CHECK_FALSE(backoff.MayChoose("vm", "s", At(8'000)));
+  CHECK(backoff.MayChoose("vm", "s", At(9'000)));
 }
 
 }  // namespace
