Keep the words of upstreams through tunnels, and share them

To the upstream the peer is the sender, so that a pause or a leaving counts for the peer, which only passes bytes on; and the sender can't know what the peer was told.

A pause belongs to the VM whose connection carried the rejection. The sender tells all peers of it, three datagrams within 0.2 s; a VM that carries requests of peers tells them of its own. The sender asks for host and upstream just before it writes, also on a tunnel that is open; a host opens no tunnel to an upstream that it may send nothing to (TunnelStatus::kWithheld, which an older VM takes for no tunnel). That an upstream leaves is told to all at once, repeated to two random peers every 0.5 s, and asked for at the start.

The message is one of its own; older VMs leave it unread, and the encodings in use are as before.

--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -199,6 +199,9 @@
                },
                [this](std::span<const policy::PoisonPartRecord> records) {
                  this->crashes.OnPartRecords(records);
+               },
+               [this](const transport::BackoffMessage& message) {
+                 this->backoff.OnMessage(message, Now());
                }}),
       tunnels(this->context, this->settings.peer_address,
               MaxTunnels(this->settings)),
@@ -460,6 +463,7 @@
     this->tunnels.Check(Now());
     this->crashes.Expire();
     this->crashes.PublishNotices();
+    this->backoff.RepeatNotices(Now());
     if (++rounds % kRateReportRounds == 0) ReportRates(this->context, Now());
     for (const std::string& id : this->core.ExpireUpstreams(Now())) {
       this->log.Write(
@@ -566,6 +570,7 @@
   state.broker.Start();
   state.permits.Start();
   state.crashes.Start();
+  state.backoff.Start();
   SpawnBackgroundTask(state.context, "upstreams",
                       [&state] { return state.RunPeriodicChecks(); });
   state.io.run();
--- a/gateway/peer_channel.cc
+++ b/gateway/peer_channel.cc
@@ -4,6 +4,7 @@
 #include <array>
 #include <boost/asio/redirect_error.hpp>
 #include <chrono>
+#include <iterator>
 #include <random>
 #include <utility>
 #include <vector>
@@ -185,6 +186,15 @@
   return this->SendDatagram(vm, transport::AppendMac(this->key, text));
 }
 
+bool PeerChannel::Send(std::string_view vm, BackoffNotices notices) {
+  bool sent = false;
+  for (const std::string& text :
+       transport::EncodeBackoffMessages(this->vm, false, notices)) {
+    sent = this->SendDatagram(vm, transport::AppendMac(this->key, text));
+  }
+  return sent;
+}
+
 // All peers share the key, so that one authenticated datagram serves them all.
 void PeerChannel::SendAuthenticated(const std::vector<std::string>& peers,
                                     std::string_view text) {
@@ -210,6 +220,40 @@
   }
 }
 
+void PeerChannel::SendToAll(BackoffNotices notices) {
+  for (const std::string& text :
+       transport::EncodeBackoffMessages(this->vm, false, notices)) {
+    this->SendAuthenticated(this->directory.All(), text);
+  }
+}
+
+std::vector<std::string> PeerChannel::RandomPeers(
+    std::size_t count, std::minstd_rand& random) const {
+  const std::vector<std::string> all = this->directory.All();
+  std::vector<std::string> peers;
+  std::sample(all.begin(), all.end(), std::back_inserter(peers), count, random);
+  return peers;
+}
+
+void PeerChannel::SendToSome(BackoffNotices notices, std::size_t count,
+                             std::minstd_rand& random) {
+  for (const std::string& vm : this->RandomPeers(count, random)) {
+    this->Send(vm, notices);
+  }
+}
+
+std::size_t PeerChannel::SendBackoffQuery(std::size_t count,
+                                          std::minstd_rand& random) {
+  std::size_t sent = 0;
+  const std::string text =
+      transport::EncodeBackoffMessages(this->vm, true, {}).front();
+  const std::string datagram = transport::AppendMac(this->key, text);
+  for (const std::string& vm : this->RandomPeers(count, random)) {
+    if (this->SendDatagram(vm, datagram)) ++sent;
+  }
+  return sent;
+}
+
 void PeerChannel::SendToRandomPeers(const transport::PrefillMessage& message,
                                     coordination::TimePoint now) {
   const std::chrono::duration<double> passed = now - this->send_credit_at;
@@ -251,6 +295,8 @@
   } else if (const auto parts =
                  transport::DecodePoisonPartMessage(payload, Now())) {
     this->handlers.on_parts(*parts);
+  } else if (const auto backoff = transport::DecodeBackoffMessage(payload)) {
+    this->handlers.on_backoff(*backoff);
   }
 }
 
--- a/gateway/peer_channel.h
+++ b/gateway/peer_channel.h
@@ -21,6 +21,8 @@
 #include "policy/peer_directory.h"
 #include "policy/poison_part_record.h"
 #include "policy/rate_message.h"
+#include "policy/upstream_backoff.h"
+#include "transport/backoff_message.h"
 #include "transport/budget_message.h"
 #include "transport/crash_message.h"
 #include "transport/prefill_message.h"
@@ -29,6 +31,8 @@
 
 class PeerChannel {
  public:
+  using BackoffNotices = std::span<const policy::UpstreamBackoff::Notice>;
+
   // Called for messages from peers, on the io_context's thread.
   struct Handlers {
     std::function<void(const transport::BudgetMessage&)> on_budget;
@@ -36,6 +40,7 @@
     std::function<void(const transport::PrefillMessage&)> on_prefill;
     std::function<void(const policy::RateMessage&)> on_rate;
     std::function<void(std::span<const policy::PoisonPartRecord>)> on_parts;
+    std::function<void(const transport::BackoffMessage&)> on_backoff;
   };
 
   // `address` is this VM's own address, as ip:port.
@@ -58,11 +63,19 @@
   // been read yet, or the socket reported an error.
   bool Send(std::string_view vm, const transport::BudgetMessage& message);
   bool Send(std::string_view vm, const policy::RateMessage& message);
+  bool Send(std::string_view vm, BackoffNotices notices);
   // Sends to all known peers.
   void SendToAll(const transport::CrashMessage& message);
   void SendToAll(const policy::RateMessage& message);
   void SendToAll(std::span<const policy::PoisonPartRecord> records,
                  coordination::TimePoint now);
+  void SendToAll(BackoffNotices notices);
+  // Sends to `count` peers at random.
+  void SendToSome(BackoffNotices notices, std::size_t count,
+                  std::minstd_rand& random);
+  // Asks `count` peers at random for their notices. Returns how many requests
+  // were sent.
+  std::size_t SendBackoffQuery(std::size_t count, std::minstd_rand& random);
   // Sends to all known peers, or to a random subset as far as the rate limit
   // allows.
   void SendToRandomPeers(const transport::PrefillMessage& message,
@@ -89,6 +102,8 @@
   bool SendDatagram(std::string_view vm, std::string_view datagram);
   void SendAuthenticated(const std::vector<std::string>& peers,
                          std::string_view text);
+  std::vector<std::string> RandomPeers(std::size_t count,
+                                       std::minstd_rand& random) const;
   void Dispatch(std::string_view payload);
   void ApplyRows(const std::vector<platform::StoreRow>& rows);
 
--- a/gateway/peer_tunnels.cc
+++ b/gateway/peer_tunnels.cc
@@ -55,12 +55,18 @@
   policy::GatewayCore& core = *this->context.core;
   const bool busy = core.Uplink().IsCutOff() || core.Link().IsCongested(Now());
   if (!message || busy) return TunnelStatus::kUnavailable;
-  const std::vector<const policy::UpstreamEntry*> all = core.Upstreams().All();
-  const bool known = std::any_of(
-      all.begin(), all.end(), [&message](const policy::UpstreamEntry* entry) {
-        return entry->address == message->address;
-      });
-  if (!known) return TunnelStatus::kUnavailable;
+  // An address is used again: the instance that started last has it.
+  const policy::UpstreamEntry* upstream = nullptr;
+  for (const policy::UpstreamEntry* entry : core.Upstreams().All()) {
+    if (entry->address != message->address) continue;
+    const bool newer =
+        upstream == nullptr || entry->start_time_ms > upstream->start_time_ms;
+    if (newer) upstream = entry;
+  }
+  if (upstream == nullptr) return TunnelStatus::kUnavailable;
+  if (!this->MaySend(this->context.peers->Vm(), *upstream)) {
+    return TunnelStatus::kWithheld;
+  }
   return std::move(message->address);
 }
 
@@ -97,21 +103,30 @@
   }
   const std::vector<std::string> chosen = this->peers.Choose(
       this->context.peers->Directory().All(), upstream.id, kMaxPeers, Now());
+  FetchStatus status = FetchStatus::kNoTunnel;
   for (const std::string& vm : chosen) {
     if (options.canceller && options.canceller->Cancelled()) break;
+    if (!this->MaySend(vm, upstream)) {
+      status = FetchStatus::kWithheld;
+      continue;
+    }
     options.tunnel = this->Through(vm);
     options.confirm_send = [this, vm, upstream] {
       return this->MaySend(vm, upstream);
     };
     http::OpenResult opened =
         co_await this->context.client->Open(upstream.address, request, options);
+    if (opened.status == FetchStatus::kWithheld) {
+      status = FetchStatus::kWithheld;
+      continue;
+    }
     if (opened.status != FetchStatus::kNoTunnel) {
       Opened tunnelled{std::move(opened), vm};
       co_return tunnelled;
     }
     this->peers.OnUnavailable(vm, Now());
   }
-  Opened none{{FetchStatus::kNoTunnel, nullptr}, this->context.peers->Vm()};
+  Opened none{{status, nullptr}, this->context.peers->Vm()};
   co_return none;
 }
 
--- a/gateway/peer_tunnels.h
+++ b/gateway/peer_tunnels.h
@@ -37,10 +37,14 @@
     std::string vm;  // whose connection to the upstream carries the answer
   };
   // Sends the request to the upstream as http::Client::Open does: directly, or
-  // through a peer when this VM is cut off. kNoTunnel when no peer helps.
+  // through a peer when this VM is cut off. kNoTunnel when no peer helps,
+  // kWithheld when some would, but the upstream takes nothing from them.
   http::Task<Opened> Open(policy::UpstreamEntry upstream, http::Request request,
                           http::FetchOptions options);
 
+  // Tunnels that this VM has open for peers.
+  std::size_t OpenTunnels() const { return this->server.Tunnels(); }
+
   // Probes the upstreams that are due, and logs whether the VM is cut off.
   // Called periodically.
   void Check(coordination::TimePoint now);
--- a/http/client.cc
+++ b/http/client.cc
@@ -397,6 +397,8 @@
       co_return FetchStatus::kRefused;
     case TunnelStatus::kUnreachable:
       co_return FetchStatus::kUnreachable;
+    case TunnelStatus::kWithheld:
+      co_return FetchStatus::kWithheld;
     default:
       co_return FetchStatus::kNoTunnel;
   }
--- a/http/client.h
+++ b/http/client.h
@@ -23,7 +23,7 @@
   kRefused,      // the address refused the connection: nothing listens there
   kConnectionLimit,  // the address already has `max_connections` connections
   kNoTunnel,         // the tunnel's host is unreachable, or opens none
-  kWithheld,         // the caller of the client declined to send
+  kWithheld,         // the caller of the client or the tunnel's host declined
   // The request was sent, at least in part:
   kBroken,   // the connection failed, or the response is malformed or too large
   kTimeout,  // the response did not arrive in time
--- a/http/tunnel.h
+++ b/http/tunnel.h
@@ -16,6 +16,7 @@
   kRefused,      // the server refused the connection
   kUnreachable,  // the host could not connect to the server in time
   kUnavailable,  // the host opens no tunnel for this client or at present
+  kWithheld,     // the host may send nothing to the server at present
   kCount
 };
 
--- a/tests/transport_test.cc
+++ b/tests/transport_test.cc
@@ -1,10 +1,12 @@
 #include <doctest/doctest.h>
 
+#include <chrono>
 #include <limits>
 #include <random>
 #include <string>
 #include <vector>
 
+#include "transport/backoff_message.h"
 #include "transport/crash_message.h"
 #include "transport/heartbeat.h"
 #include "transport/mac.h"
@@ -126,6 +128,50 @@
       EncodePoisonPartMessage(std::span(&unknown, 1), now), now));
 }
 
+TEST_CASE("notices of upstreams that leave or pause fit in datagrams") {
+  std::vector<policy::UpstreamBackoff::Notice> notices;
+  for (int i = 0; i < 60; ++i) {
+    notices.push_back({"i-0123456789@17", i % 2 == 0 ? "" : "front-kl-a-1",
+                       i % 3 == 0, std::chrono::milliseconds(i)});
+  }
+  const std::string longest(5000, 'x');
+  notices.push_back({longest, {}, true, {}});
+  std::size_t decoded = 0;
+  for (const std::string& text :
+       EncodeBackoffMessages("vm-1", false, notices)) {
+    CHECK_LE(AppendMac(kKey, text).size(), kMaxDatagramBytes);
+    const auto message = DecodeBackoffMessage(text);
+    REQUIRE(message);
+    CHECK_EQ(message->sender, "vm-1");
+    CHECK_FALSE(message->query);
+    for (const auto& notice : message->notices) {
+      CHECK_EQ(notice.instance, notices.at(decoded).instance);
+      CHECK_EQ(notice.vm, notices.at(decoded).vm);
+      CHECK_EQ(notice.identified, notices.at(decoded).identified);
+      CHECK_EQ(notice.remaining.count(), notices.at(decoded).remaining.count());
+      ++decoded;
+    }
+  }
+  CHECK_EQ(decoded, 60);
+  const auto query =
+      DecodeBackoffMessage(EncodeBackoffMessages("vm-1", true, {}).front());
+  REQUIRE(query);
+  CHECK(query->query);
+  CHECK_FALSE(DecodeRateMessage(EncodeBackoffMessages("v", true, {}).front()));
+}
+
+TEST_CASE("a notice with an impossible time is left out") {
+  const std::vector<policy::UpstreamBackoff::Notice> notices{
+      {"s1", "vm", true, std::chrono::hours(24)},
+      {"s2", "vm", true, std::chrono::milliseconds(-1)},
+      {"s3", "vm", true, std::chrono::milliseconds(1)}};
+  const auto message =
+      DecodeBackoffMessage(EncodeBackoffMessages("v", false, notices).front());
+  REQUIRE(message);
+  REQUIRE_EQ(message->notices.size(), 1);
+  CHECK_EQ(message->notices.front().instance, "s3");
+}
+
 TEST_CASE("a rate message is decoded as it was encoded") {
   RateMessage message;
   message.kind = RateMessageKind::kPermitVerdict;
--- a/tests/tunnel_test.cc
+++ b/tests/tunnel_test.cc
@@ -43,6 +43,7 @@
             [this](std::string_view request)
                 -> std::variant<std::string, TunnelStatus> {
               if (request != kRequest) return TunnelStatus::kUnavailable;
+              if (this->withheld) return TunnelStatus::kWithheld;
               return this->target;
             },
             [](std::string_view) {}),
@@ -75,6 +76,7 @@
 
   net::io_context io;
   std::string target;
+  bool withheld = false;
   Server server;
   TunnelServer tunnels;
   Client client;
@@ -120,6 +122,14 @@
   CHECK(fixture.tunnels.Tunnels() == 0);
 }
 
+TEST_CASE("a host that may not send to the server is no failure of it") {
+  Fixture fixture;
+  fixture.withheld = true;
+  const FetchResult result = fixture.Fetch();
+  CHECK(result.status == FetchStatus::kWithheld);
+  CHECK_FALSE(MayHaveArrived(result.status));
+}
+
 TEST_CASE("a server that refuses the tunnel's connection is reported as such") {
   Fixture fixture;
   fixture.target = "127.0.0.1:1";
