Read the parts of a prompt without its counts of tokens

Requests with Prompt-Prefix and no Token-Count had no parts, so that a part that crashes upstreams was never named by them and such requests went on being sent.

platform_test and gateway_policy_test: both new cases failed before.

--- a/gateway/request_relay.cc
+++ b/gateway/request_relay.cc
@@ -5,6 +5,7 @@
 #include <boost/asio/redirect_error.hpp>
 #include <chrono>
 #include <optional>
+#include <span>
 #include <string>
 #include <utility>
 #include <variant>
@@ -73,8 +74,8 @@
 // The log field that names the first parts of the request's prompt; empty when
 // it has none.
 std::string PartsField(const policy::GatewayRequest& request) {
-  if (!request.demand || request.demand->parts.empty()) return {};
-  const std::vector<policy::PromptPart>& parts = request.demand->parts;
+  const std::span<const policy::PromptPart> parts = request.Parts();
+  if (parts.empty()) return {};
   std::string names;
   for (std::size_t i = 0; i < std::min(parts.size(), kMaxLoggedParts); ++i) {
     if (i > 0) names += ',';
--- a/policy/gateway_core.cc
+++ b/policy/gateway_core.cc
@@ -54,10 +54,10 @@
 }
 
 // The parts of the prompt that other requests may share.
-std::vector<std::uint64_t> SharedParts(const ModelDemand& demand) {
+std::vector<std::uint64_t> SharedParts(std::span<const PromptPart> parts) {
   std::vector<std::uint64_t> shared;
-  for (std::size_t i = 0; i + 1 < demand.parts.size(); ++i) {
-    PoisonParts::AddPart(shared, demand.parts[i].id);
+  for (std::size_t i = 0; i + 1 < parts.size(); ++i) {
+    PoisonParts::AddPart(shared, parts[i].id);
   }
   return shared;
 }
@@ -134,7 +134,7 @@
   }
 
   // Step 3: requests that may crash upstreams.
-  if (request.demand) admitted.shared_parts = SharedParts(*request.demand);
+  admitted.shared_parts = SharedParts(request.Parts());
   if (this->IsCrashing(request.fingerprint, admitted.shared_parts, now)) {
     return this->RefuseCrashing(request.fingerprint, admitted.shared_parts,
                                 now);
--- a/policy/gateway_request.h
+++ b/policy/gateway_request.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -37,8 +38,15 @@
   std::string key;  // API key; empty when the caller sent none
   coordination::Duration caller_timeout;  // from the arrival
   std::optional<ModelDemand> demand;
+  // Of a prompt whose counts of tokens the caller did not send.
+  std::vector<PromptPart> uncounted_parts;
   // Hash of target, API key and body: copies of a request share it.
   std::uint64_t fingerprint = 0;
+
+  // Of the prompt, in order; the last one is not shared.
+  std::span<const PromptPart> Parts() const {
+    return this->demand ? this->demand->parts : this->uncounted_parts;
+  }
 };
 
 }  // namespace hornbeamspool::policy
--- a/tests/gateway_policy_test.cc
+++ b/tests/gateway_policy_test.cc
@@ -260,6 +260,16 @@
   CHECK(first_again > 0);
 }
 
+TEST_CASE("a request without counts of tokens has the parts of its prompt") {
+  GatewayCore core = MakeCore();
+  Prepare(core, {"s1"});
+  GatewayRequest request = MakeRequest("/x");
+  request.uncounted_parts = {{7, 100}, {8, 100}, {9, 100}};
+  const auto admitted =
+      std::get<AdmittedRequest>(core.Admit(std::move(request), At(0)));
+  CHECK(admitted.shared_parts == std::vector<std::uint64_t>{7, 8});
+}
+
 TEST_CASE("a send that is withheld costs neither an attempt nor a retry") {
   GatewayCore core = MakeCore();
   Prepare(core, {"s1", "s2"});
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -63,6 +63,27 @@
   }
 }
 
+// Guards against a part of prompts that crashes upstreams and is never named:
+// the parts were read only beside the counts of tokens.
+TEST_CASE("the parts of a prompt are read without its counts of tokens") {
+  http::Request request = MakeModelRequest();
+  std::erase_if(request.headers, [](const http::Header& header) {
+    return header.name == "Token-Count";
+  });
+  std::string error;
+  const auto decoded = DecodeRequest(request, error);
+  REQUIRE(decoded);
+  CHECK_FALSE(decoded->demand);
+  REQUIRE(decoded->Parts().size() == 3);
+  CHECK(decoded->Parts()[1].id == 0x91bd3f06);
+  for (http::Header& header : request.headers) {
+    if (header.name == "Prompt-Prefix") header.value = "no parts";
+  }
+  const auto unreadable = DecodeRequest(request, error);
+  REQUIRE(unreadable);
+  CHECK(unreadable->Parts().empty());
+}
+
 TEST_CASE("headers that only the gateway may set are dropped from requests") {
   http::Request request = MakeModelRequest();
   for (const char* name :
