--- a/gateway/backoff_sync.cc
+++ b/gateway/backoff_sync.cc
@@ -147,8 +147,8 @@
                             TimePoint now) {
   for (const Notice& notice : message.notices) {
     // The id of an upstream ends before the start time in the instance's.
-    const std::string_view upstream =
-        std::string_view(notice.instance).substr(0, notice.instance.rfind('@'));
+    std::string_view upstream = notice.instance;
+    upstream = upstream.substr(0, upstream.rfind('@'));
     if (notice.vm.empty()) {
       this->SetLeaving(upstream, notice, message.sender, now);
     } else {
--- a/tests/transport_test.cc
+++ b/tests/transport_test.cc
@@ -130,6 +130,7 @@
 
 TEST_CASE("notices of upstreams that leave or pause fit in datagrams") {
   std::vector<policy::UpstreamBackoff::Notice> notices;
+  notices.reserve(61);
   for (int i = 0; i < 60; ++i) {
     notices.push_back({"i-0123456789@17", i % 2 == 0 ? "" : "front-kl-a-1",
                        i % 3 == 0, std::chrono::milliseconds(i)});
