Let VMs forget upstreams that left: notices carry their age

Found by reading the change: each repetition of "this upstream leaves" renewed the word at the VM that heard it, and that VM repeated it in turn, so that no VM of a fleet ever dropped an instance, after a minute or after a year.

A notice now says how long ago the upstream spoke; what is known counts from then.

upstream_backoff_test, two VMs that tell each other for 90 s: with an age of 0 both still know the instance, now both have dropped it.

--- a/gateway/backoff_sync.cc
+++ b/gateway/backoff_sync.cc
@@ -74,12 +74,12 @@
   if (announced.pause == Duration(0)) backoff.OnAnswer(instance, sent_at);
   const bool identified = upstream.start_time_ms != 0;
   if (announced.leaving) {
-    this->SetLeaving(upstream.id, {instance, {}, identified, {}}, kFromAnswer,
-                     now);
+    this->SetLeaving(upstream.id, {instance, {}, identified, {}, {}},
+                     kFromAnswer, now);
   }
   if (announced.pause > Duration(0)) {
     this->SetPause(upstream.id,
-                   {instance, std::string(vm), identified, announced.pause},
+                   {instance, std::string(vm), identified, announced.pause, {}},
                    kFromAnswer, now);
   }
   if (!announced.malformed) return;
@@ -93,7 +93,7 @@
 void BackoffSync::SetLeaving(std::string_view upstream, const Notice& notice,
                              std::string_view source, TimePoint now) {
   const bool news = this->context.core->Backoff().OnLeaving(
-      notice.instance, notice.identified, now);
+      notice.instance, notice.identified, now - notice.age);
   if (!news) return;
   this->context.metrics->Add(Counter::kUpstreamsLeaving);
   this->context.log->Write(LogKind::kUpstream,
--- a/policy/upstream_backoff.cc
+++ b/policy/upstream_backoff.cc
@@ -35,12 +35,18 @@
 }  // namespace
 
 bool UpstreamBackoff::OnLeaving(std::string_view instance, bool identified,
-                                TimePoint now) {
-  const bool news = !this->IsLeaving(instance, now);
-  if (this->leaving.size() >= kMaxInstances && news) return false;
-  this->leaving.insert_or_assign(std::string(instance),
-                                 Leaving{identified, now});
-  return news;
+                                TimePoint said_at) {
+  const auto found = this->leaving.find(instance);
+  if (found != this->leaving.end()) {
+    Leaving& known = found->second;
+    const bool ended =
+        !known.identified && said_at - known.said_at >= kUnidentifiedTimeout;
+    known.said_at = std::max(known.said_at, said_at);
+    return ended;
+  }
+  if (this->leaving.size() >= kMaxInstances) return false;
+  this->leaving.emplace(instance, Leaving{identified, said_at});
+  return true;
 }
 
 bool UpstreamBackoff::IsLeaving(std::string_view instance,
@@ -48,7 +54,7 @@
   const auto found = this->leaving.find(instance);
   if (found == this->leaving.end()) return false;
   return found->second.identified ||
-         now - found->second.heard_at < kUnidentifiedTimeout;
+         now - found->second.said_at < kUnidentifiedTimeout;
 }
 
 bool UpstreamBackoff::OnPause(std::string_view vm, std::string_view instance,
@@ -134,11 +140,15 @@
   std::vector<Notice> notices;
   for (const auto& [instance, state] : this->leaving) {
     if (!this->IsLeaving(instance, now)) continue;
-    notices.push_back({instance, {}, state.identified, {}});
+    notices.push_back({instance,
+                       {},
+                       state.identified,
+                       {},
+                       std::min(now - state.said_at, kMaxNoticeAge)});
   }
   for (const auto& [key, state] : this->pauses) {
     if (now >= state.end) continue;
-    notices.push_back({key.second, key.first, true, state.end - now});
+    notices.push_back({key.second, key.first, true, state.end - now, {}});
   }
   return notices;
 }
@@ -146,7 +156,7 @@
 void UpstreamBackoff::Prune(const std::set<std::string, std::less<>>& live,
                             TimePoint now) {
   std::erase_if(this->leaving, [&](const auto& entry) {
-    const Duration age = now - entry.second.heard_at;
+    const Duration age = now - entry.second.said_at;
     if (!entry.second.identified && age >= kUnidentifiedTimeout) return true;
     return age >= kRetention && !live.contains(entry.first);
   });
--- a/policy/upstream_backoff.h
+++ b/policy/upstream_backoff.h
@@ -28,10 +28,10 @@
 
   explicit UpstreamBackoff(std::string vm) : vm(std::move(vm)) {}
 
-  // The instance has said that it leaves. `identified`: its next start has
-  // another instance id. Returns whether that is news.
+  // The instance has said at `said_at` that it leaves. `identified`: its next
+  // start has another instance id. Returns whether that is news.
   bool OnLeaving(std::string_view instance, bool identified,
-                 coordination::TimePoint now);
+                 coordination::TimePoint said_at);
   // The instance has asked `vm` for a pause, which began at `now`. A shorter
   // pause doesn't end a longer one. Returns whether the end has moved by more
   // than kMinExtension.
@@ -71,11 +71,16 @@
     std::string vm;  // of a pause; empty: the instance leaves
     bool identified = true;
     coordination::Duration remaining{};  // of a pause
+    // Since the instance said that it leaves, at most kMaxNoticeAge. Keeps VMs
+    // from telling each other for good of an instance that is gone.
+    coordination::Duration age{};
   };
+  static constexpr coordination::Duration kMaxNoticeAge =
+      std::chrono::minutes(5);
   std::vector<Notice> Notices(coordination::TimePoint now) const;
 
-  // Drops ended pauses, and instances that are not in `live` and have been
-  // heard of longer than kRetention ago.
+  // Drops ended pauses, and instances that are not in `live` and have last said
+  // that they leave longer than kRetention ago.
   void Prune(const std::set<std::string, std::less<>>& live,
              coordination::TimePoint now);
 
@@ -90,7 +95,7 @@
 
   struct Leaving {
     bool identified = true;
-    coordination::TimePoint heard_at{};
+    coordination::TimePoint said_at{};
   };
 
   struct Pause {
--- a/tests/transport_test.cc
+++ b/tests/transport_test.cc
@@ -133,10 +133,11 @@
   notices.reserve(61);
   for (int i = 0; i < 60; ++i) {
     notices.push_back({"i-0123456789@17", i % 2 == 0 ? "" : "front-kl-a-1",
-                       i % 3 == 0, std::chrono::milliseconds(i)});
+                       i % 3 == 0, std::chrono::milliseconds(i),
+                       std::chrono::milliseconds(2 * i)});
   }
   const std::string longest(5000, 'x');
-  notices.push_back({longest, {}, true, {}});
+  notices.push_back({longest, {}, true, {}, {}});
   std::size_t decoded = 0;
   for (const std::string& text :
        EncodeBackoffMessages("vm-1", false, notices)) {
@@ -150,6 +151,7 @@
       CHECK_EQ(notice.vm, notices.at(decoded).vm);
       CHECK_EQ(notice.identified, notices.at(decoded).identified);
       CHECK_EQ(notice.remaining.count(), notices.at(decoded).remaining.count());
+      CHECK_EQ(notice.age.count(), notices.at(decoded).age.count());
       ++decoded;
     }
   }
@@ -163,9 +165,10 @@
 
 TEST_CASE("a notice with an impossible time is left out") {
   const std::vector<policy::UpstreamBackoff::Notice> notices{
-      {"s1", "vm", true, std::chrono::hours(24)},
-      {"s2", "vm", true, std::chrono::milliseconds(-1)},
-      {"s3", "vm", true, std::chrono::milliseconds(1)}};
+      {"s1", "vm", true, std::chrono::hours(24), {}},
+      {"s2", "vm", true, std::chrono::milliseconds(-1), {}},
+      {"s2", "", true, {}, std::chrono::hours(24)},
+      {"s3", "vm", true, std::chrono::milliseconds(1), {}}};
   const auto message =
       DecodeBackoffMessage(EncodeBackoffMessages("v", false, notices).front());
   REQUIRE(message);
--- a/tests/upstream_backoff_test.cc
+++ b/tests/upstream_backoff_test.cc
@@ -36,6 +36,28 @@
   CHECK(backoff.Empty());
 }
 
+// Guards against a word that VMs tell each other for good, and against memory
+// that only grows: each repetition renewed it.
+TEST_CASE("VMs forget an instance that is gone, however often they repeat it") {
+  UpstreamBackoff a("a");
+  UpstreamBackoff b("b");
+  a.OnLeaving("s@1", true, At(0));
+  const auto tell = [](const UpstreamBackoff& from, UpstreamBackoff& to,
+                       TimePoint now) {
+    for (const UpstreamBackoff::Notice& notice : from.Notices(now)) {
+      to.OnLeaving(notice.instance, notice.identified, now - notice.age);
+    }
+  };
+  for (std::int64_t ms = 0; ms < 90'000; ms += 500) {
+    tell(a, b, At(ms));
+    tell(b, a, At(ms));
+    for (UpstreamBackoff* vm : {&a, &b}) vm->Prune({}, At(ms));
+    if (ms < 59'000) CHECK(b.IsLeaving("s@1", At(ms)));
+  }
+  CHECK(a.Empty());
+  CHECK(b.Empty());
+}
+
 TEST_CASE("an instance without a start time leaves for a bounded time") {
   UpstreamBackoff backoff("vm");
   CHECK(backoff.OnLeaving("s", false, At(0)));
--- a/transport/backoff_message.cc
+++ b/transport/backoff_message.cc
@@ -19,10 +19,14 @@
 // Of the notices of one message. The rest of a datagram is for the sender's
 // name, the numbers and the MAC.
 constexpr std::size_t kMaxNoticeBytes = 1000;
-// Lengths, flag and time of one notice.
-constexpr std::size_t kNoticeOverheadBytes = 13;
+// Lengths, flag and times of one notice.
+constexpr std::size_t kNoticeOverheadBytes = 21;
 constexpr std::size_t kMaxNotices = kMaxNoticeBytes / kNoticeOverheadBytes;
 
+bool IsTime(std::int64_t milliseconds, coordination::Duration max) {
+  return milliseconds >= 0 && milliseconds <= coordination::Milliseconds(max);
+}
+
 std::size_t SizeOf(const Notice& notice) {
   return notice.instance.size() + notice.vm.size() + kNoticeOverheadBytes;
 }
@@ -36,7 +40,8 @@
           static_cast<std::uint8_t>(copy.notices.size()));
   for (Notice& notice : copy.notices) {
     archive(ShortString{&notice.instance}, ShortString{&notice.vm},
-            notice.identified, coordination::Milliseconds(notice.remaining));
+            notice.identified, coordination::Milliseconds(notice.remaining),
+            coordination::Milliseconds(notice.age));
   }
 }
 
@@ -47,11 +52,14 @@
   for (std::uint8_t i = 0; i < count; ++i) {
     Notice notice;
     std::int64_t remaining_ms = 0;
+    std::int64_t age_ms = 0;
     archive(ShortString{&notice.instance}, ShortString{&notice.vm},
-            notice.identified, remaining_ms);
-    const std::int64_t max_ms = coordination::Milliseconds(policy::kMaxPause);
-    if (remaining_ms < 0 || remaining_ms > max_ms) continue;
+            notice.identified, remaining_ms, age_ms);
+    const bool valid = IsTime(remaining_ms, policy::kMaxPause) &&
+                       IsTime(age_ms, policy::UpstreamBackoff::kMaxNoticeAge);
+    if (!valid) continue;
     notice.remaining = std::chrono::milliseconds(remaining_ms);
+    notice.age = std::chrono::milliseconds(age_ms);
     message.notices.push_back(std::move(notice));
   }
 }
