--- a/standin/fault_injector.h
+++ b/standin/fault_injector.h
@@ -26,7 +26,7 @@
   std::int64_t gap_every = 0;     // drops every nth event; 0: the default
   bool fail = false;              // answers have status 500
   bool endless = false;           // bodies end only when the caller closes
-  std::string limit;  // rate limit that answers name, verbatim; empty: none
+  std::string limit;     // rate limit that answers name, verbatim; empty: none
   bool leaving = false;  // answers say that the upstream is leaving
   // Requests are rejected with this Retry-After, verbatim; empty: they are not.
   std::string pause;
