Look a pause up in one place

PausedUntil and MayChoose spelled the same lookup.

Run on this change (release build): upstream_backoff_test, gateway_policy_test, policy_test, peer_tunnels_test, 84 of 84 cases; paused_upstream_test, 13 of 13 checks; format, names, clang-tidy on the file.

--- a/policy/upstream_backoff.cc
+++ b/policy/upstream_backoff.cc
@@ -73,14 +73,19 @@
   return news;
 }
 
+const UpstreamBackoff::Pause* UpstreamBackoff::FindPause(
+    std::string_view vm, std::string_view instance) const {
+  if (this->pauses.empty()) return nullptr;
+  const auto found =
+      this->pauses.find(PauseKey{std::string(vm), std::string(instance)});
+  return found == this->pauses.end() ? nullptr : &found->second;
+}
+
 TimePoint UpstreamBackoff::PausedUntil(std::string_view vm,
                                        std::string_view instance,
                                        TimePoint now) const {
-  if (this->pauses.empty()) return {};
-  const auto found =
-      this->pauses.find(PauseKey{std::string(vm), std::string(instance)});
-  const bool paused = found != this->pauses.end() && now < found->second.until;
-  return paused ? found->second.until : TimePoint{};
+  const Pause* pause = this->FindPause(vm, instance);
+  return pause != nullptr && now < pause->until ? pause->until : TimePoint{};
 }
 
 bool UpstreamBackoff::IsWithheld(std::string_view vm, std::string_view instance,
@@ -92,12 +97,9 @@
 bool UpstreamBackoff::MayChoose(std::string_view vm, std::string_view instance,
                                 TimePoint now) const {
   if (this->IsLeaving(instance, now)) return false;
-  if (this->pauses.empty()) return true;
-  const auto found =
-      this->pauses.find(PauseKey{std::string(vm), std::string(instance)});
-  if (found == this->pauses.end()) return true;
-  const Pause& pause = found->second;
-  return now >= pause.until && pause.in_flight < pause.window;
+  const Pause* pause = this->FindPause(vm, instance);
+  return pause == nullptr ||
+         (now >= pause->until && pause->in_flight < pause->window);
 }
 
 UpstreamBackoff::Pause* UpstreamBackoff::FindTried(std::string_view instance,
--- a/policy/upstream_backoff.h
+++ b/policy/upstream_backoff.h
@@ -109,6 +109,8 @@
 
   // By VM and instance.
   using PauseKey = std::pair<std::string, std::string>;
+  // Null when the instance has asked `vm` for none, or it is forgotten.
+  const Pause* FindPause(std::string_view vm, std::string_view instance) const;
   // This VM's pause whose end a request sent at `sent_at` tries; null when
   // there is none.
   Pause* FindTried(std::string_view instance, coordination::TimePoint sent_at);
