--- /dev/null
+++ b/standin/duplicating_server.cc
@@ -0,0 +1,150 @@
+#include "standin/duplicating_server.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/read.hpp>
+#include <utility>
+
+#include "http/address.h"
+
+namespace hornbeamspool::standin {
+namespace {
+
+namespace bhttp = boost::beast::http;
+namespace net = boost::asio;
+using boost::system::error_code;
+
+constexpr std::string_view kRequestId = "Attempt-Id";
+
+std::string Message(std::string_view status, std::string_view headers,
+                    std::string_view body) {
+  std::string message = "HTTP/1.1 ";
+  message += status;
+  message += "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n";
+  message += headers;
+  message += "\r\n";
+  message += body;
+  return message;
+}
+
+std::string Field(std::string_view name, std::string_view value) {
+  std::string field(name);
+  field += ": ";
+  field += value;
+  field += "\r\n";
+  return field;
+}
+
+}  // namespace
+
+DuplicatingServer::DuplicatingServer(net::io_context& io,
+                                     DuplicatingServerOptions options)
+    : io(&io),
+      options(std::move(options)),
+      acceptor(io),
+      random(this->options.seed) {}
+
+std::uint16_t DuplicatingServer::Listen(std::string_view address) {
+  const auto endpoint = http::ParseTcpEndpoint(address);
+  if (!endpoint) return 0;
+  error_code error;
+  this->acceptor.open(endpoint->protocol(), error);
+  this->acceptor.set_option(net::socket_base::reuse_address(true), error);
+  this->acceptor.bind(*endpoint, error);
+  if (!error)
+    this->acceptor.listen(net::socket_base::max_listen_connections, error);
+  if (error) return 0;
+  net::co_spawn(*this->io, this->Accept(), net::detached);
+  return this->acceptor.local_endpoint().port();
+}
+
+http::Task<void> DuplicatingServer::Accept() {
+  while (true) {
+    http::TcpSocket socket = co_await this->acceptor.async_accept(http::kAwait);
+    net::co_spawn(*this->io, this->Serve(std::move(socket)), net::detached);
+  }
+}
+
+http::Task<void> DuplicatingServer::Serve(http::TcpSocket socket) {
+  boost::beast::flat_buffer buffer;
+  std::string late_copy;
+  error_code error;
+  while (true) {
+    Request request;
+    co_await bhttp::async_read(socket, buffer, request,
+                               net::redirect_error(http::kAwait, error));
+    if (error) co_return;
+    co_await net::async_write(
+        socket, net::buffer(std::exchange(late_copy, std::string())),
+        net::redirect_error(http::kAwait, error));
+    const std::string report =
+        this->Report({request.target().data(), request.target().size()});
+    bool execute = false;
+    std::string answer =
+        report.empty() ? this->Answer(request, execute) : report;
+    if (execute && this->options.work.count() > 0) {
+      http::Timer timer(*this->io, this->options.work);
+      co_await timer.async_wait(http::kAwait);
+    }
+    if (report.empty() && this->Chance(this->options.duplicated)) {
+      ++this->duplicates;
+      if (this->Chance(0.25)) {
+        answer += std::string(answer);
+      } else {
+        late_copy = answer;
+      }
+    }
+    co_await net::async_write(socket, net::buffer(answer),
+                              net::redirect_error(http::kAwait, error));
+    if (error) co_return;
+  }
+}
+
+std::string DuplicatingServer::Answer(const Request& request, bool& execute) {
+  const std::string id(request[kRequestId]);
+  const std::string expected(request["Expect-Instance"]);
+  const std::string name = Field(kRequestId, id);
+  const bool unnamed = this->Chance(this->options.unnamed);
+  if (!expected.empty() && expected != this->options.id) {
+    return Message(
+        "421 Misdirected Request",
+        Field("Instance-Id", this->options.id) + (unnamed ? "" : name), "");
+  }
+  if (this->Chance(this->options.rejected)) {
+    return Message("503 Service Unavailable",
+                   Field("Not-Executed", "1") + (unnamed ? "" : name), "");
+  }
+  execute = true;
+  ++this->runs[id];
+  const std::string head = name +
+                           Field("Server-Stamp", "stamp-" + this->options.id) +
+                           Field("Keep-Alive", "timeout=30");
+  if (this->Chance(this->options.failed)) {
+    return Message("503 Service Unavailable", head, "failed");
+  }
+  return Message("200 OK", head, "done " + id);
+}
+
+std::string DuplicatingServer::Report(std::string_view target) const {
+  std::string body;
+  if (target == "/runs") {
+    for (const auto& [id, count] : this->runs) {
+      body += id + ' ' + std::to_string(count) + '\n';
+    }
+    return Message("200 OK", "", body);
+  }
+  if (target == "/duplicates") {
+    return Message("200 OK", "", std::to_string(this->duplicates) + '\n');
+  }
+  if (target == "/api/report") return Message("404 Not Found", "", "");
+  return {};
+}
+
+bool DuplicatingServer::Chance(double fraction) {
+  return std::uniform_real_distribution<double>(0, 1)(this->random) < fraction;
+}
+
+}  // namespace hornbeamspool::standin
--- /dev/null
+++ b/standin/duplicating_server.h
@@ -0,0 +1,60 @@
+// A stand-in for a server that sends some of its answers twice, for tests.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <cstdint>
+#include <map>
+#include <random>
+#include <string>
+#include <string_view>
+
+#include "coordination/time.h"
+#include "http/task.h"
+
+namespace hornbeamspool::standin {
+
+// Fractions are of the requests, unless noted otherwise.
+struct DuplicatingServerOptions {
+  std::string id;  // of this instance
+  std::uint64_t seed = 1;
+  double rejected = 0.3;    // 503 with Not-Executed
+  double failed = 0.0;      // executed, and answered with a 503 of its own
+  double unnamed = 0.5;     // of the rejections: without Attempt-Id
+  double duplicated = 0.3;  // of the answers: sent a second time
+  coordination::Duration work{};  // until an executed request is answered
+};
+
+// Answers requests on connections that it keeps open. The second copy of an
+// answer follows at once, or after the next request on the connection has been
+// read. GET /runs returns a line for each executed request: its Attempt-Id and
+// how often it ran. GET /duplicates returns the number of copies sent.
+class DuplicatingServer {
+ public:
+  DuplicatingServer(boost::asio::io_context& io,
+                    DuplicatingServerOptions options);
+
+  // Returns the port, or 0 on failure.
+  std::uint16_t Listen(std::string_view address);
+
+ private:
+  using Request = boost::beast::http::request<boost::beast::http::string_body>;
+
+  http::Task<void> Accept();
+  http::Task<void> Serve(http::TcpSocket socket);
+  // The answer's bytes. Sets `execute` when the request is executed.
+  std::string Answer(const Request& request, bool& execute);
+  std::string Report(std::string_view target) const;
+  bool Chance(double fraction);
+
+  boost::asio::io_context* io;
+  DuplicatingServerOptions options;
+  http::TcpAcceptor acceptor;
+  std::mt19937_64 random;
+  std::map<std::string, std::int64_t, std::less<>> runs;  // by Attempt-Id
+  std::int64_t duplicates = 0;
+};
+
+}  // namespace hornbeamspool::standin
--- a/standin/main.cc
+++ b/standin/main.cc
@@ -4,6 +4,8 @@
 //   standin store --listen=IP:PORT
 //   standin server --listen=IP:PORT --name=ID
 //   standin load --target=IP:PORT --bearer=KEY ...
+//   standin duplicates --listen=IP:PORT --name=ID --seed=N --rejected=0.3 ...
+//   standin orders --targets=IP:PORT,... --host=HOST --plain_path=PATH ...
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 
@@ -18,8 +20,10 @@
 #include <string_view>
 #include <vector>
 
+#include "standin/duplicating_server.h"
 #include "standin/engine_standin.h"
 #include "standin/load_generator.h"
+#include "standin/order_load.h"
 #include "standin/server_standin.h"
 #include "standin/service_standin.h"
 #include "standin/store_standin.h"
@@ -47,6 +51,16 @@
 ABSL_FLAG(bool, stream, true, "request streams");
 ABSL_FLAG(std::int64_t, read_delay_ms, 0,
           "pause after each read, as of a slow reader");
+ABSL_FLAG(std::uint64_t, seed, 1, "seed of a server that duplicates answers");
+ABSL_FLAG(double, rejected, 0.3, "fraction of requests rejected");
+ABSL_FLAG(double, failed, 0.0, "fraction of requests executed and failed");
+ABSL_FLAG(double, unnamed, 0.5, "fraction of rejections without an id");
+ABSL_FLAG(double, duplicated, 0.3, "fraction of answers sent twice");
+ABSL_FLAG(std::int64_t, work_ms, 5, "time to execute a request");
+ABSL_FLAG(std::vector<std::string>, targets, {}, "gateways that get orders");
+ABSL_FLAG(std::string, host, "a.example", "host of the orders");
+ABSL_FLAG(std::int64_t, rate, 0, "orders per second; 0: no limit");
+ABSL_FLAG(std::int64_t, timeout_ms, 1000, "how long a caller waits");
 
 namespace {
 
@@ -98,6 +112,44 @@
   return Serve(io, server.Listen(absl::GetFlag(FLAGS_listen)));
 }
 
+int RunDuplicatingServer() {
+  net::io_context io{1};
+  DuplicatingServerOptions options;
+  options.id = absl::GetFlag(FLAGS_name);
+  options.seed = absl::GetFlag(FLAGS_seed);
+  options.rejected = absl::GetFlag(FLAGS_rejected);
+  options.failed = absl::GetFlag(FLAGS_failed);
+  options.unnamed = absl::GetFlag(FLAGS_unnamed);
+  options.duplicated = absl::GetFlag(FLAGS_duplicated);
+  options.work = std::chrono::milliseconds(absl::GetFlag(FLAGS_work_ms));
+  DuplicatingServer server(io, options);
+  return Serve(io, server.Listen(absl::GetFlag(FLAGS_listen)));
+}
+
+int RunOrders() {
+  net::io_context io{1};
+  OrderLoadOptions options;
+  options.targets = absl::GetFlag(FLAGS_targets);
+  options.host = absl::GetFlag(FLAGS_host);
+  options.bearer = absl::GetFlag(FLAGS_bearer);
+  options.path = absl::GetFlag(FLAGS_plain_path);
+  options.id_prefix = absl::GetFlag(FLAGS_key_prefix);
+  options.concurrency = absl::GetFlag(FLAGS_concurrency);
+  options.requests = absl::GetFlag(FLAGS_requests);
+  options.requests_per_second = absl::GetFlag(FLAGS_rate);
+  options.caller_timeout =
+      std::chrono::milliseconds(absl::GetFlag(FLAGS_timeout_ms));
+  if (options.targets.empty()) {
+    std::cerr << "--targets must name a gateway\n";
+    return 2;
+  }
+  OrderLoad load(io, options);
+  net::co_spawn(io, load.Run(std::cout),
+                [&](const std::exception_ptr&) { io.stop(); });
+  io.run();
+  return 0;
+}
+
 json::object Percentiles(const std::vector<double>& values) {
   return {{"p50", Percentile(values, 0.50)},
           {"p95", Percentile(values, 0.95)},
@@ -152,6 +204,9 @@
   if (command == "store") return RunStore();
   if (command == "server") return RunServer();
   if (command == "load") return RunLoad();
-  std::cerr << "usage: standin engine|service|store|server|load [flags]\n";
+  if (command == "duplicates") return RunDuplicatingServer();
+  if (command == "orders") return RunOrders();
+  std::cerr << "usage: standin engine|service|store|server|load|duplicates|"
+               "orders [flags]\n";
   return 2;
 }
