Log the status and the id of a failed send's answer, and its connection's use

The log could not tell a rejection of the request from a copy of an answer to an earlier one: it said neither the status, nor whose Attempt-Id the answer carried, nor whether the connection was kept from an earlier request. Lines of sends that end without a relayed success now say status, answer_id (own, none, other) and connection (new, kept).

--- a/gateway/request_relay.cc
+++ b/gateway/request_relay.cc
@@ -93,6 +93,21 @@
   return kNames.at(static_cast<std::size_t>(outcome));
 }
 
+// The log fields of an answer's head: whose id it carries, and whether its
+// connection was kept from an earlier request.
+std::string AnswerFields(const http::ResponseStream& stream,
+                         std::string_view answer_id,
+                         std::string_view request_id) {
+  std::string fields =
+      ' ' + KeyValue("status", std::int64_t{stream.Head().status});
+  fields += ' ' + KeyValue("answer_id", answer_id == request_id ? "own"
+                                        : answer_id.empty()     ? "none"
+                                                                : "other");
+  fields += ' ' + KeyValue("connection",
+                           stream.IsFirstOnConnection() ? "new" : "kept");
+  return fields;
+}
+
 // One request's reservation of the VM's memory for buffered answers; released
 // on destruction.
 class BufferReservation {
@@ -146,7 +161,8 @@
   std::optional<AdmittedRequest> admitted;
   std::string request_id;
   std::uint64_t fingerprint = 0;
-  std::string sent_through;  // VM whose connection carried the last send
+  std::string sent_through;   // VM whose connection carried the last send
+  std::string answer_fields;  // log fields of the last send's answer, if any
   // An upstream's error answer, relayed when no retry succeeds.
   std::optional<http::Response> upstream_error;
 };
@@ -283,6 +299,7 @@
 
 http::Task<SendOutcome> RequestRelay::Send(SendPlan& plan) {
   const AdmittedRequest& admitted = *this->admitted;
+  this->answer_fields.clear();
   if (plan.record.prefill_tokens >= kLongPromptTokens) {
     this->context->peers->SendToRandomPeers(
         {plan.upstream.id, plan.record.prefill_tokens}, Now());
@@ -340,6 +357,8 @@
   http::ResponseStream& stream = *opened.stream;
   const platform::ResponseInfo facts =
       platform::DecodeUpstreamResponse(stream.Head());
+  this->answer_fields =
+      AnswerFields(stream, facts.request_id, this->request_id);
   if (!facts.misdirected) {
     this->context->backoff->OnAnswer(plan.upstream, carried.vm, facts.backoff,
                                      plan.record.sent_at, Now());
@@ -520,6 +539,7 @@
   }
   fields += ' ' + KeyValue("send", this->admitted->sends);
   fields += ' ' + KeyValue("events", this->admitted->events_delivered);
+  if (!answered) fields += this->answer_fields;
   if (!answered) fields += PartsField(this->admitted->request);
   if (this->admitted->started) {
     fields += ' ' + KeyValue("first_ms",
--- a/http/client.cc
+++ b/http/client.cc
@@ -206,6 +206,7 @@
   Response head;
   std::optional<Watchdog::Guard> guard;
   std::size_t framing_bytes = 0;  // received since the last byte of the body
+  bool first_on_connection = false;
 
   // Makes the watchdog and the canceller close the connection.
   void EnableCancellation() {
@@ -270,6 +271,10 @@
 
 const Response& ResponseStream::Head() const { return this->state->head; }
 
+bool ResponseStream::IsFirstOnConnection() const {
+  return this->state->first_on_connection;
+}
+
 namespace {
 
 // Parses the buffered bytes and copies body bytes to `output`. Returns how many
@@ -480,6 +485,7 @@
       state->stream = this->pool->Acquire(state->address, options, Now());
     }
     pooled = state->stream != nullptr;
+    state->first_on_connection = !pooled;
     if (!pooled) {
       const FetchStatus status = co_await OpenConnection(*state);
       if (status != FetchStatus::kOk) {
--- a/http/client.h
+++ b/http/client.h
@@ -112,6 +112,9 @@
 
   // The status and headers; the body is empty.
   const Response& Head() const;
+  // Whether no earlier request was sent on the response's connection. Otherwise
+  // a server may have sent the response for an earlier request.
+  bool IsFirstOnConnection() const;
   // Reads the next bytes of the body into `buffer`.
   Task<ReadResult> Read(std::span<char> buffer);
   // Closes the connection, so that it is not reused even if the response is
