--- a/standin/main.cc
+++ b/standin/main.cc
@@ -122,7 +122,7 @@
   options.unnamed = absl::GetFlag(FLAGS_unnamed);
   options.duplicated = absl::GetFlag(FLAGS_duplicated);
   options.work = std::chrono::milliseconds(absl::GetFlag(FLAGS_work_ms));
-  DuplicatingServer server(io, options);
+  DuplicatingServer server(io, options, std::cout);
   return Serve(io, server.Listen(absl::GetFlag(FLAGS_listen)));
 }
 
