Take a rejection without an id for an order's only on a new connection

Callers saw orders that ran twice, and orders refused with 503 that ran.

Cause: the relay took any answer that says Not-Executed, or has status 421, and carries no Attempt-Id for the answer to the request in flight. On a kept connection it may be a late copy of the rejection of an earlier request. The order was sent on to another upstream, or refused when none was left, while the first one ran it.

Now a rejection without an id is certain only as the first answer on its connection. On a kept connection it ends an order as broken (502, which promises nothing); a request that may be repeated is sent on, as before. A connection that has brought such a rejection is closed, and for ten minutes orders of that service get new connections, each in place of an idle one, so that callers are still told that an order has not run.

Still failing in the test: copies of 421, and 503 of upstreams' own.

--- a/gateway/request_relay.cc
+++ b/gateway/request_relay.cc
@@ -25,6 +25,7 @@
 #include "http/client.h"
 #include "platform/request_headers.h"
 #include "policy/announced_rate.h"
+#include "policy/answer_origin.h"
 #include "policy/event.h"
 #include "policy/gateway_core.h"
 
@@ -324,6 +325,7 @@
     options.max_idle_time = kMaxIdleForNonIdempotent;
   }
   options.max_connections = plan.max_connections;
+  options.fresh_connection = plan.fresh_connection;
   options.canceller = &this->canceller;
   http::Request sent =
       platform::BuildUpstreamRequest(this->exchange->GetRequest(), headers);
@@ -363,12 +365,20 @@
     this->context->backoff->OnAnswer(plan.upstream, carried.vm, facts.backoff,
                                      plan.record.sent_at, Now());
   }
-  // A late answer to another request may arrive on a reused connection.
-  const bool matches = facts.request_id == this->request_id ||
-                       (facts.not_executed && facts.request_id.empty());
+  const bool unnamed = facts.not_executed && facts.request_id.empty();
+  if (unnamed) {
+    this->context->core->Unnamed().OnRejection(admitted.service->name, Now());
+  }
+  const policy::AnswerOrigin origin = policy::OriginOf(
+      {facts.request_id, facts.not_executed, stream.IsFirstOnConnection()},
+      this->request_id);
+  // A request that may be repeated is sent on, whichever request was rejected.
+  const bool usable =
+      origin == policy::AnswerOrigin::kOwn ||
+      (origin == policy::AnswerOrigin::kUnknown && admitted.route->MayRepeat());
   const bool success = stream.Head().status < 300;
-  if (!matches || (success && !facts.has_server_stamp)) {
-    opened.stream->Close();
+  if (!usable || (success && !facts.has_server_stamp)) {
+    stream.Close();
     co_return SendOutcome::kBroken;
   }
   if (!facts.misdirected) {
@@ -381,9 +391,11 @@
   }
   if (facts.not_executed) {
     const bool whole = (co_await this->ReadWholeBody(stream)).has_value();
-    if (!whole) opened.stream->Close();
-    co_return facts.misdirected ? SendOutcome::kMisdirected
-                                : SendOutcome::kRejected;
+    // A copy of a rejection without an id must not meet the next request.
+    if (!whole || unnamed) stream.Close();
+    const bool misdirected =
+        facts.misdirected && origin == policy::AnswerOrigin::kOwn;
+    co_return misdirected ? SendOutcome::kMisdirected : SendOutcome::kRejected;
   }
   if (admitted.route->kind == policy::RouteKind::kStream && success) {
     StreamRelay relay(*this->context->core, *this->admitted, plan,
--- a/http/client.cc
+++ b/http/client.cc
@@ -160,6 +160,14 @@
     streams.push_back({std::move(stream), now, now + idle_timeout});
   }
 
+  // Closes the connection to `address` that has been idle longest, if any.
+  void CloseOldestIdle(std::string_view address) {
+    const auto found = this->idle.find(address);
+    if (found == this->idle.end() || found->second.empty()) return;
+    found->second.erase(found->second.begin());
+    this->OnClosed(address);
+  }
+
   // Closes the idle connections whose server is at `target`.
   void CloseIdle(std::string_view target) {
     for (auto& [address, streams] : this->idle) {
@@ -412,6 +420,7 @@
 // Opens a new connection for the call, within the limit of connections.
 Task<FetchStatus> OpenConnection(ResponseStream::State& state) {
   Client::ConnectionPool& pool = *state.pool;
+  if (state.options.fresh_connection) pool.CloseOldestIdle(state.address);
   if (pool.OpenCount(state.address) >= state.options.max_connections) {
     co_return FetchStatus::kConnectionLimit;
   }
--- a/http/client.h
+++ b/http/client.h
@@ -61,7 +61,8 @@
   std::uint64_t max_body_bytes = std::uint64_t{16} << 20U;
   // Opens a new connection instead of using a pooled one, which the server may
   // have closed in the meantime. For requests where it must be known whether a
-  // byte was sent.
+  // byte was sent, or whether the response is to them. Closes an idle one in
+  // its place.
   bool fresh_connection = false;
   // A pooled connection that has been idle for longer is closed instead of
   // used.
--- a/policy/gateway_core.cc
+++ b/policy/gateway_core.cc
@@ -333,6 +333,9 @@
           : admitted.route->priority;
   plan.urgency = std::clamp<std::int64_t>(priority, 0, kMaxUrgency);
   plan.max_connections = this->MaxConnections(*admitted.service);
+  plan.fresh_connection =
+      !admitted.route->MayRepeat() &&
+      this->unnamed_rejections.AreExpected(admitted.service->name, now);
   plan.record = this->selector.OnSent(*upstream, criteria.demand, now);
   this->rate_limits.OnSent(instance, now);
   this->backoff.OnSent(instance, upstream->slots, now);
--- a/policy/gateway_core.h
+++ b/policy/gateway_core.h
@@ -26,6 +26,7 @@
 #include "policy/rate_limits.h"
 #include "policy/reachability_meter.h"
 #include "policy/route_table.h"
+#include "policy/unnamed_rejections.h"
 #include "policy/uplink_monitor.h"
 #include "policy/upstream_backoff.h"
 #include "policy/upstream_directory.h"
@@ -74,6 +75,7 @@
   coordination::Duration time_left{};  // until the deadline
   std::int64_t urgency = 0;            // 0 to 9; 0 is the most urgent
   std::size_t max_connections = 0;     // of this VM to this upstream
+  bool fresh_connection = false;       // not one that earlier requests used
   std::uint64_t rollout_revision = 0;  // of the order that counts the send
   std::int64_t events_before = 0;      // delivered by earlier sends
   bool answer_begun = false;
@@ -210,6 +212,7 @@
   UplinkMonitor& Uplink() { return this->uplink; }
   BrittleUpstreams& Brittle() { return this->brittle_upstreams; }
   UpstreamBackoff& Backoff() { return this->backoff; }
+  UnnamedRejections& Unnamed() { return this->unnamed_rejections; }
   // Admitted requests that have not finished.
   std::size_t InFlight() const { return this->in_flight; }
 
@@ -255,6 +258,7 @@
   RateLimits rate_limits;
   BrittleUpstreams brittle_upstreams;
   UpstreamBackoff backoff;
+  UnnamedRejections unnamed_rejections;
   LinkMeter link;
   BufferQuota answer_buffers;
   ReachabilityMeter reachability;
--- a/tests/gateway_policy_test.cc
+++ b/tests/gateway_policy_test.cc
@@ -10,6 +10,7 @@
 #include <variant>
 #include <vector>
 
+#include "policy/answer_origin.h"
 #include "policy/gateway_core.h"
 #include "policy/lag_meter.h"
 #include "policy/peer_directory.h"
@@ -173,6 +174,38 @@
   }
 }
 
+// Guards against a copy of an earlier rejection that counts for the request.
+TEST_CASE("a rejection without an id is certain only on a new connection") {
+  for (const bool rejection : {false, true}) {
+    for (const bool first : {false, true}) {
+      CHECK(OriginOf({"r1", rejection, first}, "r1") == AnswerOrigin::kOwn);
+      CHECK(OriginOf({"r2", rejection, first}, "r1") == AnswerOrigin::kOther);
+    }
+    CHECK(OriginOf({"", false, rejection}, "r1") == AnswerOrigin::kOther);
+  }
+  CHECK(OriginOf({"", true, true}, "r1") == AnswerOrigin::kOwn);
+  CHECK(OriginOf({"", true, false}, "r1") == AnswerOrigin::kUnknown);
+}
+
+TEST_CASE("orders get new connections while rejections name no request") {
+  GatewayCore core = MakeCore();
+  Prepare(core, {"s1"});
+  const auto is_fresh = [&core](std::string path, TimePoint now) {
+    AdmittedRequest admitted = std::get<AdmittedRequest>(
+        core.Admit(MakeRequest(std::move(path)), now));
+    const auto plan = std::get<SendPlan>(core.NextSend(admitted, now));
+    core.OnSendEnded(admitted, plan, SendOutcome::kAnswered, now);
+    core.Finish(admitted);
+    return plan.fresh_connection;
+  };
+  CHECK_FALSE(is_fresh("/orders/1", At(1)));
+  core.Unnamed().OnRejection("engines", At(2));
+  CHECK(is_fresh("/orders/2", At(3)));
+  CHECK(is_fresh("/orders/draft/1", At(4)));  // a stream that can't be resumed
+  CHECK_FALSE(is_fresh("/lookup", At(5)));
+  CHECK_FALSE(is_fresh("/orders/3", At(3'600'000)));
+}
+
 TEST_CASE("the route's attempts bound the upstreams of an idempotent request") {
   GatewayCore core = MakeCore();
   Prepare(core, {"s1", "s2", "s3"});
--- a/tests/http_client_test.cc
+++ b/tests/http_client_test.cc
@@ -133,6 +133,30 @@
   client.CloseIdle(server.Address());
 }
 
+// Guards against connections that pile up at a server whose requests all need
+// new ones, and against a limit that idle connections fill.
+TEST_CASE("a fresh connection takes the place of an idle one") {
+  const ScriptedServer server([](tcp::acceptor& acceptor) {
+    tcp::socket first = acceptor.accept();
+    ReadRequest(first);
+    net::write(first, net::buffer(std::string(kResponse)));
+    tcp::socket second = acceptor.accept();
+    char byte = 0;
+    boost::system::error_code error;
+    net::read(first, net::buffer(&byte, 1), error);
+    CHECK(error == net::error::eof);
+    ReadRequest(second);
+    net::write(second, net::buffer(std::string(kResponse)));
+  });
+  net::io_context io{1};
+  Client client(io);
+  FetchOptions options;
+  options.max_connections = 1;
+  CHECK(Get(io, client, server.Address(), options).status == FetchStatus::kOk);
+  options.fresh_connection = true;
+  CHECK(Get(io, client, server.Address(), options).status == FetchStatus::kOk);
+}
+
 // A response that sends `repeated` without end after `first`.
 struct EndlessResponse {
   std::string name;
