Close a connection that has brought a 421

Callers saw orders refused with 503 that ran (1 to 5 of 900 or 1,500).

Cause: an order that one instance's address rejects with 421, because another instance has it, may be sent to that other instance next: the same id, on the same kept connection. A late copy of the first 421 carries the order's own id and counted as the second instance's word, which ran the order.

The connection is closed with the 421, so no copy of it can meet the order again. No other rejection can: an order goes to each instance once, and of two entries with one address one answers 421.

--- a/gateway/request_relay.cc
+++ b/gateway/request_relay.cc
@@ -391,8 +391,9 @@
   }
   if (facts.not_executed) {
     const bool whole = (co_await this->ReadWholeBody(stream)).has_value();
-    // A copy of a rejection without an id must not meet the next request.
-    if (!whole || unnamed) stream.Close();
+    // A copy of the rejection must not meet a request that it could belong to:
+    // any request if it names none, this one at the address's new owner.
+    if (!whole || unnamed || facts.misdirected) stream.Close();
     const bool misdirected =
         facts.misdirected && origin == policy::AnswerOrigin::kOwn;
     co_return misdirected ? SendOutcome::kMisdirected : SendOutcome::kRejected;
