Answer an order 502 when its upstream ran it and failed with a 503

Callers saw orders refused with 503 that had run.

Cause: the relay passes an upstream's own failure on with its status. 408, 421, 429 and 503 tell a caller that the request has not run and may be sent again; only an answer that says Not-Executed backs that. Without it such a status, for a request that must run at most once, is now answered 502, which promises nothing, and without the upstream's stamp.

The connection is kept, as the answer is whole. Ruled out: copies, of which this play has none. Requests that may be repeated are retried and relayed as before.

--- a/gateway/request_relay.cc
+++ b/gateway/request_relay.cc
@@ -398,6 +398,13 @@
         facts.misdirected && origin == policy::AnswerOrigin::kOwn;
     co_return misdirected ? SendOutcome::kMisdirected : SendOutcome::kRejected;
   }
+  // The upstream may have executed the request: its status must not tell the
+  // caller otherwise.
+  if (facts.status_promises && !admitted.route->MayRepeat()) {
+    const bool whole = (co_await this->ReadWholeBody(stream)).has_value();
+    if (!whole) stream.Close();
+    co_return SendOutcome::kUpstreamError;
+  }
   if (admitted.route->kind == policy::RouteKind::kStream && success) {
     StreamRelay relay(*this->context->core, *this->admitted, plan,
                       *this->exchange, stream,
--- a/policy/upstream_selector.h
+++ b/policy/upstream_selector.h
@@ -28,7 +28,7 @@
 // How a send ended.
 enum class SendOutcome : std::uint8_t {
   kAnswered,       // complete answer, relayed to the caller
-  kUpstreamError,  // complete server error (5xx), kept back for a retry
+  kUpstreamError,  // complete server error, kept back
   kErrorRelayed,   // complete server error (5xx), relayed to the caller
   kRejected,       // the upstream reported that it did not run the request
   kMisdirected,    // not run: the address now belongs to another upstream
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -137,6 +137,21 @@
   CHECK(DecodeUpstreamResponse(loaded).has_server_stamp);
 }
 
+// Guards against an order that has run and is answered as if it had not.
+TEST_CASE(
+    "a status that promises no execution is recognised without its word") {
+  for (const std::uint16_t status : {408, 421, 429, 503}) {
+    http::Response head;
+    head.status = status;
+    CHECK(DecodeUpstreamResponse(head).status_promises);
+  }
+  for (const std::uint16_t status : {200, 400, 409, 500, 502, 504}) {
+    http::Response head;
+    head.status = status;
+    CHECK_FALSE(DecodeUpstreamResponse(head).status_promises);
+  }
+}
+
 TEST_CASE(
     "the caller's response has the upstream's headers except for the framing") {
   http::Response head;
