Judge an answer in one function of the core; log its connection

What an answer proves about a request was decided in the relay, in four places of one coroutine. JudgeAnswer in policy/ decides it from the head and from how many requests the connection carried before; the relay gathers these and acts on the verdict. The log line of a send that fails names the connection by number, the requests before on it, and its age, so that one id gives each send and what was concluded from its answer.

One decision is new: a success that also says that the request was not executed contradicts itself and proves nothing.

--- a/gateway/request_relay.cc
+++ b/gateway/request_relay.cc
@@ -25,7 +25,7 @@
 #include "http/client.h"
 #include "platform/request_headers.h"
 #include "policy/announced_rate.h"
-#include "policy/answer_origin.h"
+#include "policy/answer_verdict.h"
 #include "policy/event.h"
 #include "policy/gateway_core.h"
 
@@ -34,7 +34,9 @@
 
 using coordination::Duration;
 using coordination::Milliseconds;
+using coordination::TimePoint;
 using policy::AdmittedRequest;
+using policy::AnswerVerdict;
 using policy::BudgetVerdict;
 using policy::ErrorKind;
 using policy::KeyValue;
@@ -94,18 +96,22 @@
   return kNames.at(static_cast<std::size_t>(outcome));
 }
 
-// The log fields of an answer's head: whose id it carries, and whether its
-// connection was kept from an earlier request.
+// The log fields of an answer's head: whose id it carries, and what its
+// connection carried before.
 std::string AnswerFields(const http::ResponseStream& stream,
                          std::string_view answer_id,
-                         std::string_view request_id) {
+                         std::string_view request_id, TimePoint now) {
+  const http::ConnectionUse& connection = stream.Connection();
   std::string fields =
       ' ' + KeyValue("status", std::int64_t{stream.Head().status});
   fields += ' ' + KeyValue("answer_id", answer_id == request_id ? "own"
                                         : answer_id.empty()     ? "none"
                                                                 : "other");
   fields += ' ' + KeyValue("connection",
-                           stream.IsFirstOnConnection() ? "new" : "kept");
+                           static_cast<std::int64_t>(connection.number));
+  fields += ' ' + KeyValue("earlier_requests", connection.earlier_requests);
+  fields += ' ' + KeyValue("connection_age_ms",
+                           Milliseconds(now - connection.opened_at));
   return fields;
 }
 
@@ -130,6 +136,20 @@
   std::int64_t reserved = 0;
 };
 
+// How a send ends whose answer is not relayed.
+SendOutcome OutcomeOf(AnswerVerdict verdict) {
+  switch (verdict) {
+    case AnswerVerdict::kRejected:
+      return SendOutcome::kRejected;
+    case AnswerVerdict::kMisdirected:
+      return SendOutcome::kMisdirected;
+    case AnswerVerdict::kFailed:
+      return SendOutcome::kUpstreamError;
+    default:
+      return SendOutcome::kBroken;
+  }
+}
+
 class RequestRelay {
  public:
   RequestRelay(const Context& context, http::Exchange& exchange)
@@ -145,6 +165,8 @@
   http::Task<void> SendWithRetries();
   http::Task<void> AwaitPermit(policy::NextStep step);
   http::Task<SendOutcome> Send(SendPlan& plan);
+  policy::AnswerJudgement Judge(const http::ResponseStream& stream,
+                                const platform::ResponseInfo& info);
   http::Task<SendOutcome> RelayBuffered(http::ResponseStream& stream);
   http::Task<std::optional<std::string>> ReadWholeBody(
       http::ResponseStream& stream);
@@ -357,54 +379,34 @@
   if (opened.status != http::FetchStatus::kOk) co_return SendOutcome::kBroken;
 
   http::ResponseStream& stream = *opened.stream;
-  const platform::ResponseInfo facts =
+  const platform::ResponseInfo info =
       platform::DecodeUpstreamResponse(stream.Head());
   this->answer_fields =
-      AnswerFields(stream, facts.request_id, this->request_id);
-  if (!facts.misdirected) {
-    this->context->backoff->OnAnswer(plan.upstream, carried.vm, facts.backoff,
+      AnswerFields(stream, info.request_id, this->request_id, Now());
+  const policy::AnswerJudgement judgement = this->Judge(stream, info);
+  if (!info.misdirected) {
+    this->context->backoff->OnAnswer(plan.upstream, carried.vm, info.backoff,
                                      plan.record.sent_at, Now());
   }
-  const bool unnamed = facts.not_executed && facts.request_id.empty();
-  if (unnamed) {
-    this->context->core->Unnamed().OnRejection(admitted.service->name, Now());
-  }
-  const policy::AnswerOrigin origin = policy::OriginOf(
-      {facts.request_id, facts.not_executed, stream.IsFirstOnConnection()},
-      this->request_id);
-  // A request that may be repeated is sent on, whichever request was rejected.
-  const bool usable =
-      origin == policy::AnswerOrigin::kOwn ||
-      (origin == policy::AnswerOrigin::kUnknown && admitted.route->MayRepeat());
-  const bool success = stream.Head().status < 300;
-  if (!usable || (success && !facts.has_server_stamp)) {
+  if (judgement.verdict == AnswerVerdict::kUnusable ||
+      judgement.verdict == AnswerVerdict::kStale) {
     stream.Close();
     co_return SendOutcome::kBroken;
   }
-  if (!facts.misdirected) {
-    this->RecordRate(plan, facts.rate);
-    this->RecordBrittle(plan, facts.brittle);
+  if (!info.misdirected) {
+    this->RecordRate(plan, info.rate);
+    this->RecordBrittle(plan, info.brittle);
   }
-  if (facts.load) {
-    this->context->core->Selector().OnLoadReport(plan.upstream.id, *facts.load,
+  if (info.load) {
+    this->context->core->Selector().OnLoadReport(plan.upstream.id, *info.load,
                                                  Now());
   }
-  if (facts.not_executed) {
-    const bool whole = (co_await this->ReadWholeBody(stream)).has_value();
-    // A copy of the rejection must not meet a request that it could belong to:
-    // any request if it names none, this one at the address's new owner.
-    if (!whole || unnamed || facts.misdirected) stream.Close();
-    const bool misdirected =
-        facts.misdirected && origin == policy::AnswerOrigin::kOwn;
-    co_return misdirected ? SendOutcome::kMisdirected : SendOutcome::kRejected;
-  }
-  // The upstream may have executed the request: its status must not tell the
-  // caller otherwise.
-  if (facts.status_promises && !admitted.route->MayRepeat()) {
+  if (judgement.verdict != AnswerVerdict::kAnswered) {
     const bool whole = (co_await this->ReadWholeBody(stream)).has_value();
-    if (!whole) stream.Close();
-    co_return SendOutcome::kUpstreamError;
+    if (!whole || !judgement.keep_connection) stream.Close();
+    co_return OutcomeOf(judgement.verdict);
   }
+  const bool success = info.success;
   if (admitted.route->kind == policy::RouteKind::kStream && success) {
     StreamRelay relay(*this->context->core, *this->admitted, plan,
                       *this->exchange, stream,
@@ -415,6 +417,26 @@
   co_return co_await this->RelayBuffered(stream);
 }
 
+// Judges the answer, and notes whether its service names the requests that it
+// rejects.
+policy::AnswerJudgement RequestRelay::Judge(
+    const http::ResponseStream& stream, const platform::ResponseInfo& info) {
+  policy::AnswerFacts facts;
+  facts.request_id = info.request_id;
+  facts.not_executed = info.not_executed;
+  facts.misdirected = info.misdirected;
+  facts.success = info.success;
+  facts.status_promises = info.status_promises;
+  facts.has_server_stamp = info.has_server_stamp;
+  facts.earlier_requests = stream.Connection().earlier_requests;
+  if (policy::IsUnnamedRejection(facts)) {
+    this->context->core->Unnamed().OnRejection(this->admitted->service->name,
+                                               Now());
+  }
+  return policy::JudgeAnswer(facts, this->request_id,
+                             this->admitted->route->MayRepeat());
+}
+
 // Empty when the body was cut off or there is no memory to buffer it.
 http::Task<std::optional<std::string>> RequestRelay::ReadWholeBody(
     http::ResponseStream& stream) {
--- a/http/client.cc
+++ b/http/client.cc
@@ -118,6 +118,7 @@
 struct Client::ConnectionPool {
   struct IdleConnection {
     std::unique_ptr<Stream> stream;
+    ConnectionUse use;
     coordination::TimePoint idle_since;
     coordination::TimePoint usable_until;  // by the server's idle timeout
   };
@@ -125,13 +126,12 @@
   explicit ConnectionPool(net::io_context& io) : io(&io), watchdog(io) {}
 
   // Removes the most recently used idle connection that is still usable and
-  // returns it; null when there is none. Closes the unusable connections that
-  // it comes across.
-  std::unique_ptr<Stream> Acquire(std::string_view address,
-                                  const FetchOptions& options,
-                                  coordination::TimePoint now) {
+  // returns it; its stream is null when there is none. Closes the unusable
+  // connections that it comes across.
+  IdleConnection Acquire(std::string_view address, const FetchOptions& options,
+                         coordination::TimePoint now) {
     auto found = this->idle.find(address);
-    if (found == this->idle.end()) return nullptr;
+    if (found == this->idle.end()) return {};
     auto& streams = found->second;
     while (!streams.empty()) {
       IdleConnection last = std::move(streams.back());
@@ -140,24 +140,25 @@
           now < last.usable_until &&
           now - last.idle_since <= options.max_idle_time;
       if (within_timeouts && IsReusable(*last.stream)) {
-        return std::move(last.stream);
+        return last;
       }
       this->OnClosed(address);
     }
-    return nullptr;
+    return {};
   }
 
   // Puts a connection back, to be usable for `idle_timeout`. Closes it when the
   // pool for the address is full.
   void Release(std::string_view address, std::unique_ptr<Stream> stream,
-               coordination::Duration idle_timeout,
+               ConnectionUse use, coordination::Duration idle_timeout,
                coordination::TimePoint now) {
     auto& streams = this->idle[std::string(address)];
     if (streams.size() >= kMaxIdleConnections) {
       this->OnClosed(address);
       return;
     }
-    streams.push_back({std::move(stream), now, now + idle_timeout});
+    ++use.earlier_requests;
+    streams.push_back({std::move(stream), use, now, now + idle_timeout});
   }
 
   // Closes the connection to `address` that has been idle longest, if any.
@@ -194,6 +195,7 @@
   std::map<std::string, std::vector<IdleConnection>, std::less<>> idle;
   // Number of open connections, including idle ones and connection attempts.
   std::map<std::string, std::size_t, std::less<>> open;
+  std::uint64_t opened = 0;  // connections so far
 };
 
 struct ResponseStream::State {
@@ -209,13 +211,21 @@
   std::string address;  // under which the pool keeps the connection
   std::unique_ptr<Stream> stream;
   beast::flat_buffer buffer;
-  bhttp::response_parser<bhttp::buffer_body> parser;
+  // Of the response that is read; always set while the stream is in use.
+  std::optional<bhttp::response_parser<bhttp::buffer_body>> parser;
   FetchOptions options;
+  ConnectionUse use;
+  coordination::TimePoint head_deadline{};  // of the request's response
   Response head;
   std::optional<Watchdog::Guard> guard;
   std::size_t framing_bytes = 0;  // received since the last byte of the body
-  bool first_on_connection = false;
 
+  void ExpectResponse() {
+    this->parser.emplace();
+    this->parser->body_limit(this->options.max_body_bytes);
+    this->head = {};
+    this->framing_bytes = 0;
+  }
   // Makes the watchdog and the canceller close the connection.
   void EnableCancellation() {
     const auto close = [this] {
@@ -232,7 +242,7 @@
     this->guard->Arm(std::min(timeout, this->options.deadline - now));
   }
   bool ResponseStarted() const {
-    return this->parser.got_some() || this->buffer.size() > 0;
+    return this->parser->got_some() || this->buffer.size() > 0;
   }
   FetchStatus FailureStatus() const {
     return this->guard->Expired() ? FetchStatus::kTimeout
@@ -264,11 +274,11 @@
   State& state = *this->state;
   if (!state.stream) return;
   state.guard.reset();
-  const bool reusable = state.parser.is_done() && state.parser.keep_alive() &&
+  const bool reusable = state.parser->is_done() && state.parser->keep_alive() &&
                         state.buffer.size() == 0 &&
                         state.stream->socket().is_open();
   if (!reusable) return;
-  state.pool->Release(state.address, std::move(state.stream),
+  state.pool->Release(state.address, std::move(state.stream), state.use,
                       IdleTimeout(state.head), Now());
 }
 
@@ -279,8 +289,8 @@
 
 const Response& ResponseStream::Head() const { return this->state->head; }
 
-bool ResponseStream::IsFirstOnConnection() const {
-  return this->state->first_on_connection;
+const ConnectionUse& ResponseStream::Connection() const {
+  return this->state->use;
 }
 
 namespace {
@@ -289,12 +299,12 @@
 // it copied.
 std::size_t ParseBuffered(ResponseStream::State& state, std::span<char> output,
                           error_code& error) {
-  auto& body = state.parser.get().body();
+  auto& body = state.parser->get().body();
   body.data = output.data();
   body.size = output.size();
   body.more = true;
-  while (!state.parser.is_done() && state.buffer.size() > 0) {
-    const std::size_t parsed = state.parser.put(state.buffer.data(), error);
+  while (!state.parser->is_done() && state.buffer.size() > 0) {
+    const std::size_t parsed = state.parser->put(state.buffer.data(), error);
     state.buffer.consume(parsed);
     if (error) break;
   }
@@ -304,6 +314,41 @@
   return output.size() - body.size;
 }
 
+// Reads the head of the next response on the connection.
+Task<FetchStatus> ReadHead(ResponseStream::State& state) {
+  error_code error;
+  auto& socket = state.stream->socket();
+  const coordination::TimePoint now = Now();
+  state.Arm(state.head_deadline - now, now);
+  co_await bhttp::async_read_header(socket, state.buffer, *state.parser,
+                                    net::redirect_error(kAwait, error));
+  if (error) co_return state.FailureStatus();
+  state.guard->Disarm();
+  state.parser->eager(true);
+  const auto& head = state.parser->get();
+  if (head.result_int() < kMinFinalStatus) co_return FetchStatus::kBroken;
+  state.head.status = static_cast<std::uint16_t>(head.result_int());
+  for (const auto& field : head) {
+    state.head.headers.push_back(
+        {std::string(field.name_string()), std::string(field.value())});
+  }
+  co_return FetchStatus::kOk;
+}
+
+// Sends the request and reads the head of the response.
+Task<FetchStatus> SendAndReadHead(
+    ResponseStream::State& state,
+    const bhttp::request<bhttp::string_body>& message) {
+  error_code error;
+  const coordination::TimePoint now = Now();
+  state.head_deadline = now + state.options.first_byte_timeout;
+  state.Arm(state.options.first_byte_timeout, now);
+  co_await bhttp::async_write(state.stream->socket(), message,
+                              net::redirect_error(kAwait, error));
+  if (error) co_return state.FailureStatus();
+  co_return co_await ReadHead(state);
+}
+
 }  // namespace
 
 Task<ReadResult> ResponseStream::Read(std::span<char> buffer) {
@@ -316,7 +361,7 @@
     if (state.framing_bytes > kMaxFramingBytes) {
       co_return ReadResult{FetchStatus::kBroken, 0};
     }
-    if (count > 0 || state.parser.is_done()) {
+    if (count > 0 || state.parser->is_done()) {
       co_return ReadResult{FetchStatus::kOk, count};
     }
     state.Arm(state.options.read_timeout, Now());
@@ -328,8 +373,8 @@
     state.buffer.commit(received);
     state.framing_bytes += received;
     if (error == net::error::eof) {
-      state.parser.put_eof(error);
-      const bool complete = !error && state.parser.is_done();
+      state.parser->put_eof(error);
+      const bool complete = !error && state.parser->is_done();
       if (complete && !state.options.tunnel) continue;
       co_return ReadResult{FetchStatus::kBroken, 0};
     }
@@ -425,6 +470,7 @@
     co_return FetchStatus::kConnectionLimit;
   }
   ++pool.open[state.address];
+  state.use = {++pool.opened, 0, Now()};
   const FetchOptions& options = state.options;
   ConnectResult result = co_await Connect(
       *pool.io, options.tunnel ? options.tunnel->address : state.target,
@@ -448,31 +494,6 @@
   co_return status;
 }
 
-// Sends the request and reads the head of the response.
-Task<FetchStatus> SendAndReadHead(
-    ResponseStream::State& state,
-    const bhttp::request<bhttp::string_body>& message) {
-  error_code error;
-  auto& socket = state.stream->socket();
-  state.Arm(state.options.first_byte_timeout, Now());
-  co_await bhttp::async_write(socket, message,
-                              net::redirect_error(kAwait, error));
-  if (error) co_return state.FailureStatus();
-  co_await bhttp::async_read_header(socket, state.buffer, state.parser,
-                                    net::redirect_error(kAwait, error));
-  if (error) co_return state.FailureStatus();
-  state.guard->Disarm();
-  state.parser.eager(true);
-  const auto& head = state.parser.get();
-  if (head.result_int() < kMinFinalStatus) co_return FetchStatus::kBroken;
-  state.head.status = static_cast<std::uint16_t>(head.result_int());
-  for (const auto& field : head) {
-    state.head.headers.push_back(
-        {std::string(field.name_string()), std::string(field.value())});
-  }
-  co_return FetchStatus::kOk;
-}
-
 }  // namespace
 
 Task<OpenResult> Client::Open(std::string_view address, const Request& request,
@@ -489,12 +510,14 @@
       state->address += std::string(kThrough) + options.tunnel->address;
     }
     state->options = options;
-    state->parser.body_limit(options.max_body_bytes);
+    state->ExpectResponse();
     if (pooled) {
-      state->stream = this->pool->Acquire(state->address, options, Now());
+      ConnectionPool::IdleConnection idle =
+          this->pool->Acquire(state->address, options, Now());
+      state->stream = std::move(idle.stream);
+      state->use = idle.use;
     }
     pooled = state->stream != nullptr;
-    state->first_on_connection = !pooled;
     if (!pooled) {
       const FetchStatus status = co_await OpenConnection(*state);
       if (status != FetchStatus::kOk) {
--- a/http/client.h
+++ b/http/client.h
@@ -100,6 +100,13 @@
   std::size_t count = 0;  // bytes read; 0 with kOk: the response is complete
 };
 
+// The connection that a response arrived on.
+struct ConnectionUse {
+  std::uint64_t number = 0;           // among the client's connections, from 1
+  std::int64_t earlier_requests = 0;  // sent on it before this one
+  coordination::TimePoint opened_at{};
+};
+
 // A response whose body is read as it arrives.
 class ResponseStream {
  public:
@@ -113,9 +120,7 @@
 
   // The status and headers; the body is empty.
   const Response& Head() const;
-  // Whether no earlier request was sent on the response's connection. Otherwise
-  // a server may have sent the response for an earlier request.
-  bool IsFirstOnConnection() const;
+  const ConnectionUse& Connection() const;
   // Reads the next bytes of the body into `buffer`.
   Task<ReadResult> Read(std::span<char> buffer);
   // Closes the connection, so that it is not reused even if the response is
--- a/tests/gateway_policy_test.cc
+++ b/tests/gateway_policy_test.cc
@@ -10,7 +10,7 @@
 #include <variant>
 #include <vector>
 
-#include "policy/answer_origin.h"
+#include "policy/answer_verdict.h"
 #include "policy/gateway_core.h"
 #include "policy/lag_meter.h"
 #include "policy/peer_directory.h"
@@ -174,17 +174,74 @@
   }
 }
 
+// The verdict on an answer for the request "r1".
+AnswerVerdict VerdictOn(const AnswerFacts& facts, bool may_repeat) {
+  return JudgeAnswer(facts, "r1", may_repeat).verdict;
+}
+
 // Guards against a copy of an earlier rejection that counts for the request.
-TEST_CASE("a rejection without an id is certain only on a new connection") {
-  for (const bool rejection : {false, true}) {
-    for (const bool first : {false, true}) {
-      CHECK(OriginOf({"r1", rejection, first}, "r1") == AnswerOrigin::kOwn);
-      CHECK(OriginOf({"r2", rejection, first}, "r1") == AnswerOrigin::kOther);
+TEST_CASE("a rejection without an id proves nothing on a kept connection") {
+  AnswerFacts facts;
+  facts.not_executed = true;
+  for (const bool misdirected : {false, true}) {
+    facts.misdirected = misdirected;
+    facts.earlier_requests = 0;
+    const AnswerVerdict certain =
+        misdirected ? AnswerVerdict::kMisdirected : AnswerVerdict::kRejected;
+    for (const bool may_repeat : {false, true}) {
+      CHECK(VerdictOn(facts, may_repeat) == certain);
+      CHECK_FALSE(JudgeAnswer(facts, "r1", may_repeat).keep_connection);
     }
-    CHECK(OriginOf({"", false, rejection}, "r1") == AnswerOrigin::kOther);
+    facts.earlier_requests = 1;
+    CHECK(VerdictOn(facts, false) == AnswerVerdict::kUnusable);
+    CHECK(VerdictOn(facts, true) == AnswerVerdict::kRejected);
+    CHECK_FALSE(JudgeAnswer(facts, "r1", true).keep_connection);
+  }
+}
+
+TEST_CASE("a rejection with the request's id counts on any connection") {
+  for (const std::int64_t earlier_requests : {0, 5}) {
+    AnswerFacts facts;
+    facts.request_id = "r1";
+    facts.not_executed = true;
+    facts.earlier_requests = earlier_requests;
+    CHECK(VerdictOn(facts, false) == AnswerVerdict::kRejected);
+    CHECK(JudgeAnswer(facts, "r1", false).keep_connection);
+    // The address's other instance may get the request next.
+    facts.misdirected = true;
+    CHECK(VerdictOn(facts, false) == AnswerVerdict::kMisdirected);
+    CHECK_FALSE(JudgeAnswer(facts, "r1", false).keep_connection);
   }
-  CHECK(OriginOf({"", true, true}, "r1") == AnswerOrigin::kOwn);
-  CHECK(OriginOf({"", true, false}, "r1") == AnswerOrigin::kUnknown);
+}
+
+TEST_CASE("an answer to another request is skipped on a kept connection") {
+  AnswerFacts facts;
+  facts.request_id = "r0";
+  facts.success = true;
+  facts.has_server_stamp = true;
+  CHECK(VerdictOn(facts, true) == AnswerVerdict::kUnusable);
+  facts.earlier_requests = 1;
+  CHECK(VerdictOn(facts, true) == AnswerVerdict::kStale);
+  CHECK(VerdictOn(facts, false) == AnswerVerdict::kStale);
+}
+
+// Guards against an order that has run and is answered as if it had not.
+TEST_CASE("only an answer that says so promises that an order did not run") {
+  AnswerFacts facts;
+  facts.request_id = "r1";
+  facts.status_promises = true;
+  facts.has_server_stamp = true;
+  CHECK(VerdictOn(facts, false) == AnswerVerdict::kFailed);
+  CHECK(VerdictOn(facts, true) == AnswerVerdict::kAnswered);
+  facts.status_promises = false;
+  CHECK(VerdictOn(facts, false) == AnswerVerdict::kAnswered);
+  facts.success = true;
+  CHECK(VerdictOn(facts, false) == AnswerVerdict::kAnswered);
+  facts.not_executed = true;  // contradicts the success
+  CHECK(VerdictOn(facts, false) == AnswerVerdict::kUnusable);
+  facts.not_executed = false;
+  facts.has_server_stamp = false;
+  CHECK(VerdictOn(facts, false) == AnswerVerdict::kUnusable);
 }
 
 TEST_CASE("orders get new connections while rejections name no request") {
