Skip answers to earlier requests on a kept connection

Callers of orders got 502 although their order ran and its answer was on the way; requests that may be repeated ran again at another upstream.

Cause: an answer with another request's id, a late copy, ended the send. The next answer on the connection is the request's own. It is read now, up to four copies later, within the time that the request has left. On a new connection such an answer still ends the send, since there no earlier request explains it.

--- a/gateway/request_relay.cc
+++ b/gateway/request_relay.cc
@@ -71,6 +71,9 @@
 // Approximate size of a message's HTTP head and its packet headers.
 constexpr std::int64_t kHeaderOverheadBytes = 700;
 
+// Answers to earlier requests that are skipped on one connection.
+constexpr int kMaxStaleAnswers = 4;
+
 // Limit on the parts of a prompt that a log line names.
 constexpr std::size_t kMaxLoggedParts = 8;
 
@@ -379,17 +382,26 @@
   if (opened.status != http::FetchStatus::kOk) co_return SendOutcome::kBroken;
 
   http::ResponseStream& stream = *opened.stream;
-  const platform::ResponseInfo info =
-      platform::DecodeUpstreamResponse(stream.Head());
-  this->answer_fields =
-      AnswerFields(stream, info.request_id, this->request_id, Now());
-  const policy::AnswerJudgement judgement = this->Judge(stream, info);
+  platform::ResponseInfo info;
+  policy::AnswerJudgement judgement;
+  for (int stale = 0;; ++stale) {
+    info = platform::DecodeUpstreamResponse(stream.Head());
+    this->answer_fields =
+        AnswerFields(stream, info.request_id, this->request_id, Now());
+    judgement = this->Judge(stream, info);
+    if (judgement.verdict != AnswerVerdict::kStale) break;
+    this->context->metrics->Add(Counter::kStaleAnswers);
+    const http::FetchStatus next = stale < kMaxStaleAnswers
+                                       ? co_await stream.ReadNext()
+                                       : http::FetchStatus::kBroken;
+    if (next == http::FetchStatus::kTimeout) co_return SendOutcome::kSilent;
+    if (next != http::FetchStatus::kOk) co_return SendOutcome::kBroken;
+  }
   if (!info.misdirected) {
     this->context->backoff->OnAnswer(plan.upstream, carried.vm, info.backoff,
                                      plan.record.sent_at, Now());
   }
-  if (judgement.verdict == AnswerVerdict::kUnusable ||
-      judgement.verdict == AnswerVerdict::kStale) {
+  if (judgement.verdict == AnswerVerdict::kUnusable) {
     stream.Close();
     co_return SendOutcome::kBroken;
   }
--- a/hornbeamspool/metrics.cc
+++ b/hornbeamspool/metrics.cc
@@ -61,6 +61,7 @@
     "part_refusals",
     "upstreams_leaving",
     "pauses",
+    "stale_answers",
     "sends_withheld",
     "backoff_refusals"};
 constexpr std::array<std::string_view, kTimings> kTimingNames{
--- a/hornbeamspool/metrics.h
+++ b/hornbeamspool/metrics.h
@@ -50,6 +50,7 @@
   kPartRefusals,       // requests refused because of a named part
   kUpstreamsLeaving,   // instances that were heard to leave
   kPauses,             // pauses that upstreams asked a VM for
+  kStaleAnswers,       // answers to earlier requests, skipped
   kSendsWithheld,      // sends that a pause or a leaving upstream stopped
   kBackoffRefusals,    // requests refused because of pauses
   kCount
--- a/http/client.cc
+++ b/http/client.cc
@@ -382,6 +382,19 @@
   }
 }
 
+Task<FetchStatus> ResponseStream::ReadNext() {
+  std::array<char, kReadBytes> discarded{};
+  while (true) {
+    const ReadResult read = co_await this->Read(discarded);
+    if (read.status != FetchStatus::kOk) co_return read.status;
+    if (read.count == 0) break;
+  }
+  State& state = *this->state;
+  if (!state.parser->keep_alive()) co_return FetchStatus::kBroken;
+  state.ExpectResponse();
+  co_return co_await ReadHead(state);
+}
+
 Client::Client(net::io_context& io)
     : pool(std::make_shared<ConnectionPool>(io)) {}
 
--- a/http/client.h
+++ b/http/client.h
@@ -121,6 +121,9 @@
   // The status and headers; the body is empty.
   const Response& Head() const;
   const ConnectionUse& Connection() const;
+  // Discards this response and reads the head of the next one on its
+  // connection: for a response to an earlier request. Head() is valid with kOk.
+  Task<FetchStatus> ReadNext();
   // Reads the next bytes of the body into `buffer`.
   Task<ReadResult> Read(std::span<char> buffer);
   // Closes the connection, so that it is not reused even if the response is
--- a/tests/http_client_test.cc
+++ b/tests/http_client_test.cc
@@ -133,6 +133,36 @@
   client.CloseIdle(server.Address());
 }
 
+TEST_CASE("the next response is read after one to an earlier request") {
+  const ScriptedServer server([](tcp::acceptor& acceptor) {
+    tcp::socket socket = acceptor.accept();
+    ReadRequest(socket);
+    net::write(socket, net::buffer(std::string(kResponse)));
+    ReadRequest(socket);
+    for (const std::string body : {"aa", "bb"}) {
+      const std::string next =
+          "HTTP/1.1 200 OK\r\nName: " + body + "\r\nContent-Length: 2\r\n\r\n";
+      net::write(socket, net::buffer(next + body));
+    }
+  });
+  net::io_context io{1};
+  Client client(io);
+  CHECK(Get(io, client, server.Address()).status == FetchStatus::kOk);
+  const OpenResult opened =
+      RunTask(io, client.Open(server.Address(), Request{}, {}));
+  REQUIRE(opened.status == FetchStatus::kOk);
+  CHECK(opened.stream->Connection().number == 1);
+  CHECK(opened.stream->Connection().earlier_requests == 1);
+  CHECK(opened.stream->Head().HeaderValue("Name") == "aa");
+  CHECK(RunTask(io, opened.stream->ReadNext()) == FetchStatus::kOk);
+  CHECK(opened.stream->Head().HeaderValue("Name") == "bb");
+  std::array<char, 8> body{};
+  const ReadResult read = RunTask(io, opened.stream->Read(body));
+  CHECK(std::string(body.data(), read.count) == "bb");
+  // The server has closed the connection.
+  CHECK(RunTask(io, opened.stream->ReadNext()) == FetchStatus::kBroken);
+}
+
 // Guards against connections that pile up at a server whose requests all need
 // new ones, and against a limit that idle connections fill.
 TEST_CASE("a fresh connection takes the place of an idle one") {
