duplicate_answer_test: lookups, streams, answers that break off or come in bytes

The load sends orders, streams that can't be resumed and lookups, and compares each body with the request; the servers also cut answers off and send them byte by byte; gateways are stopped for longer than callers wait, too. The test judges TWICE, REFUSED, answers to other requests, and runs that nobody asked for.

--- a/standin/duplicating_server.cc
+++ b/standin/duplicating_server.cc
@@ -66,6 +66,7 @@
 http::Task<void> DuplicatingServer::Accept() {
   while (true) {
     http::TcpSocket socket = co_await this->acceptor.async_accept(http::kAwait);
+    socket.set_option(net::ip::tcp::no_delay(true));
     net::co_spawn(*this->io, this->Serve(std::move(socket)), net::detached);
   }
 }
@@ -79,15 +80,19 @@
     co_await bhttp::async_read(socket, buffer, request,
                                net::redirect_error(http::kAwait, error));
     if (error) co_return;
-    co_await net::async_write(
-        socket, net::buffer(std::exchange(late_copy, std::string())),
-        net::redirect_error(http::kAwait, error));
+    std::string copy = std::exchange(late_copy, std::string());
+    if (!co_await this->Send(socket, std::move(copy))) co_return;
     bool execute = false;
     std::string answer = this->Answer(request, execute);
     if (execute && this->options.work.count() > 0) {
       http::Timer timer(*this->io, this->options.work);
       co_await timer.async_wait(http::kAwait);
     }
+    if (execute && this->Chance(this->options.cut)) {
+      answer.resize(this->random() % answer.size());
+      co_await this->Send(socket, std::move(answer));
+      co_return;
+    }
     if (this->Chance(this->options.duplicated)) {
       *this->report << "copy" << std::endl;
       if (this->Chance(0.25)) {
@@ -96,10 +101,20 @@
         late_copy = answer;
       }
     }
-    co_await net::async_write(socket, net::buffer(answer),
+    if (!co_await this->Send(socket, std::move(answer))) co_return;
+  }
+}
+
+http::Task<bool> DuplicatingServer::Send(http::TcpSocket& socket,
+                                         std::string answer) {
+  error_code error;
+  const std::size_t piece =
+      this->Chance(this->options.split) ? 1 : answer.size();
+  for (std::size_t at = 0; at < answer.size() && !error; at += piece) {
+    co_await net::async_write(socket, net::buffer(answer.data() + at, piece),
                               net::redirect_error(http::kAwait, error));
-    if (error) co_return;
   }
+  co_return !error;
 }
 
 std::string DuplicatingServer::Answer(const Request& request, bool& execute) {
@@ -124,7 +139,11 @@
   if (this->Chance(this->options.failed)) {
     return Message("503 Service Unavailable", head, "failed");
   }
-  return Message("200 OK", head, "done " + id);
+  if (!request.target().starts_with("/draft/")) {
+    return Message("200 OK", head, "done " + id);
+  }
+  return Message("200 OK", head + Field("Content-Type", "text/event-stream"),
+                 "id: 0\ndata: done " + id + "\n\n");
 }
 
 bool DuplicatingServer::Chance(double fraction) {
--- a/standin/duplicating_server.h
+++ b/standin/duplicating_server.h
@@ -24,12 +24,15 @@
   double failed = 0.0;      // executed, and answered with a 503 of its own
   double unnamed = 0.5;     // of the rejections: without Attempt-Id
   double duplicated = 0.3;  // of the answers: sent a second time
+  double cut = 0.0;         // executed, and the answer breaks off at any byte
+  double split = 0.0;       // of the answers: sent byte by byte
   coordination::Duration work{};  // until an executed request is answered
 };
 
-// Answers requests on connections that it keeps open. The second copy of an
-// answer follows at once, or after the next request on the connection has been
-// read. Reports each executed request and each copy.
+// Answers requests on connections that it keeps open, with one event if the
+// path begins with /draft/. The second copy of an answer follows at once, or
+// after the next request on the connection has been read. Reports each executed
+// request and each copy.
 class DuplicatingServer {
  public:
   // Writes a line to `report` when a request is executed, "ran" and its
@@ -45,6 +48,9 @@
 
   http::Task<void> Accept();
   http::Task<void> Serve(http::TcpSocket socket);
+  // Sends an answer, as a whole or byte by byte. Returns false if the
+  // connection has failed.
+  http::Task<bool> Send(http::TcpSocket& socket, std::string answer);
   // The answer's bytes. Sets `execute` when the request is executed.
   std::string Answer(const Request& request, bool& execute);
   bool Chance(double fraction);
--- a/standin/main.cc
+++ b/standin/main.cc
@@ -5,7 +5,7 @@
 //   standin server --listen=IP:PORT --name=ID
 //   standin load --target=IP:PORT --bearer=KEY ...
 //   standin duplicates --listen=IP:PORT --name=ID --seed=N --rejected=0.3 ...
-//   standin orders --targets=IP:PORT,... --host=HOST --plain_path=PATH ...
+//   standin orders --targets=IP:PORT,... --host=HOST --paths=PATH,... ...
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 
@@ -51,13 +51,16 @@
 ABSL_FLAG(bool, stream, true, "request streams");
 ABSL_FLAG(std::int64_t, read_delay_ms, 0,
           "pause after each read, as of a slow reader");
-ABSL_FLAG(std::uint64_t, seed, 1, "seed of a server that duplicates answers");
+ABSL_FLAG(std::uint64_t, seed, 1, "seed of the stand-in's random choices");
 ABSL_FLAG(double, rejected, 0.3, "fraction of requests rejected");
 ABSL_FLAG(double, failed, 0.0, "fraction of requests executed and failed");
 ABSL_FLAG(double, unnamed, 0.5, "fraction of rejections without an id");
 ABSL_FLAG(double, duplicated, 0.3, "fraction of answers sent twice");
 ABSL_FLAG(std::int64_t, work_ms, 5, "time to execute a request");
 ABSL_FLAG(std::vector<std::string>, targets, {}, "gateways that get orders");
+ABSL_FLAG(std::vector<std::string>, paths, {"/order/x"}, "paths of requests");
+ABSL_FLAG(double, cut, 0.0, "fraction of requests whose answers break off");
+ABSL_FLAG(double, split, 0.0, "fraction of answers sent byte by byte");
 ABSL_FLAG(std::string, host, "a.example", "host of the orders");
 ABSL_FLAG(std::int64_t, rate, 0, "orders per second; 0: no limit");
 ABSL_FLAG(std::int64_t, timeout_ms, 1000, "how long a caller waits");
@@ -121,6 +124,8 @@
   options.failed = absl::GetFlag(FLAGS_failed);
   options.unnamed = absl::GetFlag(FLAGS_unnamed);
   options.duplicated = absl::GetFlag(FLAGS_duplicated);
+  options.cut = absl::GetFlag(FLAGS_cut);
+  options.split = absl::GetFlag(FLAGS_split);
   options.work = std::chrono::milliseconds(absl::GetFlag(FLAGS_work_ms));
   DuplicatingServer server(io, options, std::cout);
   return Serve(io, server.Listen(absl::GetFlag(FLAGS_listen)));
@@ -132,15 +137,16 @@
   options.targets = absl::GetFlag(FLAGS_targets);
   options.host = absl::GetFlag(FLAGS_host);
   options.bearer = absl::GetFlag(FLAGS_bearer);
-  options.path = absl::GetFlag(FLAGS_plain_path);
+  options.paths = absl::GetFlag(FLAGS_paths);
+  options.seed = absl::GetFlag(FLAGS_seed);
   options.id_prefix = absl::GetFlag(FLAGS_key_prefix);
   options.concurrency = absl::GetFlag(FLAGS_concurrency);
   options.requests = absl::GetFlag(FLAGS_requests);
   options.requests_per_second = absl::GetFlag(FLAGS_rate);
   options.caller_timeout =
       std::chrono::milliseconds(absl::GetFlag(FLAGS_timeout_ms));
-  if (options.targets.empty()) {
-    std::cerr << "--targets must name a gateway\n";
+  if (options.targets.empty() || options.paths.empty()) {
+    std::cerr << "--targets and --paths must name a gateway and a path\n";
     return 2;
   }
   OrderLoad load(io, options);
--- a/tests/process/duplicate_answer_test.sh
+++ b/tests/process/duplicate_answer_test.sh
@@ -2,8 +2,8 @@
 # Guards against an order that runs twice, or is refused although it has run,
 # because a second copy of an answer arrives on a kept connection and counts as
 # the answer to the next request. Three gateways send to four servers that
-# reject some requests and send some answers twice; one of them has the address
-# of a server that is gone. Prints each check; exits 1 if one fails.
+# reject some requests and send some answers twice. Prints each check; exits 1 if
+# one fails.
 #
 #   tests/process/duplicate_answer_test.sh BIN
 #   SEEDS='1 2 3' ORDERS=2000 tests/process/duplicate_answer_test.sh BIN
@@ -43,7 +43,7 @@
   local number pid
   RANDOM=$1
   while [ ! -e "$dir/ended" ]; do
-    case $((RANDOM % 4)) in
+    case $((RANDOM % 5)) in
     0) number=$((RANDOM % 4 + 1)); pid=server$number
        kill -9 "${!pid}"; sleep 0.2; server "$number" "$@" ;;
     1) number=$((RANDOM % 4 + 1)); pid=server$number
@@ -52,6 +52,8 @@
        kill -9 "${!pid}"; sleep 0.1; gateway "$number" ;;
     3) number=$((RANDOM % 3 + 1)); pid=gateway$number
        kill -TERM "${!pid}"; sleep 0.3; kill -9 "${!pid}"; sleep 0.1; gateway "$number" ;;
+    4) number=$((RANDOM % 3 + 1)); pid=gateway$number
+       kill -STOP "${!pid}"; sleep 1.3; kill -CONT "${!pid}" ;;
     esac
     sleep 0.$((RANDOM % 5 + 1))
   done
@@ -74,15 +76,19 @@
   for number in $gateways; do gateway "$number"; done
   for number in $gateways; do until_true ready "$number"; done
   if [ -n "${churns:-}" ]; then churn "$seed" "$seed" "$@" & churner=$!; fi
-  "$bin/standin" orders --targets=127.0.0.1:19711,127.0.0.1:19712,127.0.0.1:19713 --bearer=key --plain_path=/order/x \
-    --key_prefix="s$seed-" --concurrency=12 --requests="$orders" --rate=150 >"$dir/statuses"
+  "$bin/standin" orders --targets=127.0.0.1:19711,127.0.0.1:19712,127.0.0.1:19713 --bearer=key --paths="${paths:-/order/x}" \
+    --seed="$seed" --key_prefix="s$seed-" --concurrency=12 --requests="$orders" --rate=150 >"$dir/statuses"
   touch "$dir/ended"
   [ -z "$churner" ] || wait "$churner"
-  awk '$1 == "ran" && $2 ~ /^s/ { sum[$2] += 1 } END { for (id in sum) if (sum[id] > 1) print id, sum[id] }' "$dir"/ran-* >"$dir/twice"
-  cat "$dir"/ran-* | awk 'NR == FNR { if ($1 == "ran") ran[$2] = 1; next } $2 ~ /^(408|421|429|503)$/ && ($1 in ran)' - "$dir/statuses" >"$dir/refused"
-  echo "seed $seed, $kind: $(cut -d' ' -f2 "$dir/statuses" | sort | uniq -c | awk '{ printf "%s x %s, ", $2, $1 }')ran $(cat "$dir"/ran-* | grep -c 'ran s'), copies $(cat "$dir"/ran-* | grep -c copy)"
+  cat "$dir"/ran-* | grep '^ran s' >"$dir/runs"
+  awk '$2 ~ /-[od]-/ { sum[$2] += 1 } END { for (id in sum) if (sum[id] > 1) print id, sum[id] }' "$dir/runs" >"$dir/twice"
+  awk 'NR == FNR { ran[$2] = 1; next } $1 ~ /-[od]-/ && $2 ~ /^(408|421|429|503)$/ && ($1 in ran)' "$dir/runs" "$dir/statuses" >"$dir/refused"
+  awk 'NR == FNR { asked[$1] = 1; next } !($2 in asked)' "$dir/statuses" "$dir/runs" >"$dir/unasked"
+  echo "seed $seed, $kind: $(cut -d' ' -f2 "$dir/statuses" | sort | uniq -c | awk '{ printf "%s x %s, ", $2, $1 }')ran $(wc -l <"$dir/runs"), copies $(cat "$dir"/ran-* | grep -c copy)"
   check "$kind, seed $seed: no order runs twice" 0 "$(wc -l <"$dir/twice")"
   check "$kind, seed $seed: no order is refused that has run" 0 "$(wc -l <"$dir/refused")"
+  check "$kind, seed $seed: no request gets the answer to another" 0 "$(grep -c mixed "$dir/statuses")"
+  check "$kind, seed $seed: nothing runs that was not asked for" 0 "$(wc -l <"$dir/unasked")"
   check "$kind, seed $seed: orders are served" true "$([ "$(grep -c ' 200$' "$dir/statuses")" -gt $((orders / 4)) ] && echo true)"
   [ -n "${KEEP:-}" ] && cp -r "$dir" "$KEEP-$seed-${kind// /-}"
   { kill -9 "${pids[@]}"; wait; } 2>/dev/null
@@ -94,5 +100,6 @@
   gone=40 play "$seed" 'copies of 421 at addresses of other servers' --unnamed=0 --rejected=0 --duplicated=0.9
   play "$seed" 'failures with the status of a rejection' --unnamed=0 --duplicated=0 --failed=0.1
   churns=1 play "$seed" 'processes that end' --duplicated=0
+  gone=4 churns=1 paths=/order/x,/draft/x,/lookup/x play "$seed" 'everything at once' --failed=0.03 --cut=0.05 --split=0.3
 done 2>/dev/null
 exit $((failures > 0))
--- a/tests/process/gateways.sh
+++ b/tests/process/gateways.sh
@@ -39,6 +39,7 @@
   local route='"host":"a.example","timeout_ms":10000,"target_latency_ms":600,"priority":1,"attempts":2,"public":false'
   row op/config "{\"version\":$1,\"routes\":[
     {\"name\":\"lookup\",\"prefix\":\"/lookup/\",\"kind\":\"idempotent\",\"service\":\"s\",$route},
+    {\"name\":\"draft\",\"prefix\":\"/draft/\",\"kind\":\"stream\",\"service\":\"s\",$route},
     {\"name\":\"order\",\"prefix\":\"/order/\",\"kind\":\"non_idempotent\",\"service\":\"s\",$route},
     {\"name\":\"stream\",\"prefix\":\"/stream/\",\"kind\":\"stream\",\"stream_resume\":true,\"service\":\"s\",$route}],
     \"services\":[{\"name\":\"s\",\"health_path\":\"/h\",\"max_connections\":100,
