Reject a response head that holds the status line of another

Callers saw orders that ran twice, and orders refused with 503 that ran, also while all answers carry their ids.

Cause: a copy that breaks off inside a status line or a field, and the answer after it on the kept connection, parse as one head: the copy's status and Not-Executed, the next answer's id.

A head whose reason or one of whose fields contains a status line is no response now: the send ends as broken, at once (502), and the connection is closed.

Ruled out: copies as a whole, which the id tells apart. A field that names the protocol's version (Via) is no status line.

--- a/http/client.cc
+++ b/http/client.cc
@@ -314,6 +314,35 @@
   return output.size() - body.size;
 }
 
+// True when `text` contains a status line, as `HTTP/1.1 200`.
+bool ContainsStatusLine(std::string_view text) {
+  constexpr std::string_view kVersion = "HTTP/1.";
+  constexpr std::size_t kStatusLineBytes = 12;
+  const auto is_digit = [](char c) { return c >= '0' && c <= '9'; };
+  while (true) {
+    const std::size_t at = text.find(kVersion);
+    if (at == std::string_view::npos) return false;
+    const std::string_view line = text.substr(at);
+    if (line.size() >= kStatusLineBytes && is_digit(line[7]) &&
+        line[8] == ' ' &&
+        std::all_of(line.begin() + 9, line.begin() + kStatusLineBytes,
+                    is_digit)) {
+      return true;
+    }
+    text.remove_prefix(at + kVersion.size());
+  }
+}
+
+// True when the head of one response was cut off and that of another follows,
+// so that fields of both stand in it.
+template <typename Head>
+bool IsSpliced(const Head& head) {
+  if (ContainsStatusLine(head.reason())) return true;
+  return std::any_of(head.begin(), head.end(), [](const auto& field) {
+    return ContainsStatusLine(field.value());
+  });
+}
+
 // Reads the head of the next response on the connection.
 Task<FetchStatus> ReadHead(ResponseStream::State& state) {
   error_code error;
@@ -326,7 +355,9 @@
   state.guard->Disarm();
   state.parser->eager(true);
   const auto& head = state.parser->get();
-  if (head.result_int() < kMinFinalStatus) co_return FetchStatus::kBroken;
+  if (head.result_int() < kMinFinalStatus || IsSpliced(head)) {
+    co_return FetchStatus::kBroken;
+  }
   state.head.status = static_cast<std::uint16_t>(head.result_int());
   for (const auto& field : head) {
     state.head.headers.push_back(
--- a/standin/duplicating_server.cc
+++ b/standin/duplicating_server.cc
@@ -23,9 +23,9 @@
                     std::string_view body) {
   std::string message = "HTTP/1.1 ";
   message += status;
-  message += "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n";
-  message += headers;
   message += "\r\n";
+  message += headers;
+  message += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
   message += body;
   return message;
 }
@@ -99,6 +99,9 @@
         answer += std::string(answer);
       } else {
         late_copy = answer;
+        if (this->Chance(this->options.spliced)) {
+          late_copy.resize(this->random() % late_copy.size());
+        }
       }
     }
     if (!co_await this->Send(socket, std::move(answer))) co_return;
@@ -129,7 +132,9 @@
   }
   if (this->Chance(this->options.rejected)) {
     return Message("503 Service Unavailable",
-                   Field("Not-Executed", "1") + (unnamed ? "" : name), "");
+                   Field("Not-Executed", "1") +
+                       Field("Instance-Load", "8,8,8") + (unnamed ? "" : name),
+                   "");
   }
   execute = true;
   *this->report << "ran " << id << std::endl;
--- a/standin/duplicating_server.h
+++ b/standin/duplicating_server.h
@@ -24,8 +24,9 @@
   double failed = 0.0;      // executed, and answered with a 503 of its own
   double unnamed = 0.5;     // of the rejections: without Attempt-Id
   double duplicated = 0.3;  // of the answers: sent a second time
-  double cut = 0.0;         // executed, and the answer breaks off at any byte
-  double split = 0.0;       // of the answers: sent byte by byte
+  double spliced = 0.0;  // of the late copies: cut off before the next answer
+  double cut = 0.0;      // executed, and the answer breaks off at any byte
+  double split = 0.0;    // of the answers: sent byte by byte
   coordination::Duration work{};  // until an executed request is answered
 };
 
--- a/standin/main.cc
+++ b/standin/main.cc
@@ -59,6 +59,7 @@
 ABSL_FLAG(std::int64_t, work_ms, 5, "time to execute a request");
 ABSL_FLAG(std::vector<std::string>, targets, {}, "gateways that get orders");
 ABSL_FLAG(std::vector<std::string>, paths, {"/order/x"}, "paths of requests");
+ABSL_FLAG(double, spliced, 0.0, "fraction of late copies that are cut off");
 ABSL_FLAG(double, cut, 0.0, "fraction of requests whose answers break off");
 ABSL_FLAG(double, split, 0.0, "fraction of answers sent byte by byte");
 ABSL_FLAG(std::string, host, "a.example", "host of the orders");
@@ -124,6 +125,7 @@
   options.failed = absl::GetFlag(FLAGS_failed);
   options.unnamed = absl::GetFlag(FLAGS_unnamed);
   options.duplicated = absl::GetFlag(FLAGS_duplicated);
+  options.spliced = absl::GetFlag(FLAGS_spliced);
   options.cut = absl::GetFlag(FLAGS_cut);
   options.split = absl::GetFlag(FLAGS_split);
   options.work = std::chrono::milliseconds(absl::GetFlag(FLAGS_work_ms));
--- a/tests/http_client_test.cc
+++ b/tests/http_client_test.cc
@@ -163,6 +163,48 @@
   CHECK(RunTask(io, opened.stream->ReadNext()) == FetchStatus::kBroken);
 }
 
+// Guards against a response with the status of a cut copy and the fields of the
+// response after it.
+TEST_CASE("a response that follows a cut one is not mixed with it") {
+  const std::string copy =
+      "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nLoad: 8,8,8\r\n"
+      "Name: copy\r\nContent-Length: 4\r\n\r\ncopy";
+  const std::string own =
+      "HTTP/1.1 200 OK\r\nName: own\r\nContent-Length: 3\r\n\r\nown";
+  for (std::size_t cut = 1; cut <= copy.size(); ++cut) {
+    CAPTURE(cut);
+    const ScriptedServer server([&](tcp::acceptor& acceptor) {
+      tcp::socket socket = acceptor.accept();
+      ReadRequest(socket);
+      net::write(socket, net::buffer(std::string(kResponse)));
+      ReadRequest(socket);
+      net::write(socket, net::buffer(copy.substr(0, cut) + own));
+    });
+    net::io_context io{1};
+    Client client(io);
+    CHECK(Get(io, client, server.Address()).status == FetchStatus::kOk);
+    FetchOptions options;
+    options.may_resend = nullptr;
+    const FetchResult result = Get(io, client, server.Address(), options);
+    if (result.status != FetchStatus::kOk) continue;
+    CHECK(result.response.status == 503);
+    CHECK(result.response.HeaderValue("Name") == "copy");
+  }
+}
+
+TEST_CASE("a field may name the protocol's version") {
+  const ScriptedServer server([](tcp::acceptor& acceptor) {
+    tcp::socket socket = acceptor.accept();
+    ReadRequest(socket);
+    net::write(socket, net::buffer(std::string(
+                           "HTTP/1.1 200 OK\r\nVia: HTTP/1.1 edge, "
+                           "HTTP/1.0\r\nContent-Length: 0\r\n\r\n")));
+  });
+  net::io_context io{1};
+  Client client(io);
+  CHECK(Get(io, client, server.Address()).status == FetchStatus::kOk);
+}
+
 // Guards against connections that pile up at a server whose requests all need
 // new ones, and against a limit that idle connections fill.
 TEST_CASE("a fresh connection takes the place of an idle one") {
--- a/tests/process/duplicate_answer_test.sh
+++ b/tests/process/duplicate_answer_test.sh
@@ -99,7 +99,8 @@
   play "$seed" 'copies of answers with an id' --unnamed=0
   gone=40 play "$seed" 'copies of 421 at addresses of other servers' --unnamed=0 --rejected=0 --duplicated=0.9
   play "$seed" 'failures with the status of a rejection' --unnamed=0 --duplicated=0 --failed=0.1
+  play "$seed" 'copies that are cut off' --unnamed=0 --rejected=0.4 --duplicated=0.5 --spliced=1
   churns=1 play "$seed" 'processes that end' --duplicated=0
-  gone=4 churns=1 paths=/order/x,/draft/x,/lookup/x play "$seed" 'everything at once' --failed=0.03 --cut=0.05 --split=0.3
+  gone=4 churns=1 paths=/order/x,/draft/x,/lookup/x play "$seed" 'everything at once' --failed=0.03 --cut=0.05 --split=0.3 --spliced=0.2
 done 2>/dev/null
 exit $((failures > 0))
