--- a/tests/process/duplicate_answer_test.sh
+++ b/tests/process/duplicate_answer_test.sh
@@ -6,7 +6,8 @@
 # one fails.
 #
 #   tests/process/duplicate_answer_test.sh BIN
-#   SEEDS='1 2 3' ORDERS=2000 tests/process/duplicate_answer_test.sh BIN
+#   SEEDS='1 2 3' ORDERS=2000 GATEWAYS='1 2 3 4 5' SERVERS='1 2' tests/process/duplicate_answer_test.sh BIN
+#   Numbers of gateways and servers: 1 to 9.
 set -uo pipefail
 cd "$(dirname "$0")/../.."
 bin=$1
@@ -20,11 +21,15 @@
 source tests/process/checks.sh
 source tests/process/gateways.sh
 
-readonly servers='1 2 3 4'
-readonly gateways='1 2 3'
+readonly servers=${SERVERS:-1 2 3 4}
+readonly gateways=${GATEWAYS:-1 2 3}
+read -ra server_numbers <<<"$servers"
+read -ra gateway_numbers <<<"$gateways"
 readonly orders=${ORDERS:-900}
 
-ports_are_free 19700 1970{1..4} 1971{1..3} || exit 1
+ports_are_free 19700 1970{1..9} 1971{1..9} || exit 1
+targets=$(printf '127.0.0.1:1971%s,' "${gateway_numbers[@]}")
+readonly targets=${targets%,}
 
 # Starts a server, which appends what it runs to a file, and registers it. Sets
 # serverNUMBER to its process id.
@@ -44,15 +49,15 @@
   RANDOM=$1
   while [ ! -e "$dir/ended" ]; do
     case $((RANDOM % 5)) in
-    0) number=$((RANDOM % 4 + 1)); pid=server$number
+    0) number=${server_numbers[RANDOM % ${#server_numbers[@]}]}; pid=server$number
        kill -9 "${!pid}"; sleep 0.2; server "$number" "$@" ;;
-    1) number=$((RANDOM % 4 + 1)); pid=server$number
+    1) number=${server_numbers[RANDOM % ${#server_numbers[@]}]}; pid=server$number
        kill -STOP "${!pid}"; sleep 0.7; kill -CONT "${!pid}" ;;
-    2) number=$((RANDOM % 3 + 1)); pid=gateway$number
+    2) number=${gateway_numbers[RANDOM % ${#gateway_numbers[@]}]}; pid=gateway$number
        kill -9 "${!pid}"; sleep 0.1; gateway "$number" ;;
-    3) number=$((RANDOM % 3 + 1)); pid=gateway$number
+    3) number=${gateway_numbers[RANDOM % ${#gateway_numbers[@]}]}; pid=gateway$number
        kill -TERM "${!pid}"; sleep 0.3; kill -9 "${!pid}"; sleep 0.1; gateway "$number" ;;
-    4) number=$((RANDOM % 3 + 1)); pid=gateway$number
+    4) number=${gateway_numbers[RANDOM % ${#gateway_numbers[@]}]}; pid=gateway$number
        kill -STOP "${!pid}"; sleep 1.3; kill -CONT "${!pid}" ;;
     esac
     sleep 0.$((RANDOM % 5 + 1))
@@ -72,11 +77,11 @@
   until_true curl -s -o /dev/null "http://$store/faults" -X PUT -d '{}'
   config 1 key 100000
   for number in $servers; do server "$number" "$seed" "$@"; done
-  for number in $(seq "${gone:-0}"); do server_row "i-gone-$number" "1970$((number % 4 + 1))" ready; done
+  for number in $(seq "${gone:-0}"); do server_row "i-gone-$number" "1970${server_numbers[number % ${#server_numbers[@]}]}" ready; done
   for number in $gateways; do gateway "$number"; done
   for number in $gateways; do until_true ready "$number"; done
   if [ -n "${churns:-}" ]; then churn "$seed" "$seed" "$@" & churner=$!; fi
-  "$bin/standin" orders --targets=127.0.0.1:19711,127.0.0.1:19712,127.0.0.1:19713 --bearer=key --paths="${paths:-/order/x}" \
+  "$bin/standin" orders --targets="$targets" --bearer=key --paths="${paths:-/order/x}" \
     --seed="$seed" --key_prefix="s$seed-" --concurrency=12 --requests="$orders" --rate=150 >"$dir/statuses"
   touch "$dir/ended"
   [ -z "$churner" ] || wait "$churner"
