Give the HTTP parser the beginning of a chunked body in one piece

Callers lost all requests of a gateway: it ended with SIGABRT when a request with an empty chunked body arrived byte by byte, or an upstream's empty chunked answer did, or broke off.

Cause: when the last chunk's size line has arrived and its end has not, Beast's parser asserts at its next call that it has at least 5 bytes. With a chunk before it there are, since that chunk's CRLF is counted; a body that is empty, '0' CRLF CRLF, may have 4. The parser's state is sound. It now gets the first bytes of a chunked body only once there are 5, the length of the shortest, in the server and in the client; so the assertion holds, and stays on. The server reads bodies in a loop of its own for this.

Evidence: two tests, a body and an answer byte by byte, with extensions, trailers and a chunk, each answer also cut at each byte: both ended by SIGABRT before. Ruled out: bodies with a chunk of any length, which passed before.

--- a/http/client.cc
+++ b/http/client.cc
@@ -19,6 +19,7 @@
 #include <vector>
 
 #include "http/address.h"
+#include "http/chunked_body.h"
 #include "http/clock.h"
 #include "http/task.h"
 #include "http/watchdog.h"
@@ -219,12 +220,14 @@
   Response head;
   std::optional<Watchdog::Guard> guard;
   std::size_t framing_bytes = 0;  // received since the last byte of the body
+  bool body_begun = false;        // the parser has got bytes of the body
 
   void ExpectResponse() {
     this->parser.emplace();
     this->parser->body_limit(this->options.max_body_bytes);
     this->head = {};
     this->framing_bytes = 0;
+    this->body_begun = false;
   }
   // Makes the watchdog and the canceller close the connection.
   void EnableCancellation() {
@@ -304,6 +307,10 @@
   body.size = output.size();
   body.more = true;
   while (!state.parser->is_done() && state.buffer.size() > 0) {
+    if (!MayParseBody(*state.parser, state.buffer.size(), state.body_begun)) {
+      break;
+    }
+    state.body_begun = true;
     const std::size_t parsed = state.parser->put(state.buffer.data(), error);
     state.buffer.consume(parsed);
     if (error) break;
--- a/http/server.cc
+++ b/http/server.cc
@@ -15,6 +15,7 @@
 #include <utility>
 
 #include "http/address.h"
+#include "http/chunked_body.h"
 #include "http/task.h"
 #include "http/watchdog.h"
 
@@ -27,9 +28,14 @@
 using boost::system::error_code;
 using net::ip::tcp;
 
+using RequestParser = bhttp::request_parser<bhttp::string_body>;
+
 // Bytes read at once from an idle or closing connection.
 constexpr std::size_t kReadBytes = 1024;
 
+// Bytes of a request's body read at once.
+constexpr std::size_t kBodyReadBytes = 16 * 1024;
+
 // How long a closing connection still reads. If it closed with unread bytes,
 // the kernel would reset it, and the client might lose the response.
 constexpr coordination::Duration kLingerTimeout = std::chrono::seconds(1);
@@ -112,6 +118,7 @@
   Task<void> LingeringClose();
   Task<bool> WaitForRequest();
   Task<std::optional<RejectReason>> ReadRequest();
+  Task<void> ReadBody(RequestParser& parser, error_code& error);
   std::optional<RejectReason> RejectReasonOf(const error_code& error);
   Task<void> Handle();
   bool KeepAlive() const {
@@ -245,7 +252,7 @@
 // Reads a request into `request`. Returns why it is rejected, if it is. Returns
 // nullopt and sets `disconnected` when the client closes first.
 Task<std::optional<RejectReason>> Connection::ReadRequest() {
-  bhttp::request_parser<bhttp::string_body> parser;
+  RequestParser parser;
   parser.header_limit(this->state->limits.max_header_bytes);
   parser.body_limit(this->state->limits.max_body_bytes);
   this->response_started = false;
@@ -262,8 +269,7 @@
       co_await bhttp::async_write(this->socket, continue_response,
                                   net::redirect_error(kAwait, error));
     }
-    co_await bhttp::async_read(this->socket, this->buffer, parser,
-                               net::redirect_error(kAwait, error));
+    if (!error) co_await this->ReadBody(parser, error);
   }
   if (!error) {
     this->wants_keep_alive = parser.keep_alive();
@@ -274,6 +280,28 @@
   co_return this->RejectReasonOf(error);
 }
 
+// Reads the body of the request whose head `parser` has read.
+Task<void> Connection::ReadBody(RequestParser& parser, error_code& error) {
+  parser.eager(true);
+  bool begun = false;
+  while (true) {
+    const bool may_parse = this->buffer.size() > 0 && !parser.is_done() &&
+                           MayParseBody(parser, this->buffer.size(), begun);
+    if (may_parse) {
+      begun = true;
+      this->buffer.consume(parser.put(this->buffer.data(), error));
+      if (error == bhttp::error::need_more) error = {};
+    }
+    if (error || parser.is_done()) co_return;
+    const std::size_t count = co_await this->socket.async_read_some(
+        this->buffer.prepare(kBodyReadBytes),
+        net::redirect_error(kAwait, error));
+    this->buffer.commit(count);
+    if (error == net::error::eof) parser.put_eof(error);
+    if (error) co_return;
+  }
+}
+
 // The reason to reject a request that could not be read. Returns nullopt and
 // sets `disconnected` when the connection has ended.
 std::optional<RejectReason> Connection::RejectReasonOf(
--- a/tests/http_client_test.cc
+++ b/tests/http_client_test.cc
@@ -229,6 +229,33 @@
   CHECK(Get(io, client, server.Address(), options).status == FetchStatus::kOk);
 }
 
+// Guards against an assertion of the parser that ended the process.
+TEST_CASE("a chunked response may arrive byte by byte, and break off") {
+  for (const std::string body : {"0\r\n\r\n", "000;x=1\r\n\r\n",
+                                 "0\r\nA: b\r\n\r\n", "1\r\na\r\n0\r\n\r\n"}) {
+    for (std::size_t cut = 0; cut <= body.size(); ++cut) {
+      const ScriptedServer server([&](tcp::acceptor& acceptor) {
+        tcp::socket socket = acceptor.accept();
+        socket.set_option(tcp::no_delay(true));
+        ReadRequest(socket);
+        net::write(socket, net::buffer(std::string(
+                               "HTTP/1.1 200 OK\r\n"
+                               "Transfer-Encoding: chunked\r\n\r\n")));
+        for (const char byte : body.substr(0, cut)) {
+          std::this_thread::sleep_for(std::chrono::milliseconds(2));
+          net::write(socket, net::buffer(&byte, 1));
+        }
+      });
+      net::io_context io{1};
+      Client client(io);
+      const FetchResult result = Get(io, client, server.Address());
+      const bool whole = cut == body.size();
+      CHECK(result.status == (whole ? FetchStatus::kOk : FetchStatus::kBroken));
+      if (whole) CHECK(result.response.body == (body[0] == '1' ? "a" : ""));
+    }
+  }
+}
+
 // A response that sends `repeated` without end after `first`.
 struct EndlessResponse {
   std::string name;
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -109,6 +109,33 @@
             .starts_with("HTTP/1.1 408"));
 }
 
+// Guards against an assertion of the parser that ended the process.
+TEST_CASE("a chunked request body may arrive byte by byte") {
+  const Fixture fixture;
+  for (const std::string body :
+       {"0\r\n\r\n", "000;x=1\r\n\r\n", "0\r\nA: b\r\n\r\n",
+        "1\r\na\r\n0\r\n\r\n", "1\r\na\r\n0\r\nA: b\r\n\r\n"}) {
+    net::io_context client_io;
+    net::ip::tcp::socket socket(client_io);
+    socket.connect({net::ip::make_address("127.0.0.1"), fixture.port});
+    socket.set_option(net::ip::tcp::no_delay(true));
+    net::write(socket,
+               net::buffer(std::string(
+                   "POST /c HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+                   "Transfer-Encoding: chunked\r\n\r\n")));
+    for (const char byte : body) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(2));
+      net::write(socket, net::buffer(&byte, 1));
+    }
+    std::string response;
+    boost::system::error_code error;
+    net::read(socket, net::dynamic_buffer(response), error);
+    CHECK(response.starts_with("HTTP/1.1 200"));
+    const std::string sent = body.starts_with('1') ? "POST /c a" : "POST /c ";
+    CHECK(response.ends_with(sent));
+  }
+}
+
 TEST_CASE("a chunked request body is decoded") {
   const Fixture fixture;
   const std::string response = fixture.SendAndReadAll(
