Lint; count requests through a tunnel in a test

tunnel_test: 0, 1, then 0 on a new connection, then 1. The findings were braces and a parameter copied; the linter's own run over all changed files.

--- a/standin/duplicating_server.cc
+++ b/standin/duplicating_server.cc
@@ -56,8 +56,9 @@
   this->acceptor.open(endpoint->protocol(), error);
   this->acceptor.set_option(net::socket_base::reuse_address(true), error);
   this->acceptor.bind(*endpoint, error);
-  if (!error)
+  if (!error) {
     this->acceptor.listen(net::socket_base::max_listen_connections, error);
+  }
   if (error) return 0;
   net::co_spawn(*this->io, this->Accept(), net::detached);
   return this->acceptor.local_endpoint().port();
--- a/tests/rejection_fleet_test.cc
+++ b/tests/rejection_fleet_test.cc
@@ -101,7 +101,7 @@
   Connection Connect(const Sent& sent);
   void Arrive(Sent sent);
   AnswerJudgement Judge(const Sent& sent, const Copy& answer) const;
-  void Answer(Sent sent, bool rejection);
+  void Answer(const Sent& sent, bool rejection);
   void End(const Sent& sent, SendOutcome outcome);
   void Finish(const Sent& sent, std::uint16_t status);
 
@@ -223,7 +223,7 @@
   }
   std::int64_t& running = this->running[sent.upstream];
   if (running >= kSlots + kMayWait) {
-    this->Answer(std::move(sent), true);
+    this->Answer(sent, true);
     return;
   }
   ++sent.call->runs;
@@ -244,7 +244,7 @@
   return JudgeAnswer(facts, sent.call->id, !sent.call->is_order);
 }
 
-void Fleet::Answer(Sent sent, bool rejection) {
+void Fleet::Answer(const Sent& sent, bool rejection) {
   if (sent.abandoned) return;
   const Copy answer{
       rejection && this->scenario.unnamed ? std::string() : sent.call->id,
@@ -299,7 +299,7 @@
       Sent sent = std::move(this->ends.begin()->second);
       this->ends.erase(this->ends.begin());
       --this->running[sent.upstream];
-      this->Answer(std::move(sent), false);
+      this->Answer(sent, false);
     }
     if (this->now > kEndMs) continue;
     for (due += per_ms; due >= 1; due -= 1) {
--- a/tests/tunnel_test.cc
+++ b/tests/tunnel_test.cc
@@ -13,6 +13,7 @@
 #include "http/clock.h"
 #include "http/server.h"
 #include "http/tunnel_server.h"
+#include "run_task.h"
 
 namespace hornbeamspool::http {
 namespace {
@@ -109,6 +110,27 @@
   CHECK(fixture.tunnels.Tunnels() == 1);
 }
 
+// Guards against a rejection that counts as the first answer on its connection,
+// because another VM's host carries it.
+TEST_CASE("a connection through a tunnel counts the requests on it") {
+  Fixture fixture;
+  const auto earlier_requests = [&fixture](bool fresh) {
+    FetchOptions options;
+    options.tunnel = fixture.tunnel;
+    options.fresh_connection = fresh;
+    const OpenResult opened = RunTask(
+        fixture.io, fixture.client.Open(fixture.target, Request{}, options));
+    REQUIRE(opened.status == FetchStatus::kOk);
+    std::array<char, 16> body{};
+    CHECK(RunTask(fixture.io, opened.stream->Read(body)).count == 0);
+    return opened.stream->Connection().earlier_requests;
+  };
+  CHECK(earlier_requests(false) == 0);
+  CHECK(earlier_requests(false) == 1);
+  CHECK(earlier_requests(true) == 0);
+  CHECK(earlier_requests(false) == 1);
+}
+
 TEST_CASE("a host opens tunnels only for requests that it accepts") {
   Fixture fixture;
   fixture.tunnel->make_request = [](std::string_view) {
