Close a connection whose next answer could not be read

Our own, found by reading the change: after an answer to an earlier request was skipped and the next head was unusable, or too many were skipped, a connection whose last answer had no body counted as clean and served the next request, which met this one's answer. ReadNext closes it now, as does the limit.

Evidence: http_client_test, a stale answer and a head in two parts without a body: the next request hung on the old connection before and gets a new one now.

--- a/gateway/request_relay.cc
+++ b/gateway/request_relay.cc
@@ -391,9 +391,11 @@
     judgement = this->Judge(stream, info);
     if (judgement.verdict != AnswerVerdict::kStale) break;
     this->context->metrics->Add(Counter::kStaleAnswers);
-    const http::FetchStatus next = stale < kMaxStaleAnswers
-                                       ? co_await stream.ReadNext()
-                                       : http::FetchStatus::kBroken;
+    if (stale == kMaxStaleAnswers) {
+      stream.Close();
+      co_return SendOutcome::kBroken;
+    }
+    const http::FetchStatus next = co_await stream.ReadNext();
     if (next == http::FetchStatus::kTimeout) co_return SendOutcome::kSilent;
     if (next != http::FetchStatus::kOk) co_return SendOutcome::kBroken;
   }
--- a/http/client.cc
+++ b/http/client.cc
@@ -373,6 +373,20 @@
   co_return FetchStatus::kOk;
 }
 
+// Reads the response to its end, and the head of the next one.
+Task<FetchStatus> ReadNextHead(ResponseStream& response,
+                               ResponseStream::State& state) {
+  std::array<char, kReadBytes> discarded{};
+  while (true) {
+    const ReadResult read = co_await response.Read(discarded);
+    if (read.status != FetchStatus::kOk) co_return read.status;
+    if (read.count == 0) break;
+  }
+  if (!state.parser->keep_alive()) co_return FetchStatus::kBroken;
+  state.ExpectResponse();
+  co_return co_await ReadHead(state);
+}
+
 // Sends the request and reads the head of the response.
 Task<FetchStatus> SendAndReadHead(
     ResponseStream::State& state,
@@ -421,16 +435,10 @@
 }
 
 Task<FetchStatus> ResponseStream::ReadNext() {
-  std::array<char, kReadBytes> discarded{};
-  while (true) {
-    const ReadResult read = co_await this->Read(discarded);
-    if (read.status != FetchStatus::kOk) co_return read.status;
-    if (read.count == 0) break;
-  }
-  State& state = *this->state;
-  if (!state.parser->keep_alive()) co_return FetchStatus::kBroken;
-  state.ExpectResponse();
-  co_return co_await ReadHead(state);
+  const FetchStatus status = co_await ReadNextHead(*this, *this->state);
+  // The response to the request may still come.
+  if (status != FetchStatus::kOk) this->Close();
+  co_return status;
 }
 
 Client::Client(net::io_context& io)
--- a/http/client.h
+++ b/http/client.h
@@ -122,7 +122,8 @@
   const Response& Head() const;
   const ConnectionUse& Connection() const;
   // Discards this response and reads the head of the next one on its
-  // connection: for a response to an earlier request. Head() is valid with kOk.
+  // connection: for a response to an earlier request. Closes the connection
+  // unless it returns kOk.
   Task<FetchStatus> ReadNext();
   // Reads the next bytes of the body into `buffer`.
   Task<ReadResult> Read(std::span<char> buffer);
--- a/tests/http_client_test.cc
+++ b/tests/http_client_test.cc
@@ -163,6 +163,34 @@
   CHECK(RunTask(io, opened.stream->ReadNext()) == FetchStatus::kBroken);
 }
 
+// Guards against the response to one request that meets the next one.
+TEST_CASE("a connection is not reused once its next response was not read") {
+  const ScriptedServer server([](tcp::acceptor& acceptor) {
+    tcp::socket first = acceptor.accept();
+    ReadRequest(first);
+    net::write(first, net::buffer(std::string(kResponse)));
+    ReadRequest(first);
+    net::write(first, net::buffer(std::string(kResponse) +
+                                  "HTTP/1.1 200 HTTP/1.1 200 OK\r\n"
+                                  "Content-Length: 0\r\n\r\n"));
+    tcp::socket second = acceptor.accept();
+    ReadRequest(second);
+    net::write(second, net::buffer(std::string(kResponse)));
+  });
+  net::io_context io{1};
+  Client client(io);
+  CHECK(Get(io, client, server.Address()).status == FetchStatus::kOk);
+  {
+    const OpenResult opened =
+        RunTask(io, client.Open(server.Address(), Request{}, {}));
+    REQUIRE(opened.status == FetchStatus::kOk);
+    CHECK(RunTask(io, opened.stream->ReadNext()) == FetchStatus::kBroken);
+  }
+  FetchOptions options;
+  options.may_resend = nullptr;
+  CHECK(Get(io, client, server.Address(), options).status == FetchStatus::kOk);
+}
+
 // Guards against a response with the status of a cut copy and the fields of the
 // response after it.
 TEST_CASE("a response that follows a cut one is not mixed with it") {
