Keep an answer's facts in one struct; build its log fields only when logged

ResponseInfo and AnswerFacts held the same six fields, and the relay copied one to the other: DecodeUpstreamResponse now fills AnswerFacts. The log fields of an answer's connection were built for each answer, though only the lines of failed sends have them: the relay keeps the facts and builds the text where it is logged. An unnamed rejection is noted once, after stale answers have been skipped; a stale answer is never one.

No decision and no line changes. platform_test reaches the same fields through one more name; its assertions are the same.

--- a/gateway/request_relay.cc
+++ b/gateway/request_relay.cc
@@ -99,24 +99,31 @@
   return kNames.at(static_cast<std::size_t>(outcome));
 }
 
-// The log fields of an answer's head: whose id it carries, and what its
-// connection carried before.
-std::string AnswerFields(const http::ResponseStream& stream,
-                         std::string_view answer_id,
-                         std::string_view request_id, TimePoint now) {
-  const http::ConnectionUse& connection = stream.Connection();
-  std::string fields =
-      ' ' + KeyValue("status", std::int64_t{stream.Head().status});
-  fields += ' ' + KeyValue("answer_id", answer_id == request_id ? "own"
-                                        : answer_id.empty()     ? "none"
-                                                                : "other");
-  fields += ' ' + KeyValue("connection",
-                           static_cast<std::int64_t>(connection.number));
-  fields += ' ' + KeyValue("earlier_requests", connection.earlier_requests);
-  fields += ' ' + KeyValue("connection_age_ms",
-                           Milliseconds(now - connection.opened_at));
-  return fields;
-}
+// An answer's head, as it is logged if the send fails.
+struct LoggedAnswer {
+  std::uint16_t status = 0;
+  std::string request_id;  // that it names; may be empty
+  http::ConnectionUse connection;
+  TimePoint received_at{};
+
+  // `own_id`: of the request that was sent.
+  std::string Fields(std::string_view own_id) const {
+    std::string fields = ' ' + KeyValue("status", std::int64_t{this->status});
+    fields += ' ' + KeyValue("answer_id", this->request_id == own_id ? "own"
+                                          : this->request_id.empty() ? "none"
+                                                                     : "other");
+    fields +=
+        ' ' + KeyValue("connection",
+                       static_cast<std::int64_t>(this->connection.number));
+    fields +=
+        ' ' + KeyValue("earlier_requests", this->connection.earlier_requests);
+    fields +=
+        ' ' +
+        KeyValue("connection_age_ms",
+                 Milliseconds(this->received_at - this->connection.opened_at));
+    return fields;
+  }
+};
 
 // One request's reservation of the VM's memory for buffered answers; released
 // on destruction.
@@ -168,8 +175,6 @@
   http::Task<void> SendWithRetries();
   http::Task<void> AwaitPermit(policy::NextStep step);
   http::Task<SendOutcome> Send(SendPlan& plan);
-  policy::AnswerJudgement Judge(const http::ResponseStream& stream,
-                                const platform::ResponseInfo& info);
   http::Task<SendOutcome> RelayBuffered(http::ResponseStream& stream);
   http::Task<std::optional<std::string>> ReadWholeBody(
       http::ResponseStream& stream);
@@ -187,8 +192,8 @@
   std::optional<AdmittedRequest> admitted;
   std::string request_id;
   std::uint64_t fingerprint = 0;
-  std::string sent_through;   // VM whose connection carried the last send
-  std::string answer_fields;  // log fields of the last send's answer, if any
+  std::string sent_through;  // VM whose connection carried the last send
+  std::optional<LoggedAnswer> last_answer;  // to the last send
   // An upstream's error answer, relayed when no retry succeeds.
   std::optional<http::Response> upstream_error;
 };
@@ -325,7 +330,7 @@
 
 http::Task<SendOutcome> RequestRelay::Send(SendPlan& plan) {
   const AdmittedRequest& admitted = *this->admitted;
-  this->answer_fields.clear();
+  this->last_answer.reset();
   if (plan.record.prefill_tokens >= kLongPromptTokens) {
     this->context->peers->SendToRandomPeers(
         {plan.upstream.id, plan.record.prefill_tokens}, Now());
@@ -386,9 +391,11 @@
   policy::AnswerJudgement judgement;
   for (int stale = 0;; ++stale) {
     info = platform::DecodeUpstreamResponse(stream.Head());
-    this->answer_fields =
-        AnswerFields(stream, info.request_id, this->request_id, Now());
-    judgement = this->Judge(stream, info);
+    info.answer.earlier_requests = stream.Connection().earlier_requests;
+    this->last_answer = {stream.Head().status, info.answer.request_id,
+                         stream.Connection(), Now()};
+    judgement = policy::JudgeAnswer(info.answer, this->request_id,
+                                    admitted.route->MayRepeat());
     if (judgement.verdict != AnswerVerdict::kStale) break;
     this->context->metrics->Add(Counter::kStaleAnswers);
     if (stale == kMaxStaleAnswers) {
@@ -399,7 +406,10 @@
     if (next == http::FetchStatus::kTimeout) co_return SendOutcome::kSilent;
     if (next != http::FetchStatus::kOk) co_return SendOutcome::kBroken;
   }
-  if (!info.misdirected) {
+  if (policy::IsUnnamedRejection(info.answer)) {
+    this->context->core->Unnamed().OnRejection(admitted.service->name, Now());
+  }
+  if (!info.answer.misdirected) {
     this->context->backoff->OnAnswer(plan.upstream, carried.vm, info.backoff,
                                      plan.record.sent_at, Now());
   }
@@ -407,7 +417,7 @@
     stream.Close();
     co_return SendOutcome::kBroken;
   }
-  if (!info.misdirected) {
+  if (!info.answer.misdirected) {
     this->RecordRate(plan, info.rate);
     this->RecordBrittle(plan, info.brittle);
   }
@@ -420,8 +430,8 @@
     if (!whole || !judgement.keep_connection) stream.Close();
     co_return OutcomeOf(judgement.verdict);
   }
-  const bool success = info.success;
-  if (admitted.route->kind == policy::RouteKind::kStream && success) {
+  if (admitted.route->kind == policy::RouteKind::kStream &&
+      info.answer.success) {
     StreamRelay relay(*this->context->core, *this->admitted, plan,
                       *this->exchange, stream,
                       [this] { this->context->crashes->PublishNotices(); });
@@ -431,26 +441,6 @@
   co_return co_await this->RelayBuffered(stream);
 }
 
-// Judges the answer, and notes whether its service names the requests that it
-// rejects.
-policy::AnswerJudgement RequestRelay::Judge(
-    const http::ResponseStream& stream, const platform::ResponseInfo& info) {
-  policy::AnswerFacts facts;
-  facts.request_id = info.request_id;
-  facts.not_executed = info.not_executed;
-  facts.misdirected = info.misdirected;
-  facts.success = info.success;
-  facts.status_promises = info.status_promises;
-  facts.has_server_stamp = info.has_server_stamp;
-  facts.earlier_requests = stream.Connection().earlier_requests;
-  if (policy::IsUnnamedRejection(facts)) {
-    this->context->core->Unnamed().OnRejection(this->admitted->service->name,
-                                               Now());
-  }
-  return policy::JudgeAnswer(facts, this->request_id,
-                             this->admitted->route->MayRepeat());
-}
-
 // Empty when the body was cut off or there is no memory to buffer it.
 http::Task<std::optional<std::string>> RequestRelay::ReadWholeBody(
     http::ResponseStream& stream) {
@@ -595,7 +585,9 @@
   }
   fields += ' ' + KeyValue("send", this->admitted->sends);
   fields += ' ' + KeyValue("events", this->admitted->events_delivered);
-  if (!answered) fields += this->answer_fields;
+  if (!answered && this->last_answer) {
+    fields += this->last_answer->Fields(this->request_id);
+  }
   if (!answered) fields += PartsField(this->admitted->request);
   if (this->admitted->started) {
     fields += ' ' + KeyValue("first_ms",
--- a/policy/answer_verdict.h
+++ b/policy/answer_verdict.h
@@ -2,13 +2,14 @@
 #pragma once
 
 #include <cstdint>
+#include <string>
 #include <string_view>
 
 namespace hornbeamspool::policy {
 
 // The head of an answer, and the connection that it arrived on.
 struct AnswerFacts {
-  std::string_view request_id;   // that the answer names; may be empty
+  std::string request_id;        // that the answer names; may be empty
   bool not_executed = false;     // says that the request was not executed
   bool misdirected = false;      // and that another instance has the address
   bool success = false;          // has a status below 300
@@ -36,16 +37,16 @@
 
 // Some upstreams reject a request before they have read its id, so a rejection
 // may name none.
-constexpr bool IsUnnamedRejection(const AnswerFacts& answer) {
+inline bool IsUnnamedRejection(const AnswerFacts& answer) {
   return answer.not_executed && answer.request_id.empty();
 }
 
 // Judges an answer that arrived for the request with this id. `may_repeat` is
 // false for a request that must be executed at most once: it counts as not
 // executed only on proof.
-constexpr AnswerJudgement JudgeAnswer(const AnswerFacts& answer,
-                                      std::string_view request_id,
-                                      bool may_repeat) {
+inline AnswerJudgement JudgeAnswer(const AnswerFacts& answer,
+                                   std::string_view request_id,
+                                   bool may_repeat) {
   const bool kept = answer.earlier_requests > 0;
   const bool unnamed = answer.request_id.empty();
   if (!unnamed && answer.request_id != request_id) {
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -123,18 +123,18 @@
 TEST_CASE("a response's head shows whether the request was executed") {
   http::Response rejected;
   rejected.status = 503;
-  CHECK_FALSE(DecodeUpstreamResponse(rejected).not_executed);
+  CHECK_FALSE(DecodeUpstreamResponse(rejected).answer.not_executed);
   rejected.headers.push_back({"Not-Executed", "1"});
-  CHECK(DecodeUpstreamResponse(rejected).not_executed);
+  CHECK(DecodeUpstreamResponse(rejected).answer.not_executed);
   http::Response misdirected;
   misdirected.status = 421;
-  CHECK(DecodeUpstreamResponse(misdirected).not_executed);
+  CHECK(DecodeUpstreamResponse(misdirected).answer.not_executed);
   http::Response loaded;
   loaded.headers = {{"Instance-Load", "3,0,8"}, {"Server-Stamp", "x"}};
   REQUIRE(DecodeUpstreamResponse(loaded).load);
   CHECK(DecodeUpstreamResponse(loaded).load->running == 3);
   CHECK(DecodeUpstreamResponse(loaded).load->slots == 8);
-  CHECK(DecodeUpstreamResponse(loaded).has_server_stamp);
+  CHECK(DecodeUpstreamResponse(loaded).answer.has_server_stamp);
 }
 
 // Guards against an order that has run and is answered as if it had not.
@@ -143,12 +143,12 @@
   for (const std::uint16_t status : {408, 421, 429, 503}) {
     http::Response head;
     head.status = status;
-    CHECK(DecodeUpstreamResponse(head).status_promises);
+    CHECK(DecodeUpstreamResponse(head).answer.status_promises);
   }
   for (const std::uint16_t status : {200, 400, 409, 500, 502, 504}) {
     http::Response head;
     head.status = status;
-    CHECK_FALSE(DecodeUpstreamResponse(head).status_promises);
+    CHECK_FALSE(DecodeUpstreamResponse(head).answer.status_promises);
   }
 }
 
