--- a/tests/http_client_test.cc
+++ b/tests/http_client_test.cc
@@ -58,6 +58,11 @@
   net::read_until(socket, net::dynamic_buffer(request), "\r\n\r\n");
 }
 
+void AnswerRequest(tcp::socket& socket) {
+  ReadRequest(socket);
+  net::write(socket, net::buffer(std::string(kResponse)));
+}
+
 FetchResult Get(net::io_context& io, Client& client, const std::string& address,
                 const FetchOptions& options = {}) {
   Request request;
@@ -72,8 +77,7 @@
 TEST_CASE("a request is kBroken if it was sent before the server closed") {
   const ScriptedServer server([](tcp::acceptor& acceptor) {
     tcp::socket socket = acceptor.accept();
-    ReadRequest(socket);
-    net::write(socket, net::buffer(std::string(kResponse)));
+    AnswerRequest(socket);
     ReadRequest(socket);
     acceptor.close();
   });
@@ -88,8 +92,7 @@
   const ScriptedServer server([](tcp::acceptor& acceptor) {
     for (int i = 0; i < 2; ++i) {
       tcp::socket socket = acceptor.accept();
-      ReadRequest(socket);
-      net::write(socket, net::buffer(std::string(kResponse)));
+      AnswerRequest(socket);
     }
   });
   net::io_context io{1};
@@ -120,8 +123,7 @@
 TEST_CASE("idle connections to a server can be closed") {
   const ScriptedServer server([](tcp::acceptor& acceptor) {
     tcp::socket socket = acceptor.accept();
-    ReadRequest(socket);
-    net::write(socket, net::buffer(std::string(kResponse)));
+    AnswerRequest(socket);
     char byte = 0;
     boost::system::error_code error;
     net::read(socket, net::buffer(&byte, 1), error);
@@ -136,8 +138,7 @@
 TEST_CASE("the next response is read after one to an earlier request") {
   const ScriptedServer server([](tcp::acceptor& acceptor) {
     tcp::socket socket = acceptor.accept();
-    ReadRequest(socket);
-    net::write(socket, net::buffer(std::string(kResponse)));
+    AnswerRequest(socket);
     ReadRequest(socket);
     for (const std::string body : {"aa", "bb"}) {
       const std::string next =
@@ -167,15 +168,13 @@
 TEST_CASE("a connection is not reused once its next response was not read") {
   const ScriptedServer server([](tcp::acceptor& acceptor) {
     tcp::socket first = acceptor.accept();
-    ReadRequest(first);
-    net::write(first, net::buffer(std::string(kResponse)));
+    AnswerRequest(first);
     ReadRequest(first);
     net::write(first, net::buffer(std::string(kResponse) +
                                   "HTTP/1.1 200 HTTP/1.1 200 OK\r\n"
                                   "Content-Length: 0\r\n\r\n"));
     tcp::socket second = acceptor.accept();
-    ReadRequest(second);
-    net::write(second, net::buffer(std::string(kResponse)));
+    AnswerRequest(second);
   });
   net::io_context io{1};
   Client client(io);
@@ -203,8 +202,7 @@
     CAPTURE(cut);
     const ScriptedServer server([&](tcp::acceptor& acceptor) {
       tcp::socket socket = acceptor.accept();
-      ReadRequest(socket);
-      net::write(socket, net::buffer(std::string(kResponse)));
+      AnswerRequest(socket);
       ReadRequest(socket);
       net::write(socket, net::buffer(copy.substr(0, cut) + own));
     });
@@ -238,15 +236,13 @@
 TEST_CASE("a fresh connection takes the place of an idle one") {
   const ScriptedServer server([](tcp::acceptor& acceptor) {
     tcp::socket first = acceptor.accept();
-    ReadRequest(first);
-    net::write(first, net::buffer(std::string(kResponse)));
+    AnswerRequest(first);
     tcp::socket second = acceptor.accept();
     char byte = 0;
     boost::system::error_code error;
     net::read(first, net::buffer(&byte, 1), error);
     CHECK(error == net::error::eof);
-    ReadRequest(second);
-    net::write(second, net::buffer(std::string(kResponse)));
+    AnswerRequest(second);
   });
   net::io_context io{1};
   Client client(io);
