Stand-ins that send malformed bytes

A mutating proxy between a process and its upstreams or its store, a sender of malformed requests, and one of malformed datagrams with a valid MAC. Messages come from a corpus, changes from a seed.

--- a/standin/main.cc
+++ b/standin/main.cc
@@ -6,6 +6,9 @@
 //   standin load --target=IP:PORT --bearer=KEY ...
 //   standin duplicates --listen=IP:PORT --name=ID --seed=N --rejected=0.3 ...
 //   standin orders --targets=IP:PORT,... --host=HOST --paths=PATH,... ...
+//   standin proxy --listen=IP:PORT --target=IP:PORT --seed=N --mutated=0.1 ...
+//   standin bytes --targets=IP:PORT,... --corpus=FILE --seed=N ...
+//   standin datagrams --targets=IP:PORT,... --key=KEY --seed=N ...
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 
@@ -15,14 +18,17 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
+#include <fstream>
 #include <iostream>
 #include <string>
 #include <string_view>
 #include <vector>
 
+#include "standin/byte_sender.h"
 #include "standin/duplicating_server.h"
 #include "standin/engine_standin.h"
 #include "standin/load_generator.h"
+#include "standin/mutating_proxy.h"
 #include "standin/order_load.h"
 #include "standin/server_standin.h"
 #include "standin/service_standin.h"
@@ -62,6 +68,9 @@
 ABSL_FLAG(double, spliced, 0.0, "fraction of late copies that are cut off");
 ABSL_FLAG(double, cut, 0.0, "fraction of requests whose answers break off");
 ABSL_FLAG(double, split, 0.0, "fraction of answers sent byte by byte");
+ABSL_FLAG(double, mutated, 0.1, "fraction of messages that are malformed");
+ABSL_FLAG(std::string, corpus, "", "file of messages, one a line, escaped");
+ABSL_FLAG(std::string, key, "", "key that authenticates datagrams");
 ABSL_FLAG(std::string, host, "a.example", "host of the orders");
 ABSL_FLAG(std::int64_t, rate, 0, "orders per second; 0: no limit");
 ABSL_FLAG(std::int64_t, timeout_ms, 1000, "how long a caller waits");
@@ -158,6 +167,46 @@
   return 0;
 }
 
+int RunProxy() {
+  net::io_context io{1};
+  MutatingProxy proxy(
+      io, {absl::GetFlag(FLAGS_target), absl::GetFlag(FLAGS_seed),
+           absl::GetFlag(FLAGS_mutated), absl::GetFlag(FLAGS_split)});
+  return Serve(io, proxy.Listen(absl::GetFlag(FLAGS_listen)));
+}
+
+ByteSenderOptions SenderOptions() {
+  ByteSenderOptions options;
+  options.targets = absl::GetFlag(FLAGS_targets);
+  options.seed = absl::GetFlag(FLAGS_seed);
+  options.messages = absl::GetFlag(FLAGS_requests);
+  options.concurrency = absl::GetFlag(FLAGS_concurrency);
+  options.mutated = absl::GetFlag(FLAGS_mutated);
+  options.split = absl::GetFlag(FLAGS_split);
+  return options;
+}
+
+int RunBytes() {
+  net::io_context io{1};
+  ByteSenderOptions options = SenderOptions();
+  std::ifstream corpus(absl::GetFlag(FLAGS_corpus));
+  options.corpus = ReadCorpus(corpus);
+  if (options.targets.empty() || options.corpus.empty()) {
+    std::cerr << "--targets and --corpus must name a process and messages\n";
+    return 2;
+  }
+  ByteSender sender(io, std::move(options));
+  net::co_spawn(io, sender.Run(std::cout),
+                [&](const std::exception_ptr&) { io.stop(); });
+  io.run();
+  return 0;
+}
+
+int RunDatagrams() {
+  SendDatagrams(SenderOptions(), absl::GetFlag(FLAGS_key));
+  return 0;
+}
+
 json::object Percentiles(const std::vector<double>& values) {
   return {{"p50", Percentile(values, 0.50)},
           {"p95", Percentile(values, 0.95)},
@@ -214,7 +263,10 @@
   if (command == "load") return RunLoad();
   if (command == "duplicates") return RunDuplicatingServer();
   if (command == "orders") return RunOrders();
+  if (command == "proxy") return RunProxy();
+  if (command == "bytes") return RunBytes();
+  if (command == "datagrams") return RunDatagrams();
   std::cerr << "usage: standin engine|service|store|server|load|duplicates|"
-               "orders [flags]\n";
+               "orders|proxy|bytes|datagrams [flags]\n";
   return 2;
 }
