Limit the numbers that others write to ranges in which sums fit

A build with sanitizers ended.

Cause: numbers were parsed as any 64-bit value, then added up and converted from milliseconds or seconds to microseconds. One place (platform/bounded_number) now parses those of callers and upstreams, with ranges: tokens of a request or a part up to 10^8, else 400; the caller's time is limited, not rejected; a load report out of range is ignored. Numbers of documents and rows are limited, or their row is unreadable. A flag of a datagram is read from any byte: a bool that holds another value than 0 or 1 is undefined.

With sanitizers, the processes of the test that follows ended in upstream_selector.cc:174, chrono.h:225 (Keep-Alive) and rate_message.h:20. The new cases of platform_test, transport_test and http_client_test end the process before (signed overflow, invalid bool). The case of row_codec_test was not run before: it needs the new limit to compile.

Encodings are unchanged: a flag remains one byte.

--- a/gateway/crash_watch.cc
+++ b/gateway/crash_watch.cc
@@ -11,6 +11,7 @@
 #include "hornbeamspool/clock.h"
 #include "hornbeamspool/metrics.h"
 #include "http/client.h"
+#include "platform/bounded_number.h"
 #include "policy/event.h"
 #include "policy/gateway_core.h"
 
@@ -141,6 +142,7 @@
     return;
   }
   for (CrashRowRecord& record : decoded->records) {
+    if (!platform::IsInRange(record.announced_ms)) continue;
     const Duration age =
         std::chrono::milliseconds(store_ms - record.announced_ms);
     if (age >= policy::CrashSuspects::kSuspicionTimeout) continue;
--- a/gateway/poison_part_sync.cc
+++ b/gateway/poison_part_sync.cc
@@ -11,6 +11,7 @@
 #include "gateway/poison_part_rows.h"
 #include "hornbeamspool/clock.h"
 #include "hornbeamspool/metrics.h"
+#include "platform/bounded_number.h"
 #include "policy/event.h"
 #include "policy/gateway_core.h"
 
@@ -110,7 +111,10 @@
   std::vector<PoisonPartRecord> records;
   for (PoisonPartRowRecord& record : decoded->records) {
     const auto kind = static_cast<PoisonPartRecordKind>(record.kind);
-    if (kind >= PoisonPartRecordKind::kCount) continue;
+    const bool valid = kind < PoisonPartRecordKind::kCount &&
+                       platform::IsInRange(record.at_ms) &&
+                       platform::IsInRange(record.in_flight_us);
+    if (!valid) continue;
     const std::int64_t age_ms =
         std::max<std::int64_t>(0, clock.At(now) - record.at_ms);
     records.push_back({kind, record.part, std::move(record.subject),
--- a/gateway/rollout_rows.h
+++ b/gateway/rollout_rows.h
@@ -4,6 +4,7 @@
 #include <cereal/types/map.hpp>
 
 #include "gateway/row_codec.h"
+#include "platform/bounded_number.h"
 #include "policy/version_rollout.h"
 
 namespace hornbeamspool::policy {
@@ -17,12 +18,23 @@
   }
 }
 
+// Times in milliseconds, and counts. Loading throws when one is out of range.
+template <typename Archive, typename... Numbers>
+void SerializeNumbers(Archive& archive, Numbers&... numbers) {
+  archive(numbers...);
+  const bool valid = (platform::IsInRange(numbers) && ...);
+  if (Archive::is_loading::value && !valid) {
+    throw cereal::Exception("number out of range");
+  }
+}
+
 template <typename Archive>
 void serialize(Archive& archive, RolloutProgress& progress) {
   archive(progress.order_revision, gateway::RowString{&progress.version});
   SerializePhase(archive, progress.phase);
-  archive(progress.began_ms, progress.deadline_ms,
-          progress.driver_lease_until_ms, gateway::RowString{&progress.driver});
+  SerializeNumbers(archive, progress.began_ms, progress.deadline_ms,
+                   progress.driver_lease_until_ms);
+  archive(gateway::RowString{&progress.driver});
 }
 
 template <typename Archive>
@@ -45,9 +57,10 @@
 void serialize(Archive& archive, RolloutReport& report) {
   archive(report.order_revision, report.incarnation);
   SerializePhase(archive, report.phase);
-  archive(report.reported_ms, report.old_in_flight, report.sends,
-          report.arrived_sends, report.new_version_sends,
-          gateway::RowMap<std::map<std::int32_t, RouteStats>>{&report.routes});
+  SerializeNumbers(archive, report.reported_ms, report.old_in_flight,
+                   report.sends, report.arrived_sends,
+                   report.new_version_sends);
+  archive(gateway::RowMap<std::map<std::int32_t, RouteStats>>{&report.routes});
 }
 
 }  // namespace hornbeamspool::policy
--- a/http/client.cc
+++ b/http/client.cc
@@ -43,6 +43,9 @@
 constexpr coordination::Duration kDefaultIdleTimeout =
     std::chrono::milliseconds(2500);
 
+// Limit of the idle timeout that a server announces.
+constexpr std::int64_t kMaxIdleSeconds = 86'400;
+
 // Subtracted from the timeout that a server announces, so that a request
 // arrives before the server closes the connection.
 constexpr coordination::Duration kIdleTimeoutMargin =
@@ -265,7 +268,8 @@
   if (position == std::string_view::npos) return kDefaultIdleTimeout;
   const std::string_view digits = value.substr(position + kTimeout.size());
   std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
-  return std::chrono::seconds(seconds) - kIdleTimeoutMargin;
+  const auto limited = std::clamp<std::int64_t>(seconds, 0, kMaxIdleSeconds);
+  return std::chrono::seconds(limited) - kIdleTimeoutMargin;
 }
 
 }  // namespace
--- a/tests/http_client_test.cc
+++ b/tests/http_client_test.cc
@@ -280,6 +280,23 @@
   }
 }
 
+// Guards against a conversion to microseconds that overflows.
+TEST_CASE("a server may announce any idle timeout") {
+  for (const std::string seconds :
+       {"9223372036854775807", "99999999999999999999", "-5", ""}) {
+    const ScriptedServer server([&](tcp::acceptor& acceptor) {
+      tcp::socket socket = acceptor.accept();
+      ReadRequest(socket);
+      net::write(socket,
+                 net::buffer("HTTP/1.1 200 OK\r\nKeep-Alive: timeout=" +
+                             seconds + "\r\nContent-Length: 0\r\n\r\n"));
+    });
+    net::io_context io{1};
+    Client client(io);
+    CHECK(Get(io, client, server.Address()).status == FetchStatus::kOk);
+  }
+}
+
 // A response that sends `repeated` without end after `first`.
 struct EndlessResponse {
   std::string name;
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -65,6 +65,53 @@
 
 // Guards against a part of prompts that crashes upstreams and is never named:
 // the parts were read only beside the counts of tokens.
+http::Request WithHeader(std::string_view name, std::string_view value) {
+  http::Request request = MakeModelRequest();
+  std::erase_if(request.headers, [&](const http::Header& header) {
+    return header.name == name;
+  });
+  request.headers.push_back({std::string(name), std::string(value)});
+  return request;
+}
+
+// Guards against sums that overflow: a negative reservation adds to a budget.
+TEST_CASE("numbers of tokens beyond the limit are an error") {
+  for (const auto& [name, value] :
+       {std::pair{"Token-Count", "9223372036854775807,1"},
+        std::pair{"Token-Count", "1,9223372036854775807"},
+        std::pair{"Token-Count", "100000001,1"},
+        std::pair{"Prompt-Prefix", "1:9223372036854775807,2:1"},
+        std::pair{"Prompt-Prefix", "1:-9223372036854775808"}}) {
+    std::string error;
+    CHECK_FALSE(DecodeRequest(WithHeader(name, value), error));
+    CHECK_FALSE(error.empty());
+  }
+  std::string error;
+  const auto largest =
+      DecodeRequest(WithHeader("Token-Count", "100000000,100000000"), error);
+  REQUIRE(largest);
+  CHECK(largest->demand->MaxTokens() == 200'000'000);
+}
+
+// Guards against a conversion to microseconds that overflows.
+TEST_CASE("a caller may wait for any time") {
+  std::string error;
+  const auto request =
+      DecodeRequest(WithHeader("Deadline-Ms", "9223372036854775807"), error);
+  REQUIRE(request);
+  CHECK(request->caller_timeout > std::chrono::hours(24));
+}
+
+TEST_CASE("a load report with numbers out of range is ignored") {
+  http::Response head;
+  head.headers = {{"Instance-Load", "9223372036854775807,1,8"}};
+  CHECK_FALSE(DecodeUpstreamResponse(head).load);
+  head.headers = {{"Instance-Load", "-1,1,8"}};
+  CHECK_FALSE(DecodeUpstreamResponse(head).load);
+  head.headers = {{"Instance-Load", "3,1,8"}};
+  CHECK(DecodeUpstreamResponse(head).load);
+}
+
 TEST_CASE("the parts of a prompt are read without its counts of tokens") {
   http::Request request = MakeModelRequest();
   std::erase_if(request.headers, [](const http::Header& header) {
@@ -259,6 +306,30 @@
   }
 }
 
+// Guards against conversions to integers and microseconds that overflow.
+TEST_CASE("numbers of documents are limited to a range") {
+  for (const std::string number :
+       {"9223372036854775807", "18446744073709551615", "1e300"}) {
+    std::string error;
+    const auto config = DecodeConfig(
+        R"({"version":3,"routes":[{"name":"r","host":"h","prefix":"/",)"
+        R"("kind":"stream","service":"s","timeout_ms":)" +
+            number + R"(}],"services":[]})",
+        error);
+    REQUIRE_MESSAGE(config, error);
+    CHECK(config->routes.front().timeout > std::chrono::hours(24));
+    const auto order = DecodeRolloutOrder(
+        R"({"service":"s","to":"v2","ramp_s":)" + number + "}", 1);
+    REQUIRE(order);
+    CHECK(order->time_limit > std::chrono::hours(24));
+  }
+  const auto upstream = DecodeUpstream(
+      "i", R"({"service":"s","address":"127.0.0.1:1","zone":"z","version":"v",)"
+           R"("slot_count":9223372036854775807,"state":"ready"})");
+  REQUIRE(upstream);
+  CHECK(upstream->slots <= 1'000'000);
+}
+
 TEST_CASE("rows that are not valid registrations of upstreams are ignored") {
   const std::string valid =
       R"({"service":"s","address":"10.128.0.9:8080","zone":"z","version":"v1",)"
--- a/tests/row_codec_test.cc
+++ b/tests/row_codec_test.cc
@@ -86,6 +86,19 @@
   CHECK_FALSE(DecodeRow<policy::RolloutProgress>(bytes));
 }
 
+// Guards against sums of times that overflow.
+TEST_CASE("a row with a time out of range is rejected") {
+  policy::RolloutReport report = SampleReport();
+  report.reported_ms = platform::kMaxNumber;
+  std::string bytes = EncodeRow(report);
+  REQUIRE(DecodeRow<policy::RolloutReport>(bytes));
+  const std::string largest = EncodedLength(platform::kMaxNumber).substr(1);
+  const std::size_t at = bytes.find(largest);
+  REQUIRE(at != std::string::npos);
+  bytes.replace(at, largest.size(), EncodedLength(INT64_MAX).substr(1));
+  CHECK_FALSE(DecodeRow<policy::RolloutReport>(bytes));
+}
+
 TEST_CASE("truncated and corrupted rows are decoded or rejected") {
   std::mt19937_64 random(20'261'204);
   for (const std::string& valid :
--- a/tests/transport_test.cc
+++ b/tests/transport_test.cc
@@ -202,6 +202,23 @@
   }
 }
 
+// Guards against a bool that holds another byte than 0 or 1, which has
+// undefined behaviour.
+TEST_CASE("a flag is read from any byte") {
+  RateMessage message;
+  message.sender = "vm-1";
+  message.limited = true;
+  std::string bytes = EncodeRateMessage(message);
+  const std::size_t flag = bytes.find('\1', bytes.find("vm-1"));
+  REQUIRE(flag != std::string::npos);
+  bytes[flag] = 'q';
+  const auto decoded = DecodeRateMessage(bytes);
+  REQUIRE(decoded);
+  const bool limited = decoded->limited;
+  CHECK(limited);
+  CHECK(EncodeRateMessage(*decoded) == EncodeRateMessage(message));
+}
+
 TEST_CASE("a rate message with an impossible value is rejected") {
   const auto rejects = [](const RateMessage& message) {
     return !DecodeRateMessage(EncodeRateMessage(message));
--- a/transport/backoff_message.cc
+++ b/transport/backoff_message.cc
@@ -6,6 +6,7 @@
 
 #include "policy/announced_backoff.h"
 #include "transport/datagram.h"
+#include "transport/flag.h"
 #include "transport/short_string.h"
 
 namespace hornbeamspool::transport {
@@ -48,13 +49,13 @@
 template <typename Archive>
 void load(Archive& archive, BackoffMessage& message) {
   std::uint8_t count = 0;
-  archive(ShortString{&message.sender}, message.query, count);
+  archive(ShortString{&message.sender}, Flag{&message.query}, count);
   for (std::uint8_t i = 0; i < count; ++i) {
     Notice notice;
     std::int64_t remaining_ms = 0;
     std::int64_t age_ms = 0;
     archive(ShortString{&notice.instance}, ShortString{&notice.vm},
-            notice.identified, remaining_ms, age_ms);
+            Flag{&notice.identified}, remaining_ms, age_ms);
     const bool valid = IsTime(remaining_ms, policy::kMaxPause) &&
                        IsTime(age_ms, policy::UpstreamBackoff::kMaxNoticeAge);
     if (!valid) continue;
--- a/transport/budget_message.cc
+++ b/transport/budget_message.cc
@@ -9,6 +9,13 @@
 // "BGM2"; the last byte is the version of the encoding.
 constexpr std::uint32_t kMagic = 0x42474d32;
 
+// Tokens; a sum of several amounts fits into 64 bits.
+constexpr std::int64_t kMaxAmount = 1'000'000'000'000'000;
+
+bool IsAmount(std::int64_t amount) {
+  return amount >= 0 && amount <= kMaxAmount;
+}
+
 }  // namespace
 
 template <typename Archive>
@@ -42,7 +49,7 @@
   if (!message) return std::nullopt;
   const bool valid = message->kind < BudgetMessageKind::kCount &&
                      message->status < TransferStatus::kCount &&
-                     message->min_amount >= 0 && message->amount >= 0;
+                     IsAmount(message->min_amount) && IsAmount(message->amount);
   return valid ? message : std::nullopt;
 }
 
--- a/transport/rate_message.cc
+++ b/transport/rate_message.cc
@@ -3,6 +3,7 @@
 #include <cmath>
 
 #include "transport/datagram.h"
+#include "transport/flag.h"
 #include "transport/short_string.h"
 
 namespace hornbeamspool::policy {
@@ -19,11 +20,12 @@
 
 template <typename Archive>
 void load(Archive& archive, RateMessage& message) {
+  using transport::Flag;
   std::uint8_t kind = 0;
   archive(kind, message.id, transport::ShortString{&message.sender},
-          transport::ShortString{&message.instance}, message.limited,
-          message.per_second, message.age_ms, message.failover, message.granted,
-          message.next_permit_ms, message.backlog_ms);
+          transport::ShortString{&message.instance}, Flag{&message.limited},
+          message.per_second, message.age_ms, Flag{&message.failover},
+          Flag{&message.granted}, message.next_permit_ms, message.backlog_ms);
   message.kind = static_cast<RateMessageKind>(kind);
 }
 
