Reject fields that the HTTP parser can't store, and contain exceptions

Callers lost all requests of a gateway or a router: where the limit of a head is over 64 KiB, a field of 65,534 bytes or more ended the process with SIGABRT. In trailers, which had no limit at all, such a field closed the connection without an answer, and the request counted as being read for good, so that a stop took all of its time.

Cause: Beast stores fields with 16-bit lengths and throws std::length_error beyond. Its asynchronous read calls the parser in a handler of the event loop, where an exception leaves io_context::run(); in a coroutine it ends the connection silently. The server now reads heads in its own loop, as bodies since, and answers 431. What a chunked body holds beside its content is limited to 16 KiB, as in the client.

An exception of a handler or a connection is now reported, and a request is uncounted however it ends. RunEventLoop() goes on after an exception of a handler. The client sends TRACE requests with a body, for which prepare_payload() throws.

--- a/http/background_task.cc
+++ b/http/background_task.cc
@@ -63,4 +63,16 @@
       boost::asio::detached);
 }
 
+void RunEventLoop(boost::asio::io_context& io,
+                  const ExceptionHandler& on_exception) {
+  while (true) {
+    try {
+      io.run();
+      return;
+    } catch (...) {
+      on_exception(MessageOf(std::current_exception()));
+    }
+  }
+}
+
 }  // namespace hornbeamspool::http
--- a/http/background_task.h
+++ b/http/background_task.h
@@ -1,5 +1,6 @@
-// Starts coroutines that no other coroutine awaits. Exceptions that leave them
-// are reported to a handler.
+// Starts coroutines that no other coroutine awaits, and runs event loops.
+// Exceptions that leave a coroutine or a handler are reported; they don't end
+// the process.
 #pragma once
 
 #include <boost/asio/io_context.hpp>
@@ -24,4 +25,9 @@
                          std::function<Task<void>()> begin,
                          ExceptionHandler on_exception);
 
+// Runs the handlers of `io` until it is stopped or has no work left. Calls
+// `on_exception` for each exception that leaves a handler, and goes on.
+void RunEventLoop(boost::asio::io_context& io,
+                  const ExceptionHandler& on_exception);
+
 }  // namespace hornbeamspool::http
--- a/http/client.cc
+++ b/http/client.cc
@@ -66,6 +66,13 @@
 // Size of one read from the socket.
 constexpr std::size_t kReadBytes = 8 * 1024;
 
+// Whether a request of this method names the length of a body that is empty
+// (RFC 9110, 8.6).
+bool MayHaveBody(bhttp::verb method) {
+  return method == bhttp::verb::post || method == bhttp::verb::put ||
+         method == bhttp::verb::options;
+}
+
 bhttp::request<bhttp::string_body> ToBeast(std::string_view address,
                                            const Request& request) {
   bhttp::request<bhttp::string_body> message;
@@ -79,7 +86,10 @@
     message.insert(header.name, header.value);
   }
   message.body() = request.body;
-  message.prepare_payload();
+  // prepare_payload() throws for TRACE with a body.
+  if (!request.body.empty() || MayHaveBody(message.method())) {
+    message.content_length(request.body.size());
+  }
   return message;
 }
 
--- a/http/server.cc
+++ b/http/server.cc
@@ -1,8 +1,6 @@
 #include "http/server.h"
 
 #include <array>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/write.hpp>
@@ -11,6 +9,7 @@
 #include <exception>
 #include <optional>
 #include <set>
+#include <stdexcept>
 #include <string>
 #include <utility>
 
@@ -33,8 +32,12 @@
 // Bytes read at once from an idle or closing connection.
 constexpr std::size_t kReadBytes = 1024;
 
-// Bytes of a request's body read at once.
-constexpr std::size_t kBodyReadBytes = 16 * 1024;
+// Bytes of a request read at once.
+constexpr std::size_t kMessageReadBytes = 16 * 1024;
+
+// Limit of the bytes of a body that are neither content nor complete: the size
+// line of a chunk, or the trailers.
+constexpr std::size_t kMaxFramingBytes = 16 * 1024;
 
 // How long a closing connection still reads. If it closed with unread bytes,
 // the kernel would reset it, and the client might lose the response.
@@ -83,23 +86,45 @@
   ServerLimits limits;
   Handler handler;
   RejectHandler reject_handler;
+  ExceptionHandler on_exception;
   std::optional<TcpAcceptor> acceptor;
   std::set<TcpSocket*> idle_sockets;  // of connections that await a request
   std::size_t open_connections = 0;
   std::size_t active_requests = 0;
   bool draining = false;
   bool keep_alive_disabled = false;
+
+  void ReportException(std::string_view message) const {
+    if (this->on_exception) this->on_exception(message);
+  }
 };
 
 namespace {
 
+// Counts a request in `Server::State::active_requests`.
+class ActiveRequest {
+ public:
+  explicit ActiveRequest(Server::State& state) : state(&state) {
+    ++this->state->active_requests;
+  }
+  ActiveRequest(const ActiveRequest&) = delete;
+  ActiveRequest& operator=(const ActiveRequest&) = delete;
+  ~ActiveRequest() { --this->state->active_requests; }
+
+ private:
+  Server::State* state;
+};
+
 // One connection. Handles its requests one after another in the order of their
 // arrival, including pipelined ones.
 class Connection : public Exchange,
                    public std::enable_shared_from_this<Connection> {
  public:
   Connection(TcpSocket socket, std::shared_ptr<Server::State> state);
-  ~Connection() override { --this->state->open_connections; }
+  ~Connection() override {
+    this->state->idle_sockets.erase(&this->socket);
+    --this->state->open_connections;
+  }
 
   Task<void> Run();
 
@@ -118,7 +143,7 @@
   Task<void> LingeringClose();
   Task<bool> WaitForRequest();
   Task<std::optional<RejectReason>> ReadRequest();
-  Task<void> ReadBody(RequestParser& parser, error_code& error);
+  Task<void> ReadPart(RequestParser& parser, bool whole, error_code& error);
   std::optional<RejectReason> RejectReasonOf(const error_code& error);
   Task<void> Handle();
   bool KeepAlive() const {
@@ -159,7 +184,7 @@
   bool keep_alive = true;
   while (!this->disconnected && keep_alive) {
     if (!co_await this->WaitForRequest()) break;
-    ++this->state->active_requests;
+    const ActiveRequest active(*this->state);
     const std::optional<RejectReason> reject = co_await this->ReadRequest();
     this->guard.Disarm();
     if (reject) {
@@ -169,7 +194,6 @@
       co_await this->Handle();
     }
     this->on_disconnect = nullptr;
-    --this->state->active_requests;
     keep_alive = this->KeepAlive();
   }
   co_await this->LingeringClose();
@@ -258,8 +282,7 @@
   this->response_started = false;
   error_code error;
   this->guard.Arm(this->state->limits.header_timeout);
-  co_await bhttp::async_read_header(this->socket, this->buffer, parser,
-                                    net::redirect_error(kAwait, error));
+  co_await this->ReadPart(parser, false, error);
   if (!error && IsAmbiguous(parser.get())) co_return RejectReason::kMalformed;
   if (!error) {
     this->guard.Arm(this->state->limits.body_timeout);
@@ -269,9 +292,7 @@
       co_await bhttp::async_write(this->socket, continue_response,
                                   net::redirect_error(kAwait, error));
     }
-    if (!error) {
-      co_await this->ReadBody(parser, error);
-    }
+    if (!error) co_await this->ReadPart(parser, true, error);
   }
   if (!error) {
     this->wants_keep_alive = parser.keep_alive();
@@ -282,21 +303,43 @@
   co_return this->RejectReasonOf(error);
 }
 
-// Reads the body of the request whose head `parser` has read.
-Task<void> Connection::ReadBody(RequestParser& parser, error_code& error) {
-  parser.eager(true);
-  bool begun = false;
+// Parses bytes of a request. Returns how many were parsed.
+std::size_t Parse(RequestParser& parser, net::const_buffer bytes,
+                  error_code& error) {
+  try {
+    const std::size_t count = parser.put(bytes, error);
+    if (error == bhttp::error::need_more) error = {};
+    return count;
+  } catch (const std::length_error&) {
+    // Beast stores fields of up to 64 KiB.
+    error = bhttp::error::header_limit;
+    return 0;
+  }
+}
+
+// Reads the head of a request or, if `whole`, the rest of it.
+Task<void> Connection::ReadPart(RequestParser& parser, bool whole,
+                                error_code& error) {
+  parser.eager(whole);
+  bool body_begun = false;
   while (true) {
-    const bool may_parse = this->buffer.size() > 0 && !parser.is_done() &&
-                           MayParseBody(parser, this->buffer.size(), begun);
+    const bool complete = whole ? parser.is_done() : parser.is_header_done();
+    if (complete) co_return;
+    const std::size_t buffered = this->buffer.size();
+    const bool may_parse =
+        buffered > 0 && (!whole || MayParseBody(parser, buffered, body_begun));
     if (may_parse) {
-      begun = true;
-      this->buffer.consume(parser.put(this->buffer.data(), error));
-      if (error == bhttp::error::need_more) error = {};
+      body_begun = whole;
+      this->buffer.consume(Parse(parser, this->buffer.data(), error));
+      if (error) co_return;
+      if (this->buffer.size() < buffered) continue;
+    }
+    if (whole && this->buffer.size() > kMaxFramingBytes) {
+      error = bhttp::error::header_limit;
+      co_return;
     }
-    if (error || parser.is_done()) co_return;
     const std::size_t count = co_await this->socket.async_read_some(
-        this->buffer.prepare(kBodyReadBytes),
+        this->buffer.prepare(kMessageReadBytes),
         net::redirect_error(kAwait, error));
     this->buffer.commit(count);
     if (error == net::error::eof) parser.put_eof(error);
@@ -328,8 +371,9 @@
   bool failed = false;
   try {
     co_await this->state->handler(*this);
-  } catch (const std::exception&) {
+  } catch (const std::exception& exception) {
     failed = true;
+    this->state->ReportException(exception.what());
   }
   if (!failed && this->response_started) co_return;
   if (this->response_started) {
@@ -398,6 +442,10 @@
   this->socket.close(ignored);
 }
 
+Task<void> Serve(std::shared_ptr<Connection> connection) {
+  co_await connection->Run();
+}
+
 Task<void> AcceptConnections(std::shared_ptr<Server::State> state) {
   while (!state->draining) {
     error_code error;
@@ -407,21 +455,21 @@
     if (error) continue;
     socket.set_option(tcp::no_delay(true), error);
     auto connection = std::make_shared<Connection>(std::move(socket), state);
-    net::co_spawn(
-        *state->io,
-        [connection]() -> Task<void> { co_await connection->Run(); },
-        net::detached);
+    Spawn(
+        *state->io, Serve(std::move(connection)),
+        [state](std::string_view message) { state->ReportException(message); });
   }
 }
 
 }  // namespace
 
 Server::Server(net::io_context& io, ServerLimits limits, Handler handler,
-               RejectHandler reject_handler)
+               RejectHandler reject_handler, ExceptionHandler on_exception)
     : state(std::make_shared<State>(io)) {
   this->state->limits = limits;
   this->state->handler = std::move(handler);
   this->state->reject_handler = std::move(reject_handler);
+  this->state->on_exception = std::move(on_exception);
 }
 
 Server::~Server() { this->Drain(); }
@@ -436,8 +484,12 @@
     this->state->acceptor.reset();
     return 0;
   }
-  net::co_spawn(*this->state->io, AcceptConnections(this->state),
-                net::detached);
+  SpawnBackgroundTask(
+      *this->state->io,
+      [state = this->state] { return AcceptConnections(state); },
+      [state = this->state](std::string_view message) {
+        state->ReportException(message);
+      });
   return this->state->acceptor->local_endpoint().port();
 }
 
--- a/http/server.h
+++ b/http/server.h
@@ -9,6 +9,7 @@
 #include <string_view>
 
 #include "coordination/time.h"
+#include "http/background_task.h"
 #include "http/exchange.h"
 #include "http/message.h"
 #include "http/task.h"
@@ -50,8 +51,10 @@
 // of its io_context.
 class Server {
  public:
+  // `on_exception` is called when an exception ends a request or a connection;
+  // other connections go on. May be null.
   Server(boost::asio::io_context& io, ServerLimits limits, Handler handler,
-         RejectHandler reject_handler);
+         RejectHandler reject_handler, ExceptionHandler on_exception = {});
   Server(const Server&) = delete;
   Server& operator=(const Server&) = delete;
   // Drains the server.
--- a/tests/http_client_test.cc
+++ b/tests/http_client_test.cc
@@ -280,6 +280,27 @@
   }
 }
 
+// Guards against an exception: Beast rejects such a request.
+TEST_CASE("a TRACE request is sent with its body") {
+  std::string received;
+  {
+    const ScriptedServer server([&](tcp::acceptor& acceptor) {
+      tcp::socket socket = acceptor.accept();
+      net::read_until(socket, net::dynamic_buffer(received), "\r\n\r\nhi");
+      net::write(socket, net::buffer(std::string(kResponse)));
+    });
+    net::io_context io{1};
+    Client client(io);
+    Request request;
+    request.method = "TRACE";
+    request.body = "hi";
+    const FetchResult result =
+        RunTask(io, client.Fetch(server.Address(), request, {}));
+    CHECK(result.status == FetchStatus::kOk);
+  }
+  CHECK(received.find("Content-Length: 2\r\n") != std::string::npos);
+}
+
 // Guards against a conversion to microseconds that overflows.
 TEST_CASE("a server may announce any idle timeout") {
   for (const std::string seconds :
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -2,6 +2,7 @@
 // pipelining and disconnecting clients; of Watchdog and EventStreamParser.
 #include <doctest/doctest.h>
 
+#include <atomic>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/connect.hpp>
 #include <boost/asio/io_context.hpp>
@@ -13,10 +14,12 @@
 #include <chrono>
 #include <future>
 #include <memory>
+#include <stdexcept>
 #include <string>
 #include <thread>
 #include <vector>
 
+#include "http/background_task.h"
 #include "http/event_stream.h"
 #include "http/server.h"
 #include "http/task.h"
@@ -55,8 +58,10 @@
 
 // A server that runs on its own thread.
 struct Fixture {
-  Fixture()
-      : server(this->io, SmallLimits(), Echo, StatusFor),
+  explicit Fixture(const ServerLimits& limits = SmallLimits(),
+                   Handler handler = Echo, ExceptionHandler on_exception = {})
+      : server(this->io, limits, std::move(handler), StatusFor,
+               std::move(on_exception)),
         port(this->server.Listen("127.0.0.1:0")),
         thread([this] { this->io.run(); }) {}
   Fixture(const Fixture&) = delete;
@@ -79,6 +84,20 @@
     return response;
   }
 
+  // Requests that the server counts as not complete. Waits until there is none,
+  // but not for good.
+  std::size_t RemainingRequests() {
+    std::size_t active = 1;
+    for (int i = 0; i < 100 && active > 0; ++i) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(10));
+      std::promise<std::size_t> count;
+      net::post(this->io,
+                [&] { count.set_value(this->server.ActiveRequests()); });
+      active = count.get_future().get();
+    }
+    return active;
+  }
+
   net::io_context io{1};
   Server server;
   std::uint16_t port;
@@ -136,6 +155,75 @@
   }
 }
 
+// Guards against a connection that ends without an answer and counts as a
+// request for good, and against memory without a bound: Beast limits heads and
+// content, not trailers and extensions of chunks.
+TEST_CASE("trailers and extensions of chunks over the limit get status 431") {
+  Fixture fixture;
+  const std::string head =
+      "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+  for (const std::string& body :
+       {"0\r\nX: " + std::string(70'000, 'x') + "\r\n\r\n",
+        "1;x=" + std::string(70'000, 'x') + "\r\na\r\n0\r\n\r\n",
+        "1\r\na\r\n0\r\n" + std::string(70'000, 'x')}) {
+    CHECK(fixture.SendAndReadAll(head + body).starts_with("HTTP/1.1 431"));
+  }
+  CHECK(fixture.RemainingRequests() == 0);
+}
+
+// Guards against an exception of the parser that leaves the event loop and ends
+// the process: it stores fields of up to 64 KiB.
+TEST_CASE("a field over 64 KiB gets status 431 although the limit is higher") {
+  ServerLimits limits;
+  limits.max_header_bytes = 1U << 20U;
+  Fixture fixture(limits);
+  for (const std::string& field :
+       {"X: " + std::string(70'000, 'x'), std::string(70'000, 'x') + ": y"}) {
+    CHECK(fixture
+              .SendAndReadAll("GET / HTTP/1.1\r\nHost: h\r\n" + field +
+                              "\r\n\r\n")
+              .starts_with("HTTP/1.1 431"));
+  }
+  CHECK(fixture
+            .SendAndReadAll("GET / HTTP/1.1\r\nHost: h\r\n"
+                            "Connection: close\r\nY: " +
+                            std::string(60'000, 'x') + "\r\n\r\n")
+            .starts_with("HTTP/1.1 200"));
+  CHECK(fixture.RemainingRequests() == 0);
+}
+
+TEST_CASE("an exception of a handler is reported and ends its request alone") {
+  std::atomic<int> reported{0};
+  Fixture fixture(
+      SmallLimits(),
+      [](Exchange& exchange) -> http::Task<void> {
+        if (exchange.GetRequest().method == "TRACE") {
+          throw std::runtime_error("fault");
+        }
+        co_await Echo(exchange);
+      },
+      [&](std::string_view) { ++reported; });
+  const std::string response = fixture.SendAndReadAll(
+      "TRACE / HTTP/1.1\r\nHost: h\r\n\r\n"
+      "GET /next HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+  CHECK(response.starts_with("HTTP/1.1 500"));
+  CHECK(response.ends_with("GET /next "));
+  CHECK(reported == 1);
+  CHECK(fixture.RemainingRequests() == 0);
+}
+
+// Guards against an exception that ends the process.
+TEST_CASE("an event loop goes on after an exception of a handler") {
+  net::io_context io{1};
+  int reported = 0;
+  bool continued = false;
+  net::post(io, [] { throw std::runtime_error("fault"); });
+  net::post(io, [&] { continued = true; });
+  RunEventLoop(io, [&](std::string_view) { ++reported; });
+  CHECK(reported == 1);
+  CHECK(continued);
+}
+
 TEST_CASE("a chunked request body is decoded") {
   const Fixture fixture;
   const std::string response = fixture.SendAndReadAll(
