Keep duties and requests going after an exception

A request that an exception ended (TRACE with a body did) was never finished: its reservation stayed, and a stop waited for it until its time was over. In the chat-completions router an exception ended a duty silently, such as receiving heartbeats or following the configuration; an order's row with a fingerprint of more than 19 digits left the order without a reply; one that left a handler ended the process.

Cause: coroutines were started detached, which drops exceptions, and threads ran io_context::run() without a handler. Duties are now restarted, event loops go on, each exception is counted (faults) and logged (event=fault, duty, fault). A request releases what it holds when its relay fails. A queue's message is taken out before its handler runs, which may throw: consume_all() would deliver it again.

--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -25,6 +25,7 @@
 #include "hornbeamspool/clock.h"
 #include "hornbeamspool/error_response.h"
 #include "hornbeamspool/metrics.h"
+#include "http/background_task.h"
 #include "http/client.h"
 #include "http/server.h"
 #include "platform/documents.h"
@@ -124,6 +125,11 @@
   void ReplaceUpstreams(const std::vector<platform::StoreRow>& rows);
   void LogStoreReachable(std::string_view table, bool reachable);
   void OnStoreRestored(std::string_view table, std::uint64_t era);
+  http::ExceptionHandler ExceptionLogger(std::string name) {
+    return [this, name = std::move(name)](std::string_view message) {
+      LogException(this->context, name, message);
+    };
+  }
   bool Ready() const;
   http::Task<void> ServeReadiness(http::Exchange& exchange);
   http::Task<void> ServeMetrics(http::Exchange& exchange);
@@ -216,19 +222,19 @@
           [this](http::Exchange& exchange) {
             return ServeRequest(this->context, exchange);
           },
-          &RejectResponse),
+          &RejectResponse, this->ExceptionLogger("callers")),
       readiness_server(
           this->io, http::ServerLimits{},
           [this](http::Exchange& exchange) {
             return this->ServeReadiness(exchange);
           },
-          &RejectResponse),
+          &RejectResponse, this->ExceptionLogger("readiness")),
       metrics_server(
           this->io, http::ServerLimits{},
           [this](http::Exchange& exchange) {
             return this->ServeMetrics(exchange);
           },
-          &RejectResponse),
+          &RejectResponse, this->ExceptionLogger("metrics")),
       operator_table(
           this->io, this->store, std::string(platform::kOperatorTable),
           {[this](const auto& rows) { this->ReplaceOperatorRows(rows); },
@@ -573,7 +579,7 @@
   state.backoff.Start();
   SpawnBackgroundTask(state.context, "upstreams",
                       [&state] { return state.RunPeriodicChecks(); });
-  state.io.run();
+  http::RunEventLoop(state.io, state.ExceptionLogger("event_loop"));
   return {};
 }
 
--- a/gateway/request_relay.cc
+++ b/gateway/request_relay.cc
@@ -169,6 +169,8 @@
         buffered(context.core->AnswerBuffers()) {}
 
   http::Task<void> Run();
+  // Releases what the request holds. Also called after an exception.
+  void Finish();
 
  private:
   http::Task<std::optional<Refusal>> ReserveBudget();
@@ -231,6 +233,10 @@
     // Step 3: send to upstreams, one after another.
     co_await this->SendWithRetries();
   }
+}
+
+void RequestRelay::Finish() {
+  if (!this->admitted) return;
   this->exchange->OnDisconnect(nullptr);
   this->context->core->Finish(*this->admitted);
 }
@@ -285,7 +291,13 @@
       co_return;
     }
     auto& plan = std::get<SendPlan>(next);
-    const SendOutcome outcome = co_await this->Send(plan);
+    SendOutcome outcome = SendOutcome::kBroken;
+    try {
+      outcome = co_await this->Send(plan);
+    } catch (...) {
+      core.OnSendEnded(*this->admitted, plan, outcome, Now());
+      throw;
+    }
     const bool may_retry =
         core.OnSendEnded(*this->admitted, plan, outcome, Now());
     this->LogSend(plan, outcome);
@@ -604,7 +616,13 @@
 http::Task<void> ServeRequest(const Context& context,
                               http::Exchange& exchange) {
   RequestRelay relay(context, exchange);
-  co_await relay.Run();
+  try {
+    co_await relay.Run();
+  } catch (...) {
+    relay.Finish();
+    throw;
+  }
+  relay.Finish();
 }
 
 }  // namespace hornbeamspool::gateway
--- a/gateway/spawn.cc
+++ b/gateway/spawn.cc
@@ -5,6 +5,7 @@
 
 #include "gateway/event_log.h"
 #include "hornbeamspool/clock.h"
+#include "hornbeamspool/metrics.h"
 #include "http/background_task.h"
 #include "policy/event.h"
 
@@ -14,6 +15,7 @@
                   std::string_view message) {
   std::string fields = policy::KeyValue("duty", name);
   fields += ' ' + policy::KeyValue("fault", message);
+  context.metrics->Add(Counter::kFaults);
   context.log->Write(LogKind::kFault, fields, Now());
 }
 
--- a/hornbeamspool/caller_server.cc
+++ b/hornbeamspool/caller_server.cc
@@ -1,12 +1,12 @@
 #include "hornbeamspool/caller_server.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
 #include <utility>
 
 #include "hornbeamspool/error_response.h"
 #include "hornbeamspool/model_relay.h"
 #include "hornbeamspool/plain_relay.h"
+#include "http/background_task.h"
 #include "http/task.h"
 
 namespace hornbeamspool {
@@ -48,6 +48,7 @@
                            EventSink& sink, const std::atomic<bool>& ready)
     : settings(settings),
       ready(&ready),
+      on_exception(MakeFaultReporter("callers", metrics, sink)),
       work_guard(net::make_work_guard(this->io)),
       wakeup(this->io,
              [this] {
@@ -60,7 +61,8 @@
       server(
           this->io, MakeServerLimits(settings),
           [this](http::Exchange& exchange) { return this->Handle(exchange); },
-          [](http::RejectReason reject) { return RejectResponse(reject); }) {
+          [](http::RejectReason reject) { return RejectResponse(reject); },
+          this->on_exception) {
   this->context.client = &this->client;
   this->context.metrics = &metrics;
   this->context.sink = &sink;
@@ -74,8 +76,11 @@
       this->io, to_router, ReservedSlots(this->settings));
   this->context.admission_client = this->admission_client.get();
   if (this->server.Listen(this->settings.address) == 0) return false;
-  net::co_spawn(this->io, this->CountConnections(), net::detached);
-  this->thread = std::thread([this] { this->io.run(); });
+  http::SpawnBackgroundTask(
+      this->io, [this] { return this->CountConnections(); },
+      this->on_exception);
+  this->thread =
+      std::thread([this] { http::RunEventLoop(this->io, this->on_exception); });
   return true;
 }
 
--- a/hornbeamspool/caller_server.h
+++ b/hornbeamspool/caller_server.h
@@ -10,6 +10,7 @@
 #include <thread>
 
 #include "hornbeamspool/admission_client.h"
+#include "hornbeamspool/fault_report.h"
 #include "hornbeamspool/handler_context.h"
 #include "hornbeamspool/io_wakeup.h"
 #include "hornbeamspool/metrics.h"
@@ -59,6 +60,7 @@
 
   settings::CallerSettings settings;
   const std::atomic<bool>* ready;
+  http::ExceptionHandler on_exception;
   boost::asio::io_context io{1};
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
       work_guard;
--- a/hornbeamspool/metrics.cc
+++ b/hornbeamspool/metrics.cc
@@ -63,7 +63,8 @@
     "pauses",
     "stale_answers",
     "sends_withheld",
-    "backoff_refusals"};
+    "backoff_refusals",
+    "faults"};
 constexpr std::array<std::string_view, kTimings> kTimingNames{
     "first_token_seconds", "token_gap_seconds", "whole_answer_seconds",
     "admission_seconds", "table_call_seconds"};
--- a/hornbeamspool/metrics.h
+++ b/hornbeamspool/metrics.h
@@ -53,6 +53,7 @@
   kStaleAnswers,       // answers to earlier requests, skipped
   kSendsWithheld,      // sends that a pause or a leaving upstream stopped
   kBackoffRefusals,    // requests refused because of pauses
+  kFaults,             // exceptions that ended a request or a handler
   kCount
 };
 
--- a/hornbeamspool/operator_server.cc
+++ b/hornbeamspool/operator_server.cc
@@ -12,6 +12,7 @@
 #include "hornbeamspool/config_store.h"
 #include "hornbeamspool/error_response.h"
 #include "hornbeamspool/ledger_rows.h"
+#include "http/background_task.h"
 #include "http/task.h"
 #include "settings/check.h"
 #include "settings/settings_error.h"
@@ -113,6 +114,7 @@
     : settings(settings),
       sources(sources),
       sink(&sink),
+      on_exception(MakeFaultReporter("operators", *sources.metrics, sink)),
       work_guard(net::make_work_guard(this->io)),
       client(this->io),
       store(this->client, settings.platform.store, settings.platform.timeout),
@@ -120,13 +122,15 @@
       server(
           this->io, http::ServerLimits{},
           [this](http::Exchange& exchange) { return this->Handle(exchange); },
-          [](http::RejectReason reject) { return RejectResponse(reject); }) {}
+          [](http::RejectReason reject) { return RejectResponse(reject); },
+          this->on_exception) {}
 
 OperatorServer::~OperatorServer() { this->Stop(); }
 
 bool OperatorServer::Start() {
   if (this->server.Listen(this->settings.operators.address) == 0) return false;
-  this->thread = std::thread([this] { this->io.run(); });
+  this->thread =
+      std::thread([this] { http::RunEventLoop(this->io, this->on_exception); });
   return true;
 }
 
--- a/hornbeamspool/operator_server.h
+++ b/hornbeamspool/operator_server.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "coordination/member_view.h"
+#include "hornbeamspool/fault_report.h"
 #include "hornbeamspool/metrics.h"
 #include "hornbeamspool/node_status.h"
 #include "hornbeamspool/recorder.h"
@@ -29,7 +30,7 @@
   const Snapshot<NodeStatus>* status = nullptr;
   const Snapshot<std::vector<coordination::Member>>* members = nullptr;
   const Recorder* recorder = nullptr;
-  const Metrics* metrics = nullptr;
+  Metrics* metrics = nullptr;
 };
 
 // Serves health checks, metrics and the operators' JSON API. Every endpoint
@@ -78,6 +79,7 @@
   settings::NodeSettings settings;
   OperatorSources sources;
   EventSink* sink;
+  http::ExceptionHandler on_exception;
   boost::asio::io_context io{1};
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
       work_guard;
--- a/hornbeamspool/peer_thread.cc
+++ b/hornbeamspool/peer_thread.cc
@@ -1,14 +1,13 @@
 #include "hornbeamspool/peer_thread.h"
 
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <utility>
 #include <variant>
 
 #include "hornbeamspool/clock.h"
 #include "http/address.h"
+#include "http/background_task.h"
 #include "http/task.h"
 #include "transport/mac.h"
 #include "transport/poison_part_message.h"
@@ -48,6 +47,7 @@
       recorder(&recorder),
       platform(&platform),
       config_epoch(&config_epoch),
+      on_exception(MakeFaultReporter("peers", metrics, sink)),
       socket(this->io),
       outgoing_wakeup(this->io, [this] { this->SendOutgoing(); }),
       outgoing(kOutgoingCapacity, [this] { this->outgoing_wakeup.Notify(); }),
@@ -65,9 +65,12 @@
   if (!error) this->socket.bind(*endpoint, error);
   if (!error) this->socket.non_blocking(true, error);
   if (error) return false;
-  net::co_spawn(this->io, this->Receive(), net::detached);
-  net::co_spawn(this->io, this->SendHeartbeats(), net::detached);
-  this->thread = std::thread([this] { this->io.run(); });
+  http::SpawnBackgroundTask(
+      this->io, [this] { return this->Receive(); }, this->on_exception);
+  http::SpawnBackgroundTask(
+      this->io, [this] { return this->SendHeartbeats(); }, this->on_exception);
+  this->thread =
+      std::thread([this] { http::RunEventLoop(this->io, this->on_exception); });
   return true;
 }
 
--- a/hornbeamspool/peer_thread.h
+++ b/hornbeamspool/peer_thread.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "coordination/member_view.h"
+#include "hornbeamspool/fault_report.h"
 #include "hornbeamspool/io_wakeup.h"
 #include "hornbeamspool/metrics.h"
 #include "hornbeamspool/platform_messages.h"
@@ -73,6 +74,7 @@
   Recorder* recorder;
   PlatformThread* platform;
   const std::atomic<std::uint64_t>* config_epoch;
+  http::ExceptionHandler on_exception;
   boost::asio::io_context io{1};
   http::UdpSocket socket;
   IoWakeup outgoing_wakeup;
--- a/hornbeamspool/platform_thread.cc
+++ b/hornbeamspool/platform_thread.cc
@@ -1,7 +1,5 @@
 #include "hornbeamspool/platform_thread.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/leaf/handle_errors.hpp>
 #include <optional>
@@ -9,6 +7,7 @@
 
 #include "hornbeamspool/clock.h"
 #include "hornbeamspool/ledger_rows.h"
+#include "http/background_task.h"
 #include "http/task.h"
 #include "platform/documents.h"
 #include "platform/single_writer_row.h"
@@ -59,14 +58,15 @@
       name(settings.name),
       peer_address(settings.peers.address),
       sink(&sink),
+      on_exception(MakeFaultReporter("platform", metrics, sink)),
       work_guard(net::make_work_guard(this->io)),
       config_timer(this->io),
       command_wakeup(this->io,
                      [this] {
                        this->commands.Drain([this](policy::TableCommand c) {
-                         net::co_spawn(this->io,
-                                       this->ExecuteCommand(std::move(c)),
-                                       net::detached);
+                         http::Spawn(this->io,
+                                     this->ExecuteCommand(std::move(c)),
+                                     this->on_exception);
                        });
                      }),
       epoch_wakeup(this->io, [this] { this->config_timer.cancel(); }),
@@ -82,7 +82,7 @@
              this->upstreams.SetReachable(reachable, Now());
              this->RecordStoreReachability(platform::kUpstreamTable, reachable);
            },
-           [](std::string_view) {}, [](std::uint64_t) {},
+           this->on_exception, [](std::uint64_t) {},
            [this](const auto& rows) {
              this->upstreams.Merge(platform::DecodeUpstreams(rows), Now());
              this->SendUpstreamList();
@@ -92,7 +92,8 @@
                     [this](const auto& rows) { this->OnRouterChanges(rows); },
                     [this](bool reachable) {
                       this->RecordStoreReachability(kRouterTable, reachable);
-                    }}),
+                    },
+                    this->on_exception}),
       worker(this->table, std::move(holder), metrics),
       node_status(&node_status) {}
 
@@ -100,12 +101,17 @@
 
 void PlatformThread::Start(SpscQueue<PlatformMessage>& to_router) {
   this->to_router = &to_router;
-  net::co_spawn(this->io, this->PollConfig(), net::detached);
-  net::co_spawn(this->io, this->Register(), net::detached);
-  net::co_spawn(this->io, this->PollUpstreamLoad(), net::detached);
+  http::SpawnBackgroundTask(
+      this->io, [this] { return this->PollConfig(); }, this->on_exception);
+  http::SpawnBackgroundTask(
+      this->io, [this] { return this->Register(); }, this->on_exception);
+  http::SpawnBackgroundTask(
+      this->io, [this] { return this->PollUpstreamLoad(); },
+      this->on_exception);
   this->upstream_table.Start();
   this->router_table.Start();
-  this->thread = std::thread([this] { this->io.run(); });
+  this->thread =
+      std::thread([this] { http::RunEventLoop(this->io, this->on_exception); });
 }
 
 void PlatformThread::Stop() {
@@ -194,8 +200,8 @@
 void PlatformThread::Unregister() {
   auto removed = std::make_shared<std::promise<void>>();
   auto done = removed->get_future();
-  net::co_spawn(this->io, this->RemoveOwnRow(std::move(removed)),
-                net::detached);
+  http::Spawn(this->io, this->RemoveOwnRow(std::move(removed)),
+              this->on_exception);
   done.wait_for(kUnregisterTimeout);
 }
 
@@ -223,9 +229,8 @@
   for (const policy::UpstreamEntry* entry : this->upstreams.All()) {
     listed.upstreams.push_back(ToUpstream(*entry));
   }
-  net::co_spawn(this->io,
-                this->SendToRouter(PlatformMessage(std::move(listed))),
-                net::detached);
+  http::Spawn(this->io, this->SendToRouter(PlatformMessage(std::move(listed))),
+              this->on_exception);
 }
 
 void PlatformThread::OnRouterSnapshot(
@@ -266,7 +271,7 @@
     if (!this->upstreams.Expire(Now()).empty()) this->SendUpstreamList();
     for (const policy::UpstreamEntry* entry : this->upstreams.All()) {
       if (!this->IsPollDue(*entry, Now())) continue;
-      net::co_spawn(this->io, this->FetchLoad(*entry), net::detached);
+      http::Spawn(this->io, this->FetchLoad(*entry), this->on_exception);
     }
     timer.expires_after(this->settings.poll);
     co_await timer.async_wait(http::kAwait);
--- a/hornbeamspool/platform_thread.h
+++ b/hornbeamspool/platform_thread.h
@@ -14,6 +14,7 @@
 #include <thread>
 #include <vector>
 
+#include "hornbeamspool/fault_report.h"
 #include "hornbeamspool/io_wakeup.h"
 #include "hornbeamspool/metrics.h"
 #include "hornbeamspool/node_status.h"
@@ -86,6 +87,7 @@
   std::string name;
   std::string peer_address;
   EventSink* sink;
+  http::ExceptionHandler on_exception;
   boost::asio::io_context io{1};
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
       work_guard;
--- a/hornbeamspool/recorder.cc
+++ b/hornbeamspool/recorder.cc
@@ -17,7 +17,8 @@
 bool IsWarning(policy::EventKind kind) {
   return kind == policy::EventKind::kDrawFailed ||
          kind == policy::EventKind::kSettleFailed ||
-         kind == policy::EventKind::kConfigRefused;
+         kind == policy::EventKind::kConfigRefused ||
+         kind == policy::EventKind::kFault;
 }
 
 // Events of single requests, logged at level debug.
--- a/hornbeamspool/router_thread.cc
+++ b/hornbeamspool/router_thread.cc
@@ -1,5 +1,6 @@
 #include "hornbeamspool/router_thread.h"
 
+#include <exception>
 #include <utility>
 #include <variant>
 
@@ -35,6 +36,7 @@
     : router(std::move(options)),
       metrics(&metrics),
       sink(&sink),
+      on_exception(MakeFaultReporter("router", metrics, sink)),
       listener_queue(listener_capacity, [this] { this->wakeup.Notify(); }),
       platform_queue(kPlatformCapacity, [this] { this->wakeup.Notify(); }),
       peer_queue(kPeerCapacity, [this] { this->wakeup.Notify(); }) {}
@@ -64,20 +66,20 @@
     // Step 1: handle incoming messages. Updates from the platform and the peers
     // go first, so that requests are decided on current state.
     this->platform_queue.Drain([this](PlatformMessage message) {
-      this->HandlePlatformMessage(std::move(message));
+      this->Guard([&] { this->HandlePlatformMessage(std::move(message)); });
     });
     this->peer_queue.Drain([this](PeerUpdate update) {
-      this->HandlePeerUpdate(std::move(update));
+      this->Guard([&] { this->HandlePeerUpdate(std::move(update)); });
     });
     this->listener_queue.Drain([this](policy::ListenerMessage message) {
-      this->HandleListenerMessage(std::move(message));
+      this->Guard([&] { this->HandleListenerMessage(std::move(message)); });
     });
 
     // Step 2: run the periodic work of the router.
     const TimePoint now = Now();
     if (now >= next_tick) {
       if (this->shutdown_requested) this->router.BeginStop();
-      this->router.OnTick(now, this->outbox);
+      this->Guard([&] { this->router.OnTick(now, this->outbox); });
       next_tick = now + kTickInterval;
     }
 
@@ -90,6 +92,15 @@
   }
 }
 
+template <typename Step>
+void RouterThread::Guard(const Step& step) {
+  try {
+    step();
+  } catch (const std::exception& exception) {
+    this->on_exception(exception.what());
+  }
+}
+
 void RouterThread::HandleListenerMessage(policy::ListenerMessage message) {
   const TimePoint now = Now();
   if (const auto* request = std::get_if<policy::AdmissionRequest>(&message)) {
--- a/hornbeamspool/router_thread.h
+++ b/hornbeamspool/router_thread.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <thread>
 
+#include "hornbeamspool/fault_report.h"
 #include "hornbeamspool/metrics.h"
 #include "hornbeamspool/node_status.h"
 #include "hornbeamspool/platform_messages.h"
@@ -59,6 +60,10 @@
 
  private:
   void Run();
+  // Runs `step`, a function without arguments. Reports an exception that leaves
+  // it.
+  template <typename Step>
+  void Guard(const Step& step);
   void HandleListenerMessage(policy::ListenerMessage message);
   void HandlePlatformMessage(PlatformMessage message);
   void HandlePeerUpdate(PeerUpdate update);
@@ -69,6 +74,7 @@
   policy::Router router;
   Metrics* metrics;
   EventSink* sink;
+  http::ExceptionHandler on_exception;
   Wakeup wakeup;
   SpscQueue<policy::ListenerMessage> listener_queue;
   SpscQueue<PlatformMessage> platform_queue;
--- a/hornbeamspool/spsc_queue.h
+++ b/hornbeamspool/spsc_queue.h
@@ -38,10 +38,15 @@
   // the number of messages.
   template <typename Handler>
   std::size_t Drain(const Handler& handler) {
-    return this->queue.consume_all([&](T* message) {
+    const std::size_t count = this->queue.read_available();
+    for (std::size_t i = 0; i < count; ++i) {
+      // Out of the queue first: `handler` may throw.
+      T* message = nullptr;
+      if (!this->queue.pop(message)) return i;
       const std::unique_ptr<T> owned(message);
       handler(std::move(*owned));
-    });
+    }
+    return count;
   }
 
   // Producer: number of pushes that are sure to succeed.
--- a/hornbeamspool/table_worker.cc
+++ b/hornbeamspool/table_worker.cc
@@ -1,6 +1,7 @@
 #include "hornbeamspool/table_worker.h"
 
 #include <array>
+#include <charconv>
 #include <utility>
 #include <variant>
 
@@ -159,7 +160,10 @@
     reply.status = TableStatus::kOk;
     co_return reply;
   }
-  reply.fingerprint = std::stoull("0" + found.Text("fingerprint"));
+  // A fingerprint that can't be read is another request's.
+  const std::string fingerprint = found.Text("fingerprint");
+  std::from_chars(fingerprint.data(), fingerprint.data() + fingerprint.size(),
+                  reply.fingerprint);
   reply.answered = found.Text("state") == "answered";
   reply.answer.status = static_cast<std::uint16_t>(found.Number("status"));
   reply.answer.content_type = found.Text("content_type");
--- a/policy/event.cc
+++ b/policy/event.cc
@@ -21,7 +21,8 @@
                 "budget_topped_up", "grant_drawn",
                 "grant_returned",   "draw_failed",
                 "intent_committed", "intent_exists",
-                "settle_failed",    "poison_part"};
+                "settle_failed",    "poison_part",
+                "fault"};
 
 bool NeedsQuotes(std::string_view value) {
   if (value.empty()) return true;
