Ignore SIGPIPE, and SIGHUP in the chat-completions router

A process ended when the reader of its log did: the next line raised SIGPIPE, and callers lost all requests in flight. SIGHUP, which asks for a reload, ended the chat-completions router, which reads its settings only at its start. Gateways handle SIGHUP as before.

--- a/hornbeamspool/main.cc
+++ b/hornbeamspool/main.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/leaf/handle_errors.hpp>
+#include <csignal>
 #include <cstdlib>
 #include <fstream>
 #include <iostream>
@@ -93,6 +94,8 @@
 }  // namespace
 
 int main(int argc, char** argv) {
+  // A write to a closed pipe, such as the log's, fails instead.
+  std::signal(SIGPIPE, SIG_IGN);
   absl::SetProgramUsageMessage(
       "hornbeamspool --settings=FILE [--embedded]\n"
       "hornbeamspool --gateway=FILE\n"
@@ -109,6 +112,8 @@
   std::optional<settings::NodeSettings> node =
       ReadSettings(path, &settings::ParseNodeSettings);
   if (!node) return kUsage;
+  // A router reads its settings only at its start: nothing to reload.
+  std::signal(SIGHUP, SIG_IGN);
   EmbeddedStandins embedded;
   if (absl::GetFlag(FLAGS_embedded)) {
     if (!embedded.Start()) {
