--- a/http/server.cc
+++ b/http/server.cc
@@ -292,7 +292,9 @@
       co_await bhttp::async_write(this->socket, continue_response,
                                   net::redirect_error(kAwait, error));
     }
-    if (!error) co_await this->ReadPart(parser, true, error);
+    if (!error) {
+      co_await this->ReadPart(parser, true, error);
+    }
   }
   if (!error) {
     this->wants_keep_alive = parser.keep_alive();
--- a/standin/byte_mutator.cc
+++ b/standin/byte_mutator.cc
@@ -120,7 +120,8 @@
   const std::size_t end = message.find(kEnd);
   if (end == std::string::npos) return;
   std::string head = message.substr(0, end + 2);
-  const std::string_view body = std::string_view(message).substr(end + 4);
+  std::string_view body = message;
+  body.remove_prefix(end + kEnd.size());
   const std::size_t length = head.find(kLength);
   if (length != std::string::npos) {
     head.erase(length, head.find("\r\n", length) + 2 - length);
