--- a/standin/duplicating_server.cc
+++ b/standin/duplicating_server.cc
@@ -8,7 +8,7 @@
 #include <boost/beast/http/read.hpp>
 #include <utility>
 
-#include "http/address.h"
+#include "standin/listen.h"
 
 namespace hornbeamspool::standin {
 namespace {
@@ -50,18 +50,9 @@
       report(&report) {}
 
 std::uint16_t DuplicatingServer::Listen(std::string_view address) {
-  const auto endpoint = http::ParseTcpEndpoint(address);
-  if (!endpoint) return 0;
-  error_code error;
-  this->acceptor.open(endpoint->protocol(), error);
-  this->acceptor.set_option(net::socket_base::reuse_address(true), error);
-  this->acceptor.bind(*endpoint, error);
-  if (!error) {
-    this->acceptor.listen(net::socket_base::max_listen_connections, error);
-  }
-  if (error) return 0;
-  net::co_spawn(*this->io, this->Accept(), net::detached);
-  return this->acceptor.local_endpoint().port();
+  const std::uint16_t port = standin::Listen(this->acceptor, address);
+  if (port != 0) net::co_spawn(*this->io, this->Accept(), net::detached);
+  return port;
 }
 
 http::Task<void> DuplicatingServer::Accept() {
--- a/standin/mutating_proxy.cc
+++ b/standin/mutating_proxy.cc
@@ -10,6 +10,7 @@
 
 #include "http/address.h"
 #include "standin/byte_sender.h"
+#include "standin/listen.h"
 
 namespace hornbeamspool::standin {
 namespace {
@@ -40,18 +41,9 @@
       mutator(this->options.seed) {}
 
 std::uint16_t MutatingProxy::Listen(std::string_view address) {
-  const auto endpoint = http::ParseTcpEndpoint(address);
-  if (!endpoint) return 0;
-  error_code error;
-  this->acceptor.open(endpoint->protocol(), error);
-  this->acceptor.set_option(net::socket_base::reuse_address(true), error);
-  this->acceptor.bind(*endpoint, error);
-  if (!error) {
-    this->acceptor.listen(net::socket_base::max_listen_connections, error);
-  }
-  if (error) return 0;
-  net::co_spawn(*this->io, this->Accept(), net::detached);
-  return this->acceptor.local_endpoint().port();
+  const std::uint16_t port = standin::Listen(this->acceptor, address);
+  if (port != 0) net::co_spawn(*this->io, this->Accept(), net::detached);
+  return port;
 }
 
 http::Task<void> MutatingProxy::Accept() {
