One limit for framing bytes, one choice of pieces, one runner of stand-in tasks

Read again as a newcomer; no change of behaviour. The server had a copy of the client's limit of bytes beside a body's content: it stands in http/chunked_body now. The proxy and the sender of malformed bytes each chose whether to split; the mutator does. Two commands of the stand-in program ran their task with the same lines. A comment says why a relay is not finished by its destructor.

--- a/gateway/request_relay.cc
+++ b/gateway/request_relay.cc
@@ -169,7 +169,8 @@
         buffered(context.core->AnswerBuffers()) {}
 
   http::Task<void> Run();
-  // Releases what the request holds. Also called after an exception.
+  // Releases what the request holds. Also called after an exception, but not by
+  // a destructor: relays that are left when the gateway ends outlive its core.
   void Finish();
 
  private:
--- a/http/client.cc
+++ b/http/client.cc
@@ -55,11 +55,6 @@
 // this time.
 constexpr unsigned kTcpUserTimeoutMs = 3000;
 
-// Limit of the bytes received without a byte of the body. Chunk sizes and
-// trailers are short, so a server that sends more is not sending a valid
-// response.
-constexpr std::size_t kMaxFramingBytes = 16 * 1024;
-
 // Interim responses (1xx) count as errors: the client doesn't ask for them.
 constexpr unsigned kMinFinalStatus = 200;
 
--- a/http/server.cc
+++ b/http/server.cc
@@ -35,10 +35,6 @@
 // Bytes of a request read at once.
 constexpr std::size_t kMessageReadBytes = 16 * 1024;
 
-// Limit of the bytes of a body that are neither content nor complete: the size
-// line of a chunk, or the trailers.
-constexpr std::size_t kMaxFramingBytes = 16 * 1024;
-
 // How long a closing connection still reads. If it closed with unread bytes,
 // the kernel would reset it, and the client might lose the response.
 constexpr coordination::Duration kLingerTimeout = std::chrono::seconds(1);
--- a/standin/byte_mutator.cc
+++ b/standin/byte_mutator.cc
@@ -64,7 +64,9 @@
   return message;
 }
 
-std::vector<std::size_t> ByteMutator::Split(std::size_t bytes) {
+std::vector<std::size_t> ByteMutator::Split(std::size_t bytes,
+                                            double fraction) {
+  if (!this->Chance(fraction)) return {bytes};
   std::vector<std::size_t> pieces;
   const std::size_t max_piece =
       1 + this->Below(std::max<std::size_t>(bytes, 1));
--- a/standin/byte_mutator.h
+++ b/standin/byte_mutator.h
@@ -18,7 +18,8 @@
   // Applies one to four random changes.
   std::string Mutate(std::string message);
   // Sizes of the pieces in which `bytes` bytes are sent; their sum is `bytes`.
-  std::vector<std::size_t> Split(std::size_t bytes);
+  // More than one piece in this fraction of the calls.
+  std::vector<std::size_t> Split(std::size_t bytes, double fraction);
   bool Chance(double fraction);
   // Less than `limit`, which must be positive.
   std::size_t Below(std::size_t limit);
--- a/standin/byte_sender.cc
+++ b/standin/byte_sender.cc
@@ -147,9 +147,8 @@
                                  net::redirect_error(http::kAwait, error));
   if (error) co_return;
   socket->set_option(net::ip::tcp::no_delay(true), error);
-  const bool split = this->mutator.Chance(this->options.split);
   const std::vector<std::size_t> pieces =
-      split ? this->mutator.Split(message.size()) : std::vector{message.size()};
+      this->mutator.Split(message.size(), this->options.split);
   if (!co_await SendInPieces(*socket, message, pieces)) co_return;
   http::Timer timer(*this->io, kAnswerTimeout);
   timer.async_wait([socket](const error_code& cancelled) {
--- a/standin/main.cc
+++ b/standin/main.cc
@@ -92,6 +92,13 @@
   return 0;
 }
 
+int RunToEnd(net::io_context& io, hornbeamspool::http::Task<void> task) {
+  net::co_spawn(io, std::move(task),
+                [&](const std::exception_ptr&) { io.stop(); });
+  io.run();
+  return 0;
+}
+
 int RunEngine() {
   net::io_context io{1};
   EngineOptions options;
@@ -161,10 +168,7 @@
     return 2;
   }
   OrderLoad load(io, options);
-  net::co_spawn(io, load.Run(std::cout),
-                [&](const std::exception_ptr&) { io.stop(); });
-  io.run();
-  return 0;
+  return RunToEnd(io, load.Run(std::cout));
 }
 
 int RunProxy() {
@@ -196,10 +200,7 @@
     return 2;
   }
   ByteSender sender(io, std::move(options));
-  net::co_spawn(io, sender.Run(std::cout),
-                [&](const std::exception_ptr&) { io.stop(); });
-  io.run();
-  return 0;
+  return RunToEnd(io, sender.Run(std::cout));
 }
 
 int RunDatagrams() {
--- a/standin/mutating_proxy.cc
+++ b/standin/mutating_proxy.cc
@@ -1,6 +1,5 @@
 #include "standin/mutating_proxy.h"
 
-#include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -93,9 +92,8 @@
     std::string bytes(buffer.data(), count);
     const bool mutated = this->mutator.Chance(this->options.mutated);
     if (mutated) bytes = this->mutator.Mutate(std::move(bytes));
-    const bool split = this->mutator.Chance(this->options.split);
     const std::vector<std::size_t> pieces =
-        split ? this->mutator.Split(bytes.size()) : std::vector{bytes.size()};
+        this->mutator.Split(bytes.size(), this->options.split);
     if (!co_await SendInPieces(link->caller, bytes, pieces)) break;
     if (mutated) break;
   }
