--- a/tests/process/crashing_servers.sh
+++ b/tests/process/crashing_servers.sh
@@ -9,7 +9,6 @@
   { kill -9 "${pids[@]}" $(cat "$dir"/server*); wait; } 2>/dev/null
   [ -n "${KEEP:-}" ] || rm -rf "$dir"
 }
-trap end_all EXIT
 
 # The servers restart until the file $dir/enough exists.
 server() {  # NUMBER
--- a/tests/process/duplicate_answer_test.sh
+++ b/tests/process/duplicate_answer_test.sh
@@ -13,11 +13,6 @@
 bin=$1
 dir=$(mktemp -d)
 pids=()
-end_all() {
-  { kill -9 "${pids[@]}"; wait; } 2>/dev/null
-  [ -n "${KEEP:-}" ] || rm -rf "$dir"
-}
-trap end_all EXIT
 source tests/process/checks.sh
 source tests/process/gateways.sh
 
@@ -96,7 +91,7 @@
   check "$kind, seed $seed: nothing runs that was not asked for" 0 "$(wc -l <"$dir/unasked")"
   check "$kind, seed $seed: orders are served" true "$([ "$(grep -c ' 200$' "$dir/statuses")" -gt $((orders / 4)) ] && echo true)"
   [ -n "${KEEP:-}" ] && cp -r "$dir" "$KEEP-$seed-${kind// /-}"
-  { kill -9 "${pids[@]}"; wait; } 2>/dev/null
+  kill_processes
 }
 
 for seed in ${SEEDS:-1}; do
--- a/tests/process/gateway_test.sh
+++ b/tests/process/gateway_test.sh
@@ -9,9 +9,9 @@
 dir=$(mktemp -d)
 pids=()
 endless=()
-trap 'kill -9 "${pids[@]}" 2>/dev/null; [ -n "${KEEP:-}" ] || rm -rf "$dir"' EXIT
 source tests/process/checks.sh
 source tests/process/gateways.sh
+trap 'kill -9 "${pids[@]}" 2>/dev/null; [ -n "${KEEP:-}" ] || rm -rf "$dir"' EXIT
 # How often the servers have run the request with this id.
 runs() { curl -s http://127.0.0.1:19701/runs http://127.0.0.1:19702/runs | grep -o "\"$1\":[0-9]*" | cut -d: -f2 | awk '{sum += $1} END {print sum + 0}'; }
 
--- a/tests/process/gateways.sh
+++ b/tests/process/gateways.sh
@@ -1,8 +1,21 @@
 # Starts gateways as processes, and sends requests to them and to the stand-ins
 # of the platform's store and servers. Loaded with `source`; requires $bin, $dir
-# and the array pids.
+# and the array pids. Ends the test's processes when its shell exits.
 store=127.0.0.1:19700
 
+# Kills the processes of the array pids, and empties it.
+kill_processes() {
+  { kill -9 "${pids[@]}"; wait; } 2>/dev/null
+  pids=()
+}
+# Also ends callers that run until $dir/enough exists. Keeps $dir if KEEP is set.
+end_all() {
+  touch "$dir/enough"
+  kill_processes
+  [ -n "${KEEP:-}" ] || rm -rf "$dir"
+}
+trap end_all EXIT
+
 # Writes a row of the store: row TABLE/KEY VALUE.
 row() { curl -s -X PUT "http://$store/rows/$1" -d "$2" >/dev/null; }
 # Sets the injected faults of the stand-in at a port: fault PORT JSON.
--- a/tests/process/leaving_upstream_test.sh
+++ b/tests/process/leaving_upstream_test.sh
@@ -10,12 +10,6 @@
 bin=$1
 dir=$(mktemp -d)
 pids=()
-end_all() {
-  touch "$dir/enough"
-  { kill -9 "${pids[@]}"; wait; } 2>/dev/null
-  [ -n "${KEEP:-}" ] || rm -rf "$dir"
-}
-trap end_all EXIT
 source tests/process/checks.sh
 source tests/process/gateways.sh
 source tests/process/arrivals.sh
--- a/tests/process/restored_store_test.sh
+++ b/tests/process/restored_store_test.sh
@@ -10,7 +10,6 @@
 bin=$1
 dir=$(mktemp -d)
 pids=()
-trap '{ kill -9 "${pids[@]}"; wait; } 2>/dev/null; [ -n "${KEEP:-}" ] || rm -rf "$dir"' EXIT
 source tests/process/checks.sh
 source tests/process/gateways.sh
 
