--- /dev/null
+++ b/review/kit-2/json.cpp
@@ -0,0 +1,1 @@
+#include <boost/json/src.hpp>
