--- a/review/7/case.cpp
+++ b/review/7/case.cpp
@@ -1,9 +1,5 @@
-// Clients that nobody controls send chunked bodies that stop short of their end
-// and stay open. Their heads are within max_header_bytes and hold many short
-// fields. A router over memory_mb is killed, as the platform does, and starts
-// again.
-#include <sys/resource.h>
-
+// A router is added just after the store has come back from an older copy, while
+// the store turns one of the three others away.
 #include <iostream>
 
 #include "../kit-2/platform.hpp"
@@ -11,28 +7,8 @@
 using namespace review;
 
 namespace {
-constexpr long kMemoryMb = 260;       // of a front machine
-constexpr std::size_t kMaxHead = 16'384;  // limits.max_header_bytes
-constexpr int kClients = 1200;        // at each router, at once
-constexpr int kRounds = 3;
-
-long RssMb(pid_t pid) {
-  std::ifstream file("/proc/" + std::to_string(pid) + "/status");
-  std::string line;
-  while (std::getline(file, line)) {
-    if (line.rfind("VmRSS:", 0) == 0) return std::atol(line.c_str() + 6) / 1024;
-  }
-  return 0;
-}
-
-std::string HostileRequest() {
-  std::string head =
-      "POST /order/x HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: hostile\r\n"
-      "Authorization: Bearer key-t\r\nTransfer-Encoding: chunked\r\n";
-  while (head.size() + 4 + 2 < kMaxHead - 64) head += "a:\r\n";
-  head += "\r\n";
-  return head + "400\r\n" + std::string(1000, 'x');
-}
+constexpr int kPrompt = 10, kOutput = 10;
+constexpr std::int64_t kPrepaid = 4000;  // of each tenant: 200 requests
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -40,103 +16,104 @@
   const std::string dir = argv[2];
   Record record(std::string(argv[1]) + "/record.txt");
   const bool trouble = Trouble();
-  record.Line(trouble ? "with clients that nobody controls" : "with ordinary clients alone");
-  rlimit descriptors{};
-  ::getrlimit(RLIMIT_NOFILE, &descriptors);
-  descriptors.rlim_cur = std::min<rlim_t>(descriptors.rlim_max, 8192);
-  ::setrlimit(RLIMIT_NOFILE, &descriptors);
-  if (descriptors.rlim_cur < 4096) return 2;
+  record.Line(trouble ? "with the restore" : "without the restore");
 
   Store store(record);
-  store.Put("op", "config", Config(10, {{"t", "key-t", 0}}, false));
-  std::vector<std::unique_ptr<Upstream>> servers;
-  for (int i = 1; i <= 2; ++i) {
-    servers.push_back(std::make_unique<Upstream>(store, "i-" + std::to_string(i), "s", "v1"));
+  Store::Door first_door(store);  // of the first router
+  std::vector<Tenant> tenants;
+  for (int i = 1; i <= 9; ++i) {
+    tenants.push_back({"t" + std::to_string(i), "key-" + std::to_string(i), kPrepaid});
   }
-  std::vector<std::unique_ptr<Router>> routers;
+  store.Put("op", "config", Config(10, tenants, true));
+  std::vector<std::unique_ptr<Upstream>> servers;
   for (int i = 1; i <= 2; ++i) {
-    routers.push_back(std::make_unique<Router>(record, dir, "front-a-" + std::to_string(i), store.Port()));
-    routers.back()->Start();
+    servers.push_back(std::make_unique<Upstream>(store, "i-" + std::to_string(i), "s", "v1", 2));
   }
-  for (const auto& router : routers) {
+  Router first(record, dir, "front-a-1", first_door.Port());
+  Router second(record, dir, "front-a-2", store.Port());
+  Router third(record, dir, "front-a-3", store.Port());
+  Router added(record, dir, "front-a-4", store.Port());
+  for (Router* router : {&first, &second, &third}) router->Start();
+  for (Router* router : {&first, &second, &third}) {
     if (!router->WaitReady(15'000)) return 2;
   }
 
-  // Ordinary callers: 10 requests a second at each router.
-  std::atomic<bool> stop{false};
-  std::atomic<int> sent{0}, served{0};
-  std::vector<std::thread> callers;
-  for (std::size_t i = 0; i < routers.size(); ++i) {
-    callers.emplace_back([&, i] {
-      for (int n = 0; !stop; ++n) {
-        const std::string id = std::to_string(i) + '-' + std::to_string(n);
-        const Response response =
-            Call(routers[i]->Front(), MakeRequest("GET", "/lookup/x", "key-t", id, 2000), 3000);
-        ++sent;
-        if (response.status == 200 && response.whole) {
-          ++served;
-        } else {
-          record.Line("ordinary request " + id + ": " + std::to_string(response.status) + ' ' + response.error);
-        }
-        SleepMs(100);
-      }
-    });
-  }
-
-  const std::string hostile = HostileRequest();
-  std::vector<int> ends(routers.size(), 0);
-  std::vector<long> most(routers.size(), 0);
-  bool could_run = true;
-  for (int round = 0; round < kRounds && could_run; ++round) {
-    std::vector<std::unique_ptr<Channel>> clients;
-    if (trouble) {
-      for (int n = 0; n < kClients; ++n) {
-        for (const auto& router : routers) {
-          auto client = std::make_unique<Channel>(Connect(router->Front(), NowMs() + 2000));
-          if (client->Fd() < 0) continue;
-          client->Write(hostile, NowMs() + 2000);
-          clients.push_back(std::move(client));
-        }
+  // Tokens that each tenant got: its prompts, and the events that arrived. Only
+  // complete streams are counted.
+  std::mutex mutex;
+  std::map<std::string, std::int64_t> got;
+  std::map<int, int> statuses;
+  std::atomic<int> number{0};
+  const auto spend = [&](const Tenant& tenant, const Router& router) {
+    Request request = MakeRequest("POST", "/stream/x", tenant.key, "r" + std::to_string(++number), 4000);
+    request.headers.emplace_back("Token-Count", std::to_string(kPrompt) + ',' + std::to_string(kOutput));
+    request.headers.emplace_back("Prompt-Prefix", "aa:10");
+    request.body = "x";
+    const Response response = Call(router.Front(), request, 5000);
+    const std::scoped_lock lock(mutex);
+    ++statuses[response.status];
+    if (response.status == 200 && response.whole) got[tenant.name] += kPrompt + kOutput;
+  };
+  const auto load = [&](int count, int gap_ms, std::vector<const Router*> to) {
+    std::vector<std::thread> threads;
+    for (int n = 0; n < count; ++n) {
+      for (const Tenant& tenant : tenants) {
+        threads.emplace_back(spend, std::cref(tenant), std::cref(*to[static_cast<std::size_t>(n) % to.size()]));
       }
-      record.Line(std::to_string(clients.size()) + " clients have sent their requests but for the end");
+      SleepMs(gap_ms);
     }
-    const std::int64_t end = NowMs() + 8000;
-    std::vector<std::int64_t> start_at(routers.size(), 0);
-    while (NowMs() < end) {
-      for (std::size_t i = 0; i < routers.size(); ++i) {
-        if (routers[i]->Pid() <= 0) {
-          if (NowMs() >= start_at[i]) routers[i]->Start();
-          continue;
-        }
-        const long rss = RssMb(routers[i]->Pid());
-        most[i] = std::max(most[i], rss);
-        const bool over = rss > kMemoryMb;
-        if (!over && !routers[i]->HasEnded()) continue;
-        record.Line("router " + std::to_string(i + 1) + (over ? " holds " + std::to_string(rss) + " MB, over memory_mb" : " has ended"));
-        routers[i]->Kill();
-        start_at[i] = NowMs() + 500;
-        ++ends[i];
-      }
-      SleepMs(50);
-    }
-    clients.clear();
-    for (const auto& router : routers) {
-      if (router->Pid() <= 0) router->Start();
-    }
-    for (const auto& router : routers) could_run = router->WaitReady(15'000) && could_run;
+    for (std::thread& thread : threads) thread.join();
+  };
+  const auto report = [&](const std::string& when) {
+    const std::scoped_lock lock(mutex);
+    std::string text = when + ":";
+    for (const Tenant& tenant : tenants) text += ' ' + std::to_string(got[tenant.name]);
+    text += " of " + std::to_string(kPrepaid) + " tokens";
+    for (const auto& [status, count] : statuses) text += "; " + std::to_string(count) + " x " + std::to_string(status);
+    record.Line(text);
+  };
+
+  load(12, 50, {&first, &second, &third});
+  SleepMs(1500);
+  store.Copy();
+  const std::int64_t copied = NowMs();
+  report("at the copy");
+  load(140, 16, {&first, &second, &third});
+  report("before the restore");
+  SleepMs(600);
+  if (trouble) {
+    store.SetAway(true);
+    first_door.SetClosed(true);
+    record.Line("the store is away");
     SleepMs(1000);
+    record.Line("the copy is " + std::to_string(NowMs() - copied) + " ms old");
+    store.Restore();
+    store.SetAway(false);
+    record.Line("the store serves all but front-a-1");
+    store.Put("op", "config", Config(10, tenants, true));
   }
-  stop = true;
-  for (std::thread& caller : callers) caller.join();
+  const std::int64_t returned = NowMs();
+  added.Start();
+  if (!added.WaitReady(5000)) return 2;
+  load(120, 30, {&added});
+  report("after the fourth router was added");
+  while (NowMs() < returned + 7500) SleepMs(10);
+  first_door.SetClosed(false);
+  if (trouble) record.Line("the store serves all");
+  SleepMs(5000);
+  load(100, 40, {&first, &second, &third, &added});
+  SleepMs(14'000);
+  load(100, 40, {&first, &second, &third, &added});
+  report("at the end");
+  bool broken = false, any = false;
   std::string text;
-  bool broken = true;
-  for (std::size_t i = 0; i < routers.size(); ++i) {
-    text += "; router " + std::to_string(i + 1) + ": at most " + std::to_string(most[i]) + " MB, ended " +
-            std::to_string(ends[i]) + " times";
-    broken = broken && ends[i] >= 3;
+  for (const Tenant& tenant : tenants) {
+    broken = broken || got[tenant.name] > kPrepaid;
+    any = any || got[tenant.name] >= kPrepaid / 2;
+    text += ' ' + tenant.name + '=' + std::to_string(got[tenant.name]);
   }
-  record.Line(std::to_string(served) + " of " + std::to_string(sent) + " ordinary requests served" + text);
-  std::cout << (!could_run ? "could not run" : broken ? "Fault: processes end" : "held") << ", " << served << " of "
-            << sent << " ordinary requests served" << text << std::endl;
-  return !could_run ? 2 : broken ? 1 : 0;
+  record.Line(!any ? "could not run" : broken ? "BUDGET broken" : "BUDGET held");
+  std::cout << (!any ? "could not run" : broken ? "BUDGET broken" : "BUDGET held") << ", prepaid " << kPrepaid
+            << ", got" << text << std::endl;
+  return !any ? 2 : broken ? 1 : 0;
 }
--- a/review/kit-2/platform.hpp
+++ b/review/kit-2/platform.hpp
@@ -84,6 +84,22 @@
   ~Store() { this->closing = true; }
   int Port() const { return this->server.Port(); }
 
+  // A further address of the store, at which it can turn one machine away: calls
+  // get 503 and nothing is done, while the others are served.
+  class Door {
+   public:
+    explicit Door(Store& store)
+        : server([this, &store](Channel& channel, const Request& request) {
+            return store.Handle(channel, request, &this->closed);
+          }) {}
+    int Port() const { return this->server.Port(); }
+    void SetClosed(bool closed) { this->closed = closed; }
+
+   private:
+    std::atomic<bool> closed{false};
+    HttpServer server;
+  };
+
   // A write of the operator or a server; false while the store is away.
   bool Put(const std::string& table, const std::string& key, const std::string& value) {
     const std::scoped_lock lock(this->mutex);
@@ -162,11 +178,15 @@
     return {text("table"), text("part"), text("key")};
   }
 
-  bool Handle(Channel& channel, const Request& request) {
+  bool Handle(Channel& channel, const Request& request, const std::atomic<bool>* closed = nullptr) {
     Response response;
     {
       std::unique_lock lock(this->mutex);
-      response = this->Answer(request, lock);
+      if (closed != nullptr && *closed) {
+        response.status = 503;
+      } else {
+        response = this->Answer(request, lock);
+      }
       response.headers.emplace_back("Store-Era", std::to_string(this->era));
     }
     response.headers.emplace_back("Content-Type", "application/json");
