--- a/review/kit-2/platform.hpp
+++ b/review/kit-2/platform.hpp
@@ -28,8 +28,8 @@
   void Line(const std::string& text) {
     const std::scoped_lock lock(this->mutex);
     char time[32];
-    std::snprintf(time, sizeof time, "%9.3f s  ",
-                  static_cast<double>(NowMs() - this->start) / 1000);
+    std::snprintf(time, sizeof time, "%7lld ms  ",
+                  static_cast<long long>(NowMs() - this->start));
     this->file << time << text << std::endl;
   }
 
--- a/review/kit-2/run.sh
+++ b/review/kit-2/run.sh
@@ -14,6 +14,8 @@
 trap 'rm -rf "$dir"' EXIT
 "$case" "review/$1" "$dir" &
 pid=$!
+# Also if this script is stopped: the routers end with the case.
+trap 'kill -TERM "$pid" 2>/dev/null; rm -rf "$dir"; exit 2' TERM INT HUP
 # The limit of a case is 120 s; its routers end with it.
 for _ in $(seq 1150); do
   kill -0 "$pid" 2>/dev/null || break
